--- /dev/null
+++ b/src/cactusgw/agent/entry_port.hpp
@@ -0,0 +1,66 @@
+#ifndef CACTUSGW_AGENT_ENTRY_PORT_HPP
+#define CACTUSGW_AGENT_ENTRY_PORT_HPP
+
+/// Messages between an agent and the entry of the same VM.
+
+#include "cactusgw/agent/agent_state.hpp"
+#include "cactusgw/agent/key_claims.hpp"
+#include "cactusgw/messaging/envelope.hpp"
+#include "cactusgw/messaging/message_socket.hpp"
+#include "cactusgw/platform/http_platform_client.hpp"
+#include "cactusgw/telemetry/log.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <zmq.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cactusgw {
+
+/// Not thread-safe; lives on one io_context.
+class EntryPort
+{
+public:
+  static Result<std::unique_ptr<EntryPort>> Listen(
+    zmq::context_t& aZmq,
+    boost::asio::io_context& aContext,
+    AgentState& aState,
+    HttpPlatformClient& aPlatform);
+
+  /// Sends decisions on requests that were waiting.
+  void SendDecisions(const AdmissionControl::Decisions& aDecisions);
+
+  /// When the entry was last heard.
+  Instant HeardAt() const { return mHeardAt; }
+
+private:
+  EntryPort(zmq::context_t& aZmq,
+            boost::asio::io_context& aContext,
+            AgentState& aState,
+            HttpPlatformClient& aPlatform);
+
+  void OnMessage(std::string_view aIdentity, std::string_view aPayload);
+  void OnHello(const wire::Envelope& aEnvelope, Instant aNow);
+  void OnAdmit(const wire::AdmitRequest& aRequest, Instant aNow);
+  void OnRelease(const wire::ReleasePermit& aRelease, Instant aNow);
+  boost::asio::awaitable<void> RunClaim(wire::KeyClaim aClaim);
+  boost::asio::awaitable<void> RunFinish(wire::KeyResult aResult);
+  void Send(wire::Envelope& aEnvelope);
+
+  boost::asio::io_context& mContext;
+  AgentState& mState;
+  EnvelopeCodec mCodec;
+  KeyClaims<HttpPlatformClient> mClaims;
+  PartLog mLog;
+  std::unique_ptr<MessageSocket> mSocket;
+  /// Routing identity of the entry, as it last introduced itself.
+  std::string mIdentity;
+  std::uint64_t mEntryIncarnation = 0;
+  Instant mHeardAt;
+};
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_AGENT_ENTRY_PORT_HPP
--- /dev/null
+++ b/src/cactusgw/config/object_reader.cpp
@@ -0,0 +1,277 @@
+#include "cactusgw/config/object_reader.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/json/parse.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace cactusgw {
+
+namespace json = boost::json;
+
+ObjectReader::ObjectReader(const json::value& aValue,
+                           std::string aPath,
+                           FaultSink& aSink)
+  : mObject(aValue.if_object())
+  , mPath(std::move(aPath))
+  , mSink(aSink)
+{
+  if (mObject == nullptr) {
+    mSink.mFaults.push_back({ mSink.mFile, mPath, "must be an object" });
+  }
+}
+
+std::string
+ObjectReader::String(std::string_view aName)
+{
+  const json::value* value = Require(aName);
+  return value == nullptr ? std::string{} : StringAt(aName, *value);
+}
+
+std::string
+ObjectReader::StringOr(std::string_view aName, std::string_view aDefault)
+{
+  const json::value* value = Find(aName);
+  return value == nullptr ? std::string{ aDefault } : StringAt(aName, *value);
+}
+
+std::string
+ObjectReader::OneOf(std::string_view aName,
+                    std::span<const std::string_view> aWords,
+                    std::string_view aDefault)
+{
+  std::string text = StringOr(aName, aDefault);
+  if (std::find(aWords.begin(), aWords.end(), text) != aWords.end()) {
+    return text;
+  }
+  std::string reason = "must be one of";
+  for (const std::string_view word : aWords) {
+    reason += " \"" + std::string{ word } + "\"";
+  }
+  Fault(aName, reason);
+  return std::string{ aDefault };
+}
+
+std::string
+ObjectReader::Address(std::string_view aName)
+{
+  std::string text = String(aName);
+  return text.empty() ? text : AddressAt(aName, std::move(text));
+}
+
+std::string
+ObjectReader::AddressOr(std::string_view aName, std::string_view aDefault)
+{
+  std::string text = StringOr(aName, aDefault);
+  return text.empty() ? text : AddressAt(aName, std::move(text));
+}
+
+std::int64_t
+ObjectReader::Integer(std::string_view aName, IntegerRange aRange)
+{
+  const json::value* value = Require(aName);
+  return value == nullptr ? aRange.mMin : IntegerAt(aName, *value, aRange);
+}
+
+std::int64_t
+ObjectReader::IntegerOr(std::string_view aName,
+                        IntegerRange aRange,
+                        std::int64_t aDefault)
+{
+  const json::value* value = Find(aName);
+  return value == nullptr ? aDefault : IntegerAt(aName, *value, aRange);
+}
+
+bool
+ObjectReader::BoolOr(std::string_view aName, bool aDefault)
+{
+  const json::value* value = Find(aName);
+  if (value == nullptr) {
+    return aDefault;
+  }
+  if (!value->is_bool()) {
+    Fault(aName, "must be true or false");
+    return aDefault;
+  }
+  return value->get_bool();
+}
+
+std::vector<std::string>
+ObjectReader::StringsOr(std::string_view aName)
+{
+  std::vector<std::string> texts;
+  const json::value* value = Find(aName);
+  if (value == nullptr) {
+    return texts;
+  }
+  if (!value->is_array()) {
+    Fault(aName, "must be an array of strings");
+    return texts;
+  }
+  for (const json::value& item : value->get_array()) {
+    if (!item.is_string()) {
+      Fault(aName, "must be an array of strings");
+      return texts;
+    }
+    texts.emplace_back(item.get_string());
+  }
+  return texts;
+}
+
+void
+ObjectReader::ForEach(std::string_view aName, const MemberFunction& aFunction)
+{
+  const json::value* value = Find(aName);
+  if (value == nullptr) {
+    return;
+  }
+  const json::object* object = value->if_object();
+  if (object == nullptr) {
+    Fault(aName, "must be an object");
+    return;
+  }
+  const std::string path = mPath + "/" + std::string{ aName };
+  for (const json::key_value_pair& member : *object) {
+    const std::string_view key{ member.key().data(), member.key().size() };
+    ObjectReader reader{ member.value(),
+                         path + "/" + std::string{ key },
+                         mSink };
+    aFunction(key, reader);
+    reader.Finish();
+  }
+}
+
+void
+ObjectReader::ObjectOr(std::string_view aName, const ObjectFunction& aFunction)
+{
+  const json::value* value = Find(aName);
+  if (value == nullptr) {
+    return;
+  }
+  ObjectReader reader{ *value, mPath + "/" + std::string{ aName }, mSink };
+  aFunction(reader);
+  reader.Finish();
+}
+
+bool
+ObjectReader::Has(std::string_view aName) const
+{
+  return mObject != nullptr && mObject->contains(aName);
+}
+
+void
+ObjectReader::Fault(std::string_view aName, std::string aReason)
+{
+  mSink.mFaults.push_back(
+    { mSink.mFile, mPath + "/" + std::string{ aName }, std::move(aReason) });
+}
+
+void
+ObjectReader::Finish()
+{
+  if (mObject == nullptr) {
+    return;
+  }
+  for (const json::key_value_pair& member : *mObject) {
+    const std::string_view key{ member.key().data(), member.key().size() };
+    if (!mAsked.contains(key)) {
+      Fault(key, "unknown member");
+    }
+  }
+}
+
+const json::value*
+ObjectReader::Find(std::string_view aName)
+{
+  mAsked.emplace(aName);
+  return mObject == nullptr ? nullptr : mObject->if_contains(aName);
+}
+
+const json::value*
+ObjectReader::Require(std::string_view aName)
+{
+  const json::value* value = Find(aName);
+  if (value == nullptr && mObject != nullptr) {
+    Fault(aName, "is missing");
+  }
+  return value;
+}
+
+std::string
+ObjectReader::StringAt(std::string_view aName, const json::value& aValue)
+{
+  if (!aValue.is_string()) {
+    Fault(aName, "must be a string");
+    return {};
+  }
+  if (aValue.get_string().empty()) {
+    Fault(aName, "must not be empty");
+  }
+  return std::string{ aValue.get_string() };
+}
+
+std::string
+ObjectReader::AddressAt(std::string_view aName, std::string aText)
+{
+  if (!IsAddress(aText)) {
+    Fault(aName, "must be an IP address and port, as in 127.0.0.1:8080");
+  }
+  return aText;
+}
+
+std::int64_t
+ObjectReader::IntegerAt(std::string_view aName,
+                        const json::value& aValue,
+                        IntegerRange aRange)
+{
+  if (!aValue.is_int64()) {
+    Fault(aName, "must be a whole number");
+    return aRange.mMin;
+  }
+  const std::int64_t n = aValue.get_int64();
+  if (n < aRange.mMin || n > aRange.mMax) {
+    Fault(aName,
+          "must lie between " + std::to_string(aRange.mMin) + " and " +
+            std::to_string(aRange.mMax));
+    return aRange.mMin;
+  }
+  return n;
+}
+
+json::value
+ParseJsonWithComments(std::string_view aText, FaultSink& aSink)
+{
+  json::parse_options options;
+  options.allow_comments = true;
+  options.allow_trailing_commas = true;
+  json::error_code ec;
+  json::value value =
+    json::parse({ aText.data(), aText.size() }, ec, {}, options);
+  if (ec) {
+    aSink.mFaults.push_back(
+      { aSink.mFile, "", "is not valid JSON: " + ec.message() });
+    return nullptr;
+  }
+  return value;
+}
+
+bool
+IsAddress(std::string_view aText)
+{
+  const std::size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return false;
+  }
+  boost::system::error_code ec;
+  boost::asio::ip::make_address(std::string{ aText.substr(0, colon) }, ec);
+  const std::string_view digits = aText.substr(colon + 1);
+  std::uint16_t port = 0;
+  const std::from_chars_result result =
+    std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  const bool wholeRead = result.ptr == digits.data() + digits.size();
+  return !ec && result.ec == std::errc{} && wholeRead && port != 0;
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/config/process_settings.cpp
@@ -0,0 +1,168 @@
+#include "cactusgw/config/process_settings.hpp"
+
+#include "cactusgw/config/object_reader.hpp"
+
+#include <boost/json/value.hpp>
+
+#include <array>
+
+namespace cactusgw {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> kLogLevels{ "debug",
+                                                      "info",
+                                                      "warn",
+                                                      "error" };
+constexpr IntegerRange kTimeRange{ 10, 3'600'000 };
+
+Milliseconds
+TimeOr(ObjectReader& aReader, std::string_view aName, std::int64_t aDefault)
+{
+  return Milliseconds{ aReader.IntegerOr(aName, kTimeRange, aDefault) };
+}
+
+PlaceSettings
+ReadPlace(ObjectReader& aReader)
+{
+  PlaceSettings place;
+  place.mVm = aReader.String("vm");
+  place.mDataCentre = aReader.String("dataCentre");
+  return place;
+}
+
+OperatorSettings
+ReadOperator(ObjectReader& aReader)
+{
+  OperatorSettings settings;
+  if (!aReader.Has("operator")) {
+    aReader.Fault("operator", "is missing");
+  }
+  aReader.ObjectOr("operator", [&](ObjectReader& aMember) {
+    settings.mListen = aMember.Address("listen");
+    settings.mToken = aMember.String("token");
+  });
+  return settings;
+}
+
+LogSettings
+ReadLog(ObjectReader& aReader)
+{
+  LogSettings settings;
+  aReader.ObjectOr("log", [&](ObjectReader& aMember) {
+    settings.mLevel = aMember.OneOf("level", kLogLevels, "info");
+    settings.mOutput = aMember.StringOr("output", "stderr");
+  });
+  return settings;
+}
+
+std::vector<std::string>
+ReadAddresses(ObjectReader& aReader, std::string_view aName)
+{
+  std::vector<std::string> addresses = aReader.StringsOr(aName);
+  for (const std::string& address : addresses) {
+    if (!IsAddress(address)) {
+      aReader.Fault(aName, "\"" + address + "\" is not an IP address and port");
+    }
+  }
+  return addresses;
+}
+
+CreditTimes
+ReadCreditTimes(ObjectReader& aReader)
+{
+  CreditTimes times;
+  aReader.ObjectOr("credits", [&](ObjectReader& aMember) {
+    times.mGrantValidity = TimeOr(aMember, "validityMs", 3000);
+    times.mGuard = TimeOr(aMember, "guardMs", 2000);
+    times.mMaxRequestTime = TimeOr(aMember, "maxRequestMs", 600'000);
+  });
+  return times;
+}
+
+LeaseSettings
+ReadLease(ObjectReader& aReader)
+{
+  LeaseSettings lease;
+  aReader.ObjectOr("lease", [&](ObjectReader& aMember) {
+    lease.mDuration = TimeOr(aMember, "durationMs", 10'000);
+    lease.mRenewEvery = TimeOr(aMember, "renewMs", 3000);
+    lease.mGuard = TimeOr(aMember, "guardMs", 1000);
+    if (lease.mRenewEvery + lease.mGuard >= lease.mDuration) {
+      aMember.Fault("renewMs", "must leave time within durationMs");
+    }
+  });
+  return lease;
+}
+
+/// Parses, reads with the given function, and collects all faults.
+template<typename Settings, typename ReadFunction>
+SettingsResult<Settings>
+ReadSettings(std::string_view aText, std::string_view aFile, ReadFunction aRead)
+{
+  ConfigFaults faults;
+  FaultSink sink{ std::string{ aFile }, faults };
+  const boost::json::value document = ParseJsonWithComments(aText, sink);
+  if (!faults.empty()) {
+    return faults;
+  }
+  ObjectReader reader{ document, "", sink };
+  Settings settings = aRead(reader);
+  reader.Finish();
+  if (!faults.empty()) {
+    return faults;
+  }
+  return settings;
+}
+
+} // namespace
+
+SettingsResult<EntrySettings>
+ReadEntrySettings(std::string_view aText, std::string_view aFile)
+{
+  return ReadSettings<EntrySettings>(aText, aFile, [](ObjectReader& aReader) {
+    EntrySettings settings;
+    settings.mPlace = ReadPlace(aReader);
+    settings.mListen = aReader.Address("listen");
+    settings.mAgent = aReader.Address("agent");
+    settings.mOperator = ReadOperator(aReader);
+    settings.mLog = ReadLog(aReader);
+    settings.mUnreadyTime = TimeOr(aReader, "unreadyMs", 3000);
+    settings.mStopTime = TimeOr(aReader, "stopMs", 620'000);
+    return settings;
+  });
+}
+
+SettingsResult<AgentSettings>
+ReadAgentSettings(std::string_view aText, std::string_view aFile)
+{
+  return ReadSettings<AgentSettings>(aText, aFile, [](ObjectReader& aReader) {
+    AgentSettings settings;
+    settings.mPlace = ReadPlace(aReader);
+    settings.mPlatform = aReader.Address("platform");
+    settings.mEntryListen = aReader.Address("entryListen");
+    settings.mPeerListen = aReader.Address("peerListen");
+    settings.mSeeds = ReadAddresses(aReader, "seeds");
+    settings.mOperator = ReadOperator(aReader);
+    settings.mLog = ReadLog(aReader);
+    settings.mCreditTimes = ReadCreditTimes(aReader);
+    settings.mLease = ReadLease(aReader);
+    settings.mHeartbeatEvery = TimeOr(aReader, "heartbeatMs", 1000);
+    settings.mOwnershipValidity = TimeOr(aReader, "ownershipMs", 4000);
+    return settings;
+  });
+}
+
+SettingsResult<ToolSettings>
+ReadToolSettings(std::string_view aText, std::string_view aFile)
+{
+  return ReadSettings<ToolSettings>(aText, aFile, [](ObjectReader& aReader) {
+    ToolSettings settings;
+    settings.mPlatform = aReader.AddressOr("platform", "");
+    settings.mOperators = ReadAddresses(aReader, "operators");
+    settings.mToken = aReader.StringOr("token", "");
+    return settings;
+  });
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/config/process_settings.hpp
@@ -0,0 +1,99 @@
+#ifndef CACTUSGW_CONFIG_PROCESS_SETTINGS_HPP
+#define CACTUSGW_CONFIG_PROCESS_SETTINGS_HPP
+
+/// Settings of one process, read from the file given by `--settings`.
+
+#include "cactusgw/config/fault.hpp"
+#include "cactusgw/core/credit_messages.hpp"
+#include "cactusgw/core/lease_keeper.hpp"
+#include "cactusgw/core/verdict.hpp"
+
+#include <boost/outcome/basic_result.hpp>
+#include <boost/outcome/policy/terminate.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusgw {
+
+/// Settings, or every fault found in them.
+template<typename T>
+using SettingsResult = boost::outcome_v2::
+  basic_result<T, ConfigFaults, boost::outcome_v2::policy::terminate>;
+
+struct LogSettings
+{
+  /// One of "debug", "info", "warn", "error".
+  std::string mLevel = "info";
+  /// "stderr" or the path of a file.
+  std::string mOutput = "stderr";
+};
+
+/// The port that operators and their tools use.
+struct OperatorSettings
+{
+  std::string mListen;
+  /// Bearer token for everything but the health checks.
+  std::string mToken;
+};
+
+/// Where a process runs.
+struct PlaceSettings
+{
+  std::string mVm;
+  std::string mDataCentre;
+};
+
+struct EntrySettings
+{
+  PlaceSettings mPlace;
+  std::string mListen;
+  /// The agent of the same VM.
+  std::string mAgent;
+  OperatorSettings mOperator;
+  LogSettings mLog;
+  /// How long a stopping entry still accepts, while it is unready.
+  Milliseconds mUnreadyTime{ 0 };
+  /// Longest time a graceful stop waits for requests in flight.
+  Milliseconds mStopTime{ 0 };
+};
+
+struct AgentSettings
+{
+  PlaceSettings mPlace;
+  std::string mPlatform;
+  std::string mEntryListen;
+  std::string mPeerListen;
+  /// Peers to ask for the configuration while the platform is out.
+  std::vector<std::string> mSeeds;
+  OperatorSettings mOperator;
+  LogSettings mLog;
+  CreditTimes mCreditTimes;
+  LeaseSettings mLease;
+  Milliseconds mHeartbeatEvery{ 0 };
+  /// How long an owner may act on one heartbeat reply.
+  Milliseconds mOwnershipValidity{ 0 };
+};
+
+/// Settings of operators' tools.
+struct ToolSettings
+{
+  std::string mPlatform;
+  /// Operator ports of agents and entries.
+  std::vector<std::string> mOperators;
+  std::string mToken;
+};
+
+SettingsResult<EntrySettings> ReadEntrySettings(std::string_view aText,
+                                                std::string_view aFile);
+
+SettingsResult<AgentSettings> ReadAgentSettings(std::string_view aText,
+                                                std::string_view aFile);
+
+SettingsResult<ToolSettings> ReadToolSettings(std::string_view aText,
+                                              std::string_view aFile);
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_CONFIG_PROCESS_SETTINGS_HPP
--- /dev/null
+++ b/src/cactusgw/core/admission_control.hpp
@@ -0,0 +1,259 @@
+#ifndef CACTUSGW_CORE_ADMISSION_CONTROL_HPP
+#define CACTUSGW_CORE_ADMISSION_CONTROL_HPP
+
+/// Admission on one VM: places requests on upstreams within the VM's credits,
+/// keeps a bounded queue in which workspaces share fairly, and says which
+/// credits to ask the owners for.
+
+#include "cactusgw/config/deployment.hpp"
+#include "cactusgw/core/credit_wallet.hpp"
+#include "cactusgw/core/drain_table.hpp"
+#include "cactusgw/core/placement.hpp"
+#include "cactusgw/core/retry_budget.hpp"
+#include "cactusgw/core/upstream_owner.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusgw {
+
+/// A request that asks to be sent to an upstream.
+struct AdmissionAsk
+{
+  /// Chosen by the entry; the decision carries it back.
+  std::uint64_t mCall = 0;
+  std::string mRequestId;
+  std::string mService;
+  /// Empty for plain services.
+  std::string mModel;
+  std::string mWorkspace;
+  std::uint64_t mPrefixHash = 0;
+  std::vector<std::string> mExcluded;
+  bool mIsRetry = false;
+};
+
+enum class AdmissionOutcome
+{
+  Granted,
+  Busy,
+  UnknownTarget,
+  Drained,
+  RetryBudgetSpent,
+};
+
+struct AdmissionDecision
+{
+  std::uint64_t mCall = 0;
+  std::string mRequestId;
+  AdmissionOutcome mOutcome = AdmissionOutcome::Busy;
+  /// Names the credit until it is released; zero when not granted.
+  std::uint64_t mPermit = 0;
+  std::string mUpstream;
+  std::string mAddress;
+  Milliseconds mRetryAfter{ 0 };
+};
+
+/// How a request that held a permit ended.
+struct PermitRelease
+{
+  std::uint64_t mPermit = 0;
+  bool mCompleted = false;
+  bool mSlow = false;
+  /// The upstream broke, was silent or could not be reached.
+  bool mTrouble = false;
+};
+
+struct LivePermit
+{
+  std::uint64_t mPermit = 0;
+  std::string mUpstream;
+};
+
+/// A report to be sent to the owner of an upstream.
+struct OutgoingReport
+{
+  std::string mUpstream;
+  CreditReport mReport;
+  WorkReport mWork;
+};
+
+struct AdmissionCounts
+{
+  std::uint64_t mGranted = 0;
+  std::uint64_t mQueued = 0;
+  std::uint64_t mExpired = 0;
+  std::uint64_t mRefused = 0;
+  std::uint64_t mRetriesRefused = 0;
+};
+
+/// Not thread-safe; one instance per agent. Decisions are returned by the call
+/// that made them possible.
+class AdmissionControl
+{
+public:
+  using Decisions = std::vector<AdmissionDecision>;
+
+  /// How long an upstream is passed over after trouble.
+  static constexpr Milliseconds kAvoidTime{ 1000 };
+  /// How long credits of a vanished entry stay in use: its requests end on
+  /// the upstream within this time.
+  static constexpr Milliseconds kAbandonTime{ 6000 };
+  /// Shortest time between two reports for one upstream.
+  static constexpr Milliseconds kMinReportGap{ 20 };
+
+  static AdmissionControl Create(std::string aVm,
+                                 std::string aDataCentre,
+                                 std::uint64_t aIncarnation,
+                                 Instant aNow,
+                                 CreditTimes aTimes);
+
+  /// Takes a new configuration; credits of upstreams that remain are kept.
+  void SetDeployment(const Deployment& aDeployment, Instant aNow);
+  void SetDrains(const DrainTable& aDrains) { mDrains = aDrains; }
+
+  Decisions Admit(AdmissionAsk aAsk, Instant aNow);
+  Decisions OnRelease(const PermitRelease& aRelease, Instant aNow);
+  Decisions OnGrant(std::string_view aUpstream,
+                    const CreditGrant& aGrant,
+                    Instant aNow);
+  /// Serves and expires the queue.
+  Decisions OnTick(Instant aNow);
+
+  /// Compares with what the entry says is in use: adopts permits unknown here
+  /// and gives up those the entry does not hold.
+  /// @param aIsNewEntry the entry has restarted since the last call
+  void Reconcile(std::span<const LivePermit> aLive,
+                 bool aIsNewEntry,
+                 Instant aNow);
+
+  /// Reports that are due. Epochs come from the ownership document; upstreams
+  /// without a known owner are left out.
+  template<typename EpochOf>
+  std::vector<OutgoingReport> DueReports(EpochOf aEpochOf, Instant aNow);
+
+  std::uint32_t InUse(std::string_view aUpstream) const;
+  std::uint32_t Cap(std::string_view aUpstream, Instant aNow) const;
+  CreditSource Source(std::string_view aUpstream, Instant aNow) const;
+  std::size_t QueueLength() const { return mQueue.size(); }
+  std::size_t PermitsInUse() const { return mPermits.size(); }
+  const AdmissionCounts& Counts() const { return mCounts; }
+
+private:
+  struct UpstreamState
+  {
+    UpstreamConfig mConfig;
+    std::uint32_t mDistance = 0;
+    CreditWallet mWallet;
+    WorkReport mWork;
+    std::uint32_t mWanted = 0;
+    std::uint32_t mReportedWanted = 0;
+    std::uint64_t mReportedEpoch = 0;
+    bool mUrgent = false;
+    Instant mAvoidUntil;
+  };
+
+  struct WaitingAsk
+  {
+    AdmissionAsk mAsk;
+    Instant mDeadline;
+  };
+
+  struct Permit
+  {
+    std::uint64_t mId = 0;
+    std::string mUpstream;
+    std::string mWorkspace;
+    /// Set when the entry no longer claims the permit.
+    bool mIsAbandoned = false;
+    Instant mAbandonedAt;
+    Instant mGrantedAt;
+  };
+
+  using Upstreams = std::map<std::string, UpstreamState, std::less<>>;
+
+  AdmissionControl(std::string aVm,
+                   std::string aDataCentre,
+                   std::uint64_t aIncarnation,
+                   Instant aNow,
+                   CreditTimes aTimes);
+
+  void AddUpstream(const UpstreamConfig& aConfig,
+                   const Deployment& aDeployment,
+                   Upstreams& aKept,
+                   Instant aNow);
+  std::uint32_t DistanceTo(const UpstreamConfig& aConfig,
+                           const Deployment& aDeployment) const;
+  bool Serves(const UpstreamState& aState, const AdmissionAsk& aAsk) const;
+  bool IsWithinScope(const UpstreamState& aState,
+                     const ServiceConfig& aService) const;
+  std::vector<std::string_view> ServingUpstreams(
+    const AdmissionAsk& aAsk) const;
+  bool TryPlace(const AdmissionAsk& aAsk, Instant aNow, Decisions& aDecisions);
+  AdmissionDecision Grant(const AdmissionAsk& aAsk,
+                          UpstreamState& aState,
+                          Instant aNow);
+  AdmissionDecision Refuse(const AdmissionAsk& aAsk, AdmissionOutcome aOutcome);
+  bool HasWorkspaceRoom(std::string_view aWorkspace) const;
+  bool TakeRetry(const AdmissionAsk& aAsk);
+  bool HasWaiting(const AdmissionAsk& aAsk) const;
+  void ServeQueue(Instant aNow, Decisions& aDecisions);
+  std::vector<std::size_t> FairOrder() const;
+  void ExpireQueue(Instant aNow, Decisions& aDecisions);
+  void ExpireAbandoned(Instant aNow);
+  void UpdateWanted();
+  void AddDemand(const AdmissionAsk& aAsk);
+  bool IsReportDue(const UpstreamState& aState,
+                   std::uint64_t aEpoch,
+                   Instant aNow) const;
+  OutgoingReport MakeReport(UpstreamState& aState,
+                            std::uint64_t aEpoch,
+                            Instant aNow);
+  void ReturnCredit(const Permit& aPermit);
+  std::uint32_t WorkspaceInFlight(std::string_view aWorkspace) const;
+  std::uint32_t WorkspaceWeight(std::string_view aWorkspace) const;
+  const UpstreamState* FindState(std::string_view aUpstream) const;
+
+  std::string mVm;
+  std::string mDataCentre;
+  std::uint64_t mIncarnation;
+  Instant mStartedAt;
+  CreditTimes mTimes;
+  Deployment mDeployment;
+  DrainTable mDrains;
+  Upstreams mUpstreams;
+  std::map<std::string, RetryBudget, std::less<>> mRetryBudgets;
+  std::map<std::string, std::uint32_t, std::less<>> mInFlight;
+  std::map<std::uint64_t, Permit> mPermits;
+  std::deque<WaitingAsk> mQueue;
+  std::uint64_t mNextPermit;
+  bool mReconciled = false;
+  BoundedAffinity mPlacement;
+  AdmissionCounts mCounts;
+};
+
+template<typename EpochOf>
+std::vector<OutgoingReport>
+AdmissionControl::DueReports(EpochOf aEpochOf, Instant aNow)
+{
+  std::vector<OutgoingReport> reports;
+  if (!mReconciled) {
+    return reports; // What an entry has in flight is not known yet.
+  }
+  UpdateWanted();
+  for (auto& [name, state] : mUpstreams) {
+    const std::uint64_t epoch = aEpochOf(name);
+    if (epoch != 0 && IsReportDue(state, epoch, aNow)) {
+      reports.push_back(MakeReport(state, epoch, aNow));
+    }
+  }
+  return reports;
+}
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_CORE_ADMISSION_CONTROL_HPP
--- /dev/null
+++ b/src/cactusgw/core/credit_wallet.cpp
@@ -0,0 +1,172 @@
+#include "cactusgw/core/credit_wallet.hpp"
+
+#include <algorithm>
+
+namespace cactusgw {
+
+CreditWallet
+CreditWallet::Create(std::uint32_t aStaticShare,
+                     std::uint64_t aIncarnation,
+                     Instant aStartedAt,
+                     CreditTimes aTimes)
+{
+  return CreditWallet{ aStaticShare, aIncarnation, aStartedAt, aTimes };
+}
+
+CreditWallet::CreditWallet(std::uint32_t aStaticShare,
+                           std::uint64_t aIncarnation,
+                           Instant aStartedAt,
+                           CreditTimes aTimes)
+  : mStaticShare(aStaticShare)
+  , mTimes(aTimes)
+  , mReportSequence(aIncarnation << kSequenceBits)
+  , mUsableUntil(aStartedAt)
+  , mStaticFrom(aStartedAt + aTimes.mGrantValidity + aTimes.mGuard)
+{
+}
+
+bool
+CreditWallet::TryAcquire(Instant aNow)
+{
+  if (Free(aNow) == 0) {
+    return false;
+  }
+  ++mInUse;
+  return true;
+}
+
+void
+CreditWallet::Release()
+{
+  if (mInUse > 0) {
+    --mInUse;
+  }
+}
+
+void
+CreditWallet::Adopt()
+{
+  ++mInUse;
+}
+
+CreditReport
+CreditWallet::MakeReport(std::uint64_t aEpoch,
+                         std::uint32_t aWanted,
+                         Instant aNow)
+{
+  if (aEpoch != mEpoch) {
+    mEpoch = aEpoch;
+    mGrantSequence = 0;
+    mAllotment = 0;
+    mUsableUntil = aNow;
+  }
+  ++mReportSequence;
+  mLastReportAt = aNow;
+  mReports.push_back({ mReportSequence, aNow });
+  if (mReports.size() > kMaxUnanswered) {
+    mReports.erase(mReports.begin());
+  }
+  CreditReport report;
+  report.mEpoch = mEpoch;
+  report.mReportSequence = mReportSequence;
+  report.mAcknowledgedGrant = mGrantSequence;
+  report.mInUse = mInUse;
+  report.mWanted = aWanted;
+  // Idle credits beyond what is wanted are given back by stating less.
+  mAllotment = std::min(mAllotment, mInUse + aWanted);
+  report.mCap = std::max(mInUse, mAllotment);
+  return report;
+}
+
+bool
+CreditWallet::OnGrant(const CreditGrant& aGrant, Instant aNow)
+{
+  if (aGrant.mEpoch != mEpoch || aGrant.mGrantSequence <= mGrantSequence) {
+    return false;
+  }
+  const SentReport* report = FindReport(aGrant.mAnswersReport);
+  if (report == nullptr) {
+    return false;
+  }
+  const Instant usableUntil = report->mSentAt + mTimes.mGrantValidity;
+  if (aNow >= usableUntil) {
+    return false;
+  }
+  mGrantSequence = aGrant.mGrantSequence;
+  mAllotment = aGrant.mAllotment;
+  mScarce = aGrant.mScarce;
+  mUsableUntil = usableUntil;
+  mStaticFrom = aNow + mTimes.mGrantValidity + mTimes.mGuard;
+  return true;
+}
+
+void
+CreditWallet::DropIdle()
+{
+  mAllotment = std::min(mAllotment, mInUse);
+}
+
+CreditSource
+CreditWallet::Source(Instant aNow) const
+{
+  if (aNow < mUsableUntil) {
+    return CreditSource::Grant;
+  }
+  return aNow >= mStaticFrom ? CreditSource::StaticShare : CreditSource::None;
+}
+
+std::uint32_t
+CreditWallet::Cap(Instant aNow) const
+{
+  switch (Source(aNow)) {
+    case CreditSource::Grant:
+      return mAllotment;
+    case CreditSource::StaticShare:
+      return mStaticShare;
+    case CreditSource::None:
+      return 0;
+  }
+  return 0;
+}
+
+std::uint32_t
+CreditWallet::Free(Instant aNow) const
+{
+  const std::uint32_t cap = Cap(aNow);
+  return cap > mInUse ? cap - mInUse : 0;
+}
+
+std::string
+CreditWallet::Describe(Instant aNow) const
+{
+  const auto relative = [aNow](Instant aTime) {
+    const Milliseconds time =
+      std::chrono::duration_cast<Milliseconds>(aTime - aNow);
+    return std::to_string(std::max(time, Milliseconds{ 0 }).count());
+  };
+  std::string text =
+    "epoch " + std::to_string(mEpoch) + " report " +
+    std::to_string(mReportSequence) + " grant " +
+    std::to_string(mGrantSequence) + " allotment " +
+    std::to_string(mAllotment) + " in use " + std::to_string(mInUse) +
+    " usable " + relative(mUsableUntil) + " static " + relative(mStaticFrom);
+  for (const SentReport& report : mReports) {
+    const Instant usableUntil = report.mSentAt + mTimes.mGrantValidity;
+    text += aNow < usableUntil ? " +" + std::to_string(report.mSequence) + "@" +
+                                   relative(usableUntil)
+                               : "";
+  }
+  return text;
+}
+
+const CreditWallet::SentReport*
+CreditWallet::FindReport(std::uint64_t aSequence) const
+{
+  const auto it = std::find_if(
+    mReports.begin(), mReports.end(), [&](const SentReport& aReport) {
+      return aReport.mSequence == aSequence;
+    });
+  return it == mReports.end() ? nullptr : &*it;
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/core/stream_assembler.cpp
@@ -0,0 +1,53 @@
+#include "cactusgw/core/stream_assembler.hpp"
+
+namespace cactusgw {
+
+StreamAssembler
+StreamAssembler::Create()
+{
+  return StreamAssembler{};
+}
+
+FrameDecision
+StreamAssembler::Accept(const TokenFrame& aFrame)
+{
+  if (mGeneration.empty()) {
+    mGeneration = aFrame.mGeneration;
+  }
+  if (aFrame.mGeneration != mGeneration) {
+    ++mCounts.mForeign;
+    return FrameDecision::Foreign;
+  }
+  if (mComplete) {
+    ++mCounts.mAfterEnd;
+    return FrameDecision::AfterEnd;
+  }
+  if (aFrame.mOffset > mNextOffset) {
+    ++mCounts.mGaps;
+    return FrameDecision::Gap;
+  }
+  if (aFrame.mIsEnd) {
+    return AcceptEnd(aFrame);
+  }
+  if (aFrame.mOffset < mNextOffset) {
+    ++mCounts.mRepeats;
+    return FrameDecision::DropRepeat;
+  }
+  ++mNextOffset;
+  return FrameDecision::Deliver;
+}
+
+FrameDecision
+StreamAssembler::AcceptEnd(const TokenFrame& aFrame)
+{
+  // An end that lies before tokens already delivered is from a late or
+  // confused sender; believing it would cut the answer short.
+  if (aFrame.mOffset < mNextOffset) {
+    ++mCounts.mRepeats;
+    return FrameDecision::DropRepeat;
+  }
+  mComplete = true;
+  return FrameDecision::End;
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/core/warmup_limit.cpp
@@ -0,0 +1,60 @@
+#include "cactusgw/core/warmup_limit.hpp"
+
+#include <algorithm>
+
+namespace cactusgw {
+
+WarmupLimit
+WarmupLimit::Create(LimitBounds aBounds)
+{
+  return WarmupLimit{ aBounds };
+}
+
+WarmupLimit::WarmupLimit(LimitBounds aBounds)
+  : mBounds(aBounds)
+  , mLimit(std::min(aBounds.mCold, aBounds.mWarm))
+{
+}
+
+void
+WarmupLimit::OnCompleted(const CompletedWork& aWork)
+{
+  mPeakInUse = std::max(mPeakInUse, aWork.mInUse + aWork.mCompleted);
+  if (aWork.mSlow > 0) {
+    // Slow work at this limit: give up growth for the round, step down once.
+    mGoodInRound = 0;
+    mLimit = std::max(mBounds.mCold, mLimit - (mLimit / kGrowthDivisor / 2));
+    return;
+  }
+  mGoodInRound += aWork.mCompleted;
+  const bool wasUsed = mPeakInUse * kMinUseDivisor >= mLimit;
+  if (mGoodInRound >= mLimit && wasUsed) {
+    Grow();
+  }
+}
+
+void
+WarmupLimit::Grow()
+{
+  const std::uint32_t step = std::max(1U, mLimit / kGrowthDivisor);
+  mLimit = std::min(mBounds.mWarm, mLimit + step);
+  mGoodInRound = 0;
+  mPeakInUse = 0;
+}
+
+void
+WarmupLimit::OnTrouble()
+{
+  mLimit = std::min(mBounds.mCold, mBounds.mWarm);
+  mGoodInRound = 0;
+  mPeakInUse = 0;
+}
+
+void
+WarmupLimit::SetBounds(LimitBounds aBounds)
+{
+  mBounds = aBounds;
+  mLimit = std::min(mLimit, mBounds.mWarm);
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/engine/http_engine_client.hpp
@@ -0,0 +1,53 @@
+#ifndef CACTUSGW_ENGINE_HTTP_ENGINE_CLIENT_HPP
+#define CACTUSGW_ENGINE_HTTP_ENGINE_CLIENT_HPP
+
+/// Model engines over HTTP and server-sent events.
+
+#include "cactusgw/engine/sse_reader.hpp"
+#include "cactusgw/interfaces/engine_client.hpp"
+#include "cactusgw/net/http_client.hpp"
+
+#include <memory>
+#include <string>
+
+namespace cactusgw {
+
+class HttpGenerationStream
+{
+public:
+  explicit HttpGenerationStream(std::unique_ptr<HttpExchangeClient> aClient);
+
+  Task<Result<GenerationFrame>> Next();
+  void Close();
+
+private:
+  std::unique_ptr<HttpExchangeClient> mClient;
+  SseReader mReader;
+};
+
+class HttpEngineClient
+{
+public:
+  using Stream = HttpGenerationStream;
+
+  Task<Result<std::unique_ptr<Stream>>> Start(std::string aAddress,
+                                              GenerationRequest aRequest,
+                                              EngineTimes aTimes);
+  Task<Result<std::unique_ptr<Stream>>> Resume(std::string aAddress,
+                                               std::string aGeneration,
+                                               std::uint64_t aOffset,
+                                               EngineTimes aTimes);
+  Task<Result<void>> Cancel(std::string aAddress, std::string aRequestId);
+  Task<Result<EngineLoad>> Load(std::string aAddress);
+
+private:
+  Task<Result<std::unique_ptr<Stream>>> OpenStream(std::string aAddress,
+                                                   HttpRequest aRequest,
+                                                   EngineTimes aTimes);
+};
+
+static_assert(EngineClient<HttpEngineClient>);
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_ENGINE_HTTP_ENGINE_CLIENT_HPP
--- /dev/null
+++ b/src/cactusgw/net/http_server.cpp
@@ -0,0 +1,391 @@
+#include "cactusgw/net/http_server.hpp"
+
+#include "cactusgw/net/address.hpp"
+#include "cactusgw/net/problem.hpp"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <utility>
+#include <variant>
+
+namespace cactusgw {
+
+using net::ip::tcp;
+
+namespace {
+
+using RequestParser = http::request_parser<http::string_body>;
+
+/// How reading one part of a request ended.
+enum class ReadOutcome
+{
+  Done,
+  Closed,
+  Late,
+  HeaderTooLarge,
+  BodyTooLarge,
+  Malformed,
+};
+
+ReadOutcome
+Classify(const beast::error_code& aError)
+{
+  if (!aError) {
+    return ReadOutcome::Done;
+  }
+  if (aError == http::error::header_limit) {
+    return ReadOutcome::HeaderTooLarge;
+  }
+  if (aError == http::error::body_limit) {
+    return ReadOutcome::BodyTooLarge;
+  }
+  const bool isHttp = aError.category() ==
+                      http::make_error_code(http::error::bad_method).category();
+  const bool isCut = aError == http::error::end_of_stream ||
+                     aError == http::error::partial_message;
+  return isHttp && !isCut ? ReadOutcome::Malformed : ReadOutcome::Closed;
+}
+
+/// Runs a read beside a timer. Unlike the stream's own timeout this leaves the
+/// connection open, so that the caller can be told.
+template<typename StartRead>
+Task<ReadOutcome>
+ReadWithin(Milliseconds aTime, StartRead aStart)
+{
+  using namespace net::experimental::awaitable_operators;
+  net::steady_timer timer{ co_await net::this_coro::executor };
+  timer.expires_after(aTime);
+  beast::error_code readError;
+  beast::error_code timerError;
+  const std::variant<std::size_t, std::monostate> first = co_await (
+    aStart(readError) ||
+    timer.async_wait(net::redirect_error(net::use_awaitable, timerError)));
+  co_return first.index() == 1 ? ReadOutcome::Late : Classify(readError);
+}
+
+Task<ReadOutcome>
+ReadHeader(TcpStream& aStream,
+           beast::flat_buffer& aBuffer,
+           RequestParser& aParser,
+           Milliseconds aTime)
+{
+  co_return co_await ReadWithin(aTime, [&](beast::error_code& ec) {
+    return http::async_read_header(
+      aStream, aBuffer, aParser, net::redirect_error(net::use_awaitable, ec));
+  });
+}
+
+Task<ReadOutcome>
+ReadBody(TcpStream& aStream,
+         beast::flat_buffer& aBuffer,
+         RequestParser& aParser,
+         Milliseconds aTime)
+{
+  co_return co_await ReadWithin(aTime, [&](beast::error_code& ec) {
+    return http::async_read(
+      aStream, aBuffer, aParser, net::redirect_error(net::use_awaitable, ec));
+  });
+}
+
+http::status
+StatusOf(ReadOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case ReadOutcome::Late:
+      return http::status::request_timeout;
+    case ReadOutcome::HeaderTooLarge:
+      return http::status::request_header_fields_too_large;
+    case ReadOutcome::BodyTooLarge:
+      return http::status::payload_too_large;
+    default:
+      return http::status::bad_request;
+  }
+}
+
+/// Whether a connection that became readable was closed by the other side.
+bool
+IsClosed(tcp::socket& aSocket)
+{
+  char c = 0;
+  beast::error_code ec;
+  aSocket.non_blocking(true, ec);
+  aSocket.receive(net::buffer(&c, 1), tcp::socket::message_peek, ec);
+  return ec && ec != net::error::would_block && ec != net::error::try_again;
+}
+
+Task<void>
+WatchForClose(TcpStream& aStream, std::function<void()> aOnLeft)
+{
+  beast::error_code ec;
+  co_await aStream.socket().async_wait(
+    tcp::socket::wait_read, net::redirect_error(net::use_awaitable, ec));
+  if (!ec && IsClosed(aStream.socket())) {
+    aOnLeft();
+  }
+}
+
+} // namespace
+
+HttpExchange::HttpExchange(TcpStream& aStream,
+                           HttpRequest aRequest,
+                           HttpServerLimits aLimits)
+  : mStream(aStream)
+  , mRequest(std::move(aRequest))
+  , mLimits(aLimits)
+  , mKeepAlive(mRequest.keep_alive())
+{
+}
+
+std::string
+HttpExchange::Header(std::string_view aName) const
+{
+  const beast::string_view value =
+    mRequest[beast::string_view{ aName.data(), aName.size() }];
+  return std::string{ value };
+}
+
+std::string_view
+HttpExchange::Path() const
+{
+  const beast::string_view target = mRequest.target();
+  const std::string_view text{ target.data(), target.size() };
+  return text.substr(0, text.find('?'));
+}
+
+Task<Result<void>>
+HttpExchange::Checked(const beast::error_code& aError)
+{
+  if (!aError) {
+    co_return boost::outcome_v2::success();
+  }
+  mKeepAlive = false;
+  const bool late = aError == beast::error::timeout;
+  co_return MayHaveRun(late ? FailureCode::Timeout : FailureCode::CallerLeft,
+                       aError.message());
+}
+
+Task<Result<void>>
+HttpExchange::Send(HttpResponse aResponse)
+{
+  mBegun = true;
+  aResponse.version(mRequest.version());
+  aResponse.keep_alive(mKeepAlive);
+  aResponse.prepare_payload();
+  beast::error_code ec;
+  mStream.expires_after(mLimits.mWriteTime);
+  co_await http::async_write(
+    mStream, aResponse, net::redirect_error(net::use_awaitable, ec));
+  co_return co_await Checked(ec);
+}
+
+Task<void>
+HttpExchange::Reply(HttpResponse aResponse)
+{
+  static_cast<void>(co_await Send(std::move(aResponse)));
+}
+
+Task<Result<void>>
+HttpExchange::Begin(HttpResponse aHeader)
+{
+  mBegun = true;
+  http::response<http::empty_body> header{ std::move(aHeader.base()) };
+  header.version(mRequest.version());
+  header.keep_alive(mKeepAlive);
+  header.chunked(true);
+  http::response_serializer<http::empty_body> serializer{ header };
+  beast::error_code ec;
+  mStream.expires_after(mLimits.mWriteTime);
+  co_await http::async_write_header(
+    mStream, serializer, net::redirect_error(net::use_awaitable, ec));
+  co_return co_await Checked(ec);
+}
+
+Task<Result<void>>
+HttpExchange::Write(std::string_view aPiece)
+{
+  beast::error_code ec;
+  mStream.expires_after(mLimits.mWriteTime);
+  co_await net::async_write(
+    mStream,
+    http::make_chunk(net::const_buffer(aPiece.data(), aPiece.size())),
+    net::redirect_error(net::use_awaitable, ec));
+  co_return co_await Checked(ec);
+}
+
+Task<Result<void>>
+HttpExchange::Finish()
+{
+  beast::error_code ec;
+  mStream.expires_after(mLimits.mWriteTime);
+  co_await net::async_write(mStream,
+                            http::make_chunk_last(),
+                            net::redirect_error(net::use_awaitable, ec));
+  co_return co_await Checked(ec);
+}
+
+void
+HttpExchange::Abort()
+{
+  mKeepAlive = false;
+  mStream.close();
+}
+
+void
+HttpExchange::WatchCaller(std::function<void()> aOnLeft)
+{
+  mWatch = std::make_shared<net::cancellation_signal>();
+  const std::shared_ptr<net::cancellation_signal> watch = mWatch;
+  // The signal must outlive the watch, which may end after the exchange.
+  net::co_spawn(mStream.get_executor(),
+                WatchForClose(mStream, std::move(aOnLeft)),
+                net::bind_cancellation_slot(
+                  watch->slot(), [watch](const std::exception_ptr&) {}));
+}
+
+void
+HttpExchange::StopWatching()
+{
+  if (mWatch) {
+    mWatch->emit(net::cancellation_type::terminal);
+    mWatch.reset();
+  }
+}
+
+Result<std::unique_ptr<HttpServer>>
+HttpServer::Listen(net::io_context& aContext,
+                   std::string_view aAddress,
+                   HttpLimitsSource aLimits,
+                   HttpHandler aHandler)
+{
+  const Result<tcp::endpoint> endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    return endpoint.error();
+  }
+  std::unique_ptr<HttpServer> server{ new HttpServer{
+    aContext, std::move(aLimits), std::move(aHandler) } };
+  beast::error_code ec;
+  tcp::acceptor& acceptor = server->mAcceptor;
+  acceptor.open(endpoint.value().protocol(), ec);
+  acceptor.set_option(net::socket_base::reuse_address(true), ec);
+  acceptor.bind(endpoint.value(), ec);
+  if (!ec) {
+    acceptor.listen(net::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    return NotRun(FailureCode::InvalidInput,
+                  "can't listen on " + std::string{ aAddress } + ": " +
+                    ec.message());
+  }
+  net::co_spawn(aContext, server->AcceptLoop(), net::detached);
+  return server;
+}
+
+HttpServer::HttpServer(net::io_context& aContext,
+                       HttpLimitsSource aLimits,
+                       HttpHandler aHandler)
+  : mContext(aContext)
+  , mAcceptor(aContext)
+  , mLimits(std::move(aLimits))
+  , mHandler(std::move(aHandler))
+{
+}
+
+void
+HttpServer::StopAccepting()
+{
+  mStopping = true;
+  beast::error_code ec;
+  mAcceptor.close(ec);
+}
+
+Task<void>
+HttpServer::AcceptLoop()
+{
+  while (!mStopping) {
+    beast::error_code ec;
+    tcp::socket socket = co_await mAcceptor.async_accept(
+      net::redirect_error(net::use_awaitable, ec));
+    if (ec == net::error::operation_aborted) {
+      co_return;
+    }
+    if (!ec) {
+      net::co_spawn(mContext, Serve(std::move(socket)), net::detached);
+    }
+  }
+}
+
+Task<void>
+HttpServer::Serve(tcp::socket aSocket)
+{
+  constexpr Milliseconds kDeadCallerTime{ 30'000 };
+  SetDeadPeerTimeout(aSocket, kDeadCallerTime);
+  TcpStream stream{ std::move(aSocket) };
+  beast::flat_buffer buffer;
+  ++mOpenConnections;
+  bool goesOn = true;
+  while (goesOn) {
+    goesOn = co_await ServeOne(stream, buffer);
+  }
+  --mOpenConnections;
+  beast::error_code ec;
+  stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+}
+
+Task<bool>
+HttpServer::ServeOne(TcpStream& aStream, beast::flat_buffer& aBuffer)
+{
+  const HttpServerLimits limits = mLimits();
+  RequestParser parser;
+  parser.header_limit(limits.mMaxHeaderBytes);
+  parser.body_limit(limits.mMaxBodyBytes);
+  aStream.expires_never();
+  ReadOutcome outcome =
+    co_await ReadHeader(aStream, aBuffer, parser, limits.mReadHeaderTime);
+  const bool isIdle = outcome == ReadOutcome::Late && !parser.got_some();
+  if (outcome == ReadOutcome::Closed || isIdle) {
+    co_return false;
+  }
+  if (outcome == ReadOutcome::Done) {
+    outcome = co_await ReadBody(aStream, aBuffer, parser, limits.mReadBodyTime);
+  }
+  if (outcome != ReadOutcome::Done) {
+    co_await Refuse(aStream, StatusOf(outcome));
+    co_return false;
+  }
+  HttpExchange exchange{ aStream, parser.release(), limits };
+  ++mOpenExchanges;
+  co_await mHandler(exchange);
+  --mOpenExchanges;
+  exchange.StopWatching();
+  co_return exchange.KeepsAlive() && !mStopping;
+}
+
+Task<void>
+HttpServer::Refuse(TcpStream& aStream, http::status aStatus)
+{
+  const Failure failure =
+    NotRun(FailureCode::InvalidInput, "the request could not be read");
+  HttpResponse response = ProblemResponse(failure, aStatus);
+  response.keep_alive(false);
+  response.prepare_payload();
+  beast::error_code ec;
+  aStream.expires_after(Milliseconds{ 1000 });
+  co_await http::async_write(
+    aStream, response, net::redirect_error(net::use_awaitable, ec));
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/programs/daemon_main.hpp
@@ -0,0 +1,85 @@
+#ifndef CACTUSGW_PROGRAMS_DAEMON_MAIN_HPP
+#define CACTUSGW_PROGRAMS_DAEMON_MAIN_HPP
+
+/// What the main functions of the daemons share.
+
+#include "cactusgw/config/process_settings.hpp"
+#include "cactusgw/programs/command_line.hpp"
+#include "cactusgw/programs/event_loop.hpp"
+#include "cactusgw/telemetry/log.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <array>
+#include <cstdio>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusgw {
+
+/// Reads the settings, starts the daemon and runs it until a signal stops it.
+///
+/// @tparam Daemon has a static Start(context, settings) and a Stop(function)
+template<typename Daemon, typename Settings>
+int
+DaemonMain(const char* aName,
+           SettingsResult<Settings> (*aRead)(std::string_view,
+                                             std::string_view),
+           int aArgc,
+           char** aArgv)
+{
+  std::string path;
+  bool checkOnly = false;
+  const std::array<OptionSpec, 2> options{
+    OptionSpec{ "settings", "file with the settings", "FILE", &path },
+    OptionSpec{ "check",
+                "check the settings and exit",
+                nullptr,
+                nullptr,
+                nullptr,
+                &checkOnly }
+  };
+  std::vector<std::string> rest;
+  const std::optional<int> code = ParseCommandLine(
+    { aName }, aArgc, const_cast<const char**>(aArgv), options, rest);
+  if (code) {
+    return *code;
+  }
+  if (path.empty() || !rest.empty()) {
+    std::fprintf(stderr, "%s: needs --settings FILE\n", aName);
+    return kExitUsage;
+  }
+  const std::optional<std::string> text = ReadWholeFile(path);
+  if (!text) {
+    std::fprintf(stderr, "%s: can't be read\n", path.c_str());
+    return kExitBadSettings;
+  }
+  const SettingsResult<Settings> settings = aRead(*text, path);
+  if (!settings) {
+    std::fprintf(stderr, "%s", ToString(settings.error()).c_str());
+    return kExitBadSettings;
+  }
+  if (checkOnly) {
+    std::printf("%s: ok\n", path.c_str());
+    return kExitOk;
+  }
+  StartLogging(settings.value().mLog);
+  boost::asio::io_context context{ 1 };
+  Result<std::unique_ptr<Daemon>> daemon =
+    Daemon::Start(context, settings.value());
+  if (!daemon) {
+    std::fprintf(stderr, "%s: %s\n", aName, daemon.error().mDetail.c_str());
+    return kExitCannotListen;
+  }
+  StopOnSignals(context,
+                [&] { daemon.value()->Stop([&context] { context.stop(); }); });
+  context.run();
+  return kExitOk;
+}
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_PROGRAMS_DAEMON_MAIN_HPP
--- /dev/null
+++ b/src/cactusgw/programs/event_loop.hpp
@@ -0,0 +1,27 @@
+#ifndef CACTUSGW_PROGRAMS_EVENT_LOOP_HPP
+#define CACTUSGW_PROGRAMS_EVENT_LOOP_HPP
+
+/// Signals and periodic work on an event loop.
+
+#include "cactusgw/core/verdict.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+
+namespace cactusgw {
+
+/// Calls the function at the first SIGTERM or SIGINT. A second one ends the
+/// process at once.
+void StopOnSignals(boost::asio::io_context& aContext,
+                   std::function<void()> aOnStop);
+
+/// Calls the function repeatedly until it returns false. The time between two
+/// calls is asked for anew each time.
+void RunEvery(boost::asio::io_context& aContext,
+              std::function<Milliseconds()> aInterval,
+              std::function<bool()> aFunction);
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_PROGRAMS_EVENT_LOOP_HPP
--- /dev/null
+++ b/tests/core/credit_protocol_test.cpp
@@ -0,0 +1,335 @@
+#include "cactusgw/core/credit_ledger.hpp"
+#include "cactusgw/core/credit_wallet.hpp"
+#include "cactusgw/core/hash.hpp"
+#include "cactusgw/core/static_share.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+// Explores every interleaving of the credit protocol for a small system on the
+// real ledger and wallets: messages lost and delayed, grants lapsing, VMs that
+// fall silent, owners replaced while credits are out. In each direction between
+// a VM and the owner one message is under way at most; a newer one takes the
+// place of one that is lost. The number of reports, ticks and owners is
+// bounded; within the bounds nothing is left out. In no state may the requests
+// in flight exceed the limit.
+
+namespace cactusgw {
+namespace {
+
+constexpr std::size_t kVms = 3;
+constexpr CreditTimes kTimes{ Milliseconds{ 2 },
+                              Milliseconds{ 1 },
+                              Milliseconds{ 2 } };
+constexpr int kMaxTicks = 4;
+constexpr int kMaxOwners = 2;
+constexpr int kMaxReports = 2;
+const std::vector<std::string> kNames{ "vm-1", "vm-2", "vm-3" };
+
+/// Rules of the protocol that a test takes out, to see the check fail.
+struct Rules
+{
+  /// The owner reserves the static shares of VMs it does not hear.
+  bool mReserveShares = true;
+  /// A new owner takes credits of the former one for possibly in use.
+  bool mDistrustPast = true;
+};
+
+/// A message under way; one that is never delivered is lost.
+struct InTransit
+{
+  std::size_t mVm = 0;
+  std::optional<CreditReport> mReport;
+  std::optional<CreditGrant> mGrant;
+};
+
+struct Flight
+{
+  std::size_t mVm = 0;
+  int mTicksLeft = 0;
+};
+
+/// The whole system in one state; copied for each branch.
+struct World
+{
+  Instant mNow;
+  int mTicks = 0;
+  int mReports = 0;
+  std::uint64_t mEpoch = 1;
+  CreditLedger mLedger;
+  std::vector<CreditWallet> mWallets;
+  std::vector<InTransit> mTransit;
+  std::vector<Flight> mFlights;
+  /// Last report of each VM that reached the present owner.
+  std::vector<std::uint64_t> mReached = std::vector<std::uint64_t>(kVms, 0);
+};
+
+/// Takes away messages whose delivery would change nothing any more.
+void
+DropSpent(World& aWorld)
+{
+  std::erase_if(aWorld.mTransit, [&](const InTransit& aMessage) {
+    if (aMessage.mReport) {
+      return aMessage.mReport->mEpoch != aWorld.mEpoch ||
+             aMessage.mReport->mReportSequence <= aWorld.mReached[aMessage.mVm];
+    }
+    CreditWallet wallet = aWorld.mWallets[aMessage.mVm];
+    return !wallet.OnGrant(*aMessage.mGrant, aWorld.mNow);
+  });
+}
+
+std::string
+Describe(const InTransit& aMessage)
+{
+  if (aMessage.mReport) {
+    const CreditReport& report = *aMessage.mReport;
+    return "r" + std::to_string(aMessage.mVm) + "," +
+           std::to_string(report.mEpoch) + "," +
+           std::to_string(report.mReportSequence) + "," +
+           std::to_string(report.mAcknowledgedGrant) + "," +
+           std::to_string(report.mCap) + "," + std::to_string(report.mInUse);
+  }
+  const CreditGrant& grant = *aMessage.mGrant;
+  return "g" + std::to_string(aMessage.mVm) + "," +
+         std::to_string(grant.mEpoch) + "," +
+         std::to_string(grant.mGrantSequence) + "," +
+         std::to_string(grant.mAnswersReport) + "," +
+         std::to_string(grant.mAllotment);
+}
+
+/// A text that is equal for states with the same future.
+std::string
+Describe(const World& aWorld)
+{
+  std::string text = std::to_string(aWorld.mTicks) + "|" +
+                     std::to_string(aWorld.mReports) + "|" +
+                     aWorld.mLedger.Describe(aWorld.mNow);
+  for (const CreditWallet& wallet : aWorld.mWallets) {
+    text += "|" + wallet.Describe(aWorld.mNow);
+  }
+  std::vector<std::string> parts;
+  for (const InTransit& message : aWorld.mTransit) {
+    parts.push_back(Describe(message));
+  }
+  for (const Flight& flight : aWorld.mFlights) {
+    parts.push_back("f" + std::to_string(flight.mVm) + "," +
+                    std::to_string(flight.mTicksLeft));
+  }
+  std::sort(parts.begin(), parts.end());
+  for (const std::string& part : parts) {
+    text += "|" + part;
+  }
+  return text;
+}
+
+class Explorer
+{
+public:
+  Explorer(std::uint32_t aLimit, Rules aRules)
+    : mLimit(aLimit)
+    , mRules(aRules)
+  {
+  }
+
+  void Run()
+  {
+    Trace trace;
+    Visit(MakeWorld(), trace);
+  }
+
+  std::uint64_t States() const { return mSeen.size(); }
+  /// States in which the whole limit was in use: the check is not idle.
+  std::uint64_t FullStates() const { return mFullStates; }
+  const std::string& Violation() const { return mViolation; }
+
+private:
+  using Trace = std::vector<std::string>;
+
+  std::vector<CreditHolder> Holders() const
+  {
+    std::vector<CreditHolder> holders;
+    for (const std::string& name : kNames) {
+      const std::uint32_t share = StaticShare("u", name, kNames, mLimit);
+      holders.push_back({ name, mRules.mReserveShares ? share : 0 });
+    }
+    return holders;
+  }
+
+  World MakeWorld() const
+  {
+    // The wallets started long enough ago to use their static shares.
+    const Instant now = Instant{} + std::chrono::hours{ 2 };
+    const Instant started = now - kTimes.mGrantValidity - kTimes.mGuard;
+    std::vector<CreditWallet> wallets;
+    wallets.reserve(kVms);
+    for (const std::string& name : kNames) {
+      wallets.push_back(CreditWallet::Create(
+        StaticShare("u", name, kNames, mLimit), 0, started, kTimes));
+    }
+    return { now,
+             0,
+             0,
+             1,
+             CreditLedger::Create(Holders(), 1, now, kTimes),
+             std::move(wallets),
+             {},
+             {} };
+  }
+
+  void Visit(const World& aWorld, Trace& aTrace)
+  {
+    const bool isDone = !mViolation.empty();
+    if (isDone || !mSeen.insert(StableHash(Describe(aWorld))).second) {
+      return;
+    }
+    mFullStates += aWorld.mFlights.size() == mLimit ? 1 : 0;
+    if (aWorld.mFlights.size() > mLimit) {
+      for (const std::string& step : aTrace) {
+        mViolation += step + "; ";
+      }
+      return;
+    }
+    for (std::size_t vm = 0; vm < kVms; ++vm) {
+      SendReport(aWorld, vm, aTrace);
+      SendRequests(aWorld, vm, aTrace);
+    }
+    for (std::size_t i = 0; i < aWorld.mTransit.size(); ++i) {
+      Deliver(aWorld, i, aTrace);
+    }
+    PassTime(aWorld, aTrace);
+    ReplaceOwner(aWorld, aTrace);
+  }
+
+  /// Puts a message under way; one that was there is lost.
+  static void Send(World& aWorld, InTransit aMessage)
+  {
+    std::erase_if(aWorld.mTransit, [&](const InTransit& aOther) {
+      return aOther.mVm == aMessage.mVm &&
+             aOther.mReport.has_value() == aMessage.mReport.has_value();
+    });
+    aWorld.mTransit.push_back(std::move(aMessage));
+  }
+
+  void Step(World& aNext, Trace& aTrace, std::string aName)
+  {
+    DropSpent(aNext);
+    aTrace.push_back(std::move(aName));
+    Visit(aNext, aTrace);
+    aTrace.pop_back();
+  }
+
+  void SendReport(const World& aWorld, std::size_t aVm, Trace& aTrace)
+  {
+    if (aWorld.mReports == kMaxReports) {
+      return;
+    }
+    World next = aWorld;
+    ++next.mReports;
+    InTransit message;
+    message.mVm = aVm;
+    message.mReport =
+      next.mWallets[aVm].MakeReport(next.mEpoch, mLimit, next.mNow);
+    Send(next, std::move(message));
+    Step(next, aTrace, kNames[aVm] + " reports");
+  }
+
+  void SendRequests(const World& aWorld, std::size_t aVm, Trace& aTrace)
+  {
+    if (aWorld.mWallets[aVm].Free(aWorld.mNow) == 0) {
+      return;
+    }
+    World next = aWorld;
+    while (next.mWallets[aVm].TryAcquire(next.mNow)) {
+      next.mFlights.push_back(
+        { aVm, static_cast<int>(kTimes.mMaxRequestTime.count()) });
+    }
+    Step(next, aTrace, kNames[aVm] + " sends all it may");
+  }
+
+  void Deliver(const World& aWorld, std::size_t aIndex, Trace& aTrace)
+  {
+    World next = aWorld;
+    const InTransit message = next.mTransit[aIndex];
+    next.mTransit.erase(next.mTransit.begin() +
+                        static_cast<std::ptrdiff_t>(aIndex));
+    const std::string& name = kNames[message.mVm];
+    if (message.mGrant) {
+      next.mWallets[message.mVm].OnGrant(*message.mGrant, next.mNow);
+      Step(next, aTrace, "a grant reaches " + name);
+      return;
+    }
+    next.mReached[message.mVm] = message.mReport->mReportSequence;
+    for (const CreditGrant& grant :
+         next.mLedger.OnReport(name, *message.mReport, mLimit, next.mNow)) {
+      const auto it = std::find(kNames.begin(), kNames.end(), grant.mVm);
+      InTransit answer;
+      answer.mVm = static_cast<std::size_t>(it - kNames.begin());
+      answer.mGrant = grant;
+      Send(next, std::move(answer));
+    }
+    Step(next, aTrace, "a report of " + name + " arrives");
+  }
+
+  void PassTime(const World& aWorld, Trace& aTrace)
+  {
+    if (aWorld.mTicks == kMaxTicks) {
+      return;
+    }
+    World next = aWorld;
+    ++next.mTicks;
+    next.mNow += Milliseconds{ 1 };
+    std::erase_if(next.mFlights, [&](Flight& aFlight) {
+      const bool isOver = --aFlight.mTicksLeft == 0;
+      if (isOver) {
+        next.mWallets[aFlight.mVm].Release();
+      }
+      return isOver;
+    });
+    Step(next, aTrace, "a tick passes");
+  }
+
+  void ReplaceOwner(const World& aWorld, Trace& aTrace)
+  {
+    if (aWorld.mEpoch == kMaxOwners) {
+      return;
+    }
+    World next = aWorld;
+    ++next.mEpoch;
+    next.mReached.assign(kVms, 0);
+    const Instant started =
+      mRules.mDistrustPast ? next.mNow : next.mNow - std::chrono::hours{ 1 };
+    next.mLedger =
+      CreditLedger::Create(Holders(), next.mEpoch, started, kTimes);
+    Step(next, aTrace, "a new owner starts");
+  }
+
+  std::uint32_t mLimit;
+  Rules mRules;
+  std::unordered_set<std::uint64_t> mSeen;
+  std::uint64_t mFullStates = 0;
+  std::string mViolation;
+};
+
+class CreditProtocolForLimit : public testing::TestWithParam<std::uint32_t>
+{};
+
+TEST_P(CreditProtocolForLimit, NeverExceedsTheLimitInAnyInterleaving)
+{
+  Explorer explorer{ GetParam(), Rules{} };
+  explorer.Run();
+  EXPECT_EQ(explorer.Violation(), "");
+  EXPECT_GT(explorer.FullStates(), 0U);
+  RecordProperty("states", std::to_string(explorer.States()));
+}
+
+INSTANTIATE_TEST_SUITE_P(SmallLimits,
+                         CreditProtocolForLimit,
+                         testing::Values(1U, 2U, 3U));
+
+} // namespace
+} // namespace cactusgw
