--- /dev/null
+++ b/tests/system/cluster.hpp
@@ -0,0 +1,133 @@
+#ifndef CACTUSGW_TESTS_SYSTEM_CLUSTER_HPP
+#define CACTUSGW_TESTS_SYSTEM_CLUSTER_HPP
+
+/// Starts the real binaries and the stand-ins as processes on free ports of
+/// 127.0.0.1, and lets a test kill, freeze and question them.
+
+#include "cactusgw/load/load_report.hpp"
+#include "cactusgw/load/load_run.hpp"
+#include "cactusgw/net/http_client.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+
+#include <sys/types.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusgw::testing_support {
+
+struct VmPorts
+{
+  std::string mDataCentre;
+  std::string mListen;
+  std::string mAgentOperator;
+  std::string mEntryOperator;
+  std::string mPeer;
+  std::string mEntryPort;
+  /// Where the agent finds the platform; a test may put a link between.
+  std::string mPlatform;
+};
+
+struct EnginePorts
+{
+  std::string mDataCentre;
+  std::string mAddress;
+  /// The address in the configuration; a test may put a link between.
+  std::string mConfigured;
+  std::vector<std::string> mOptions;
+  std::uint32_t mCold = 2;
+  std::uint32_t mWarm = 8;
+};
+
+/// An answer to a whole request.
+struct Answer
+{
+  unsigned mStatus = 0;
+  std::string mVerdict;
+  std::string mRetryAfter;
+  std::string mBody;
+};
+
+class Cluster
+{
+public:
+  Cluster();
+  ~Cluster();
+  Cluster(const Cluster&) = delete;
+  Cluster& operator=(const Cluster&) = delete;
+
+  /// Names what will be started; call before Start.
+  EnginePorts& AddEngine(const std::string& aName,
+                         const std::string& aDataCentre);
+  VmPorts& AddVm(const std::string& aName, const std::string& aDataCentre);
+  /// A plain service is served by every engine stand-in's /plain paths.
+  void Start();
+
+  void StartEngine(const std::string& aName);
+  void StartAgent(const std::string& aVm);
+  void StartEntry(const std::string& aVm);
+  void Signal(const std::string& aProcess, int aSignal);
+  /// Waits for the process's end and returns its exit code.
+  std::optional<int> WaitForExit(const std::string& aProcess);
+
+  /// Calls the function until it holds. False after a generous time.
+  static bool WaitUntil(const std::function<bool()>& aCondition);
+  /// Waits until the VM has credits that an owner granted.
+  bool WaitForCredits(const std::string& aVm);
+
+  Answer Call(const std::string& aAddress,
+              http::verb aVerb,
+              const std::string& aTarget,
+              const std::string& aBody,
+              const std::string& aKey = "test-key",
+              const std::string& aIdempotencyKey = "");
+  boost::json::value Status(const std::string& aVm);
+  boost::json::value Counters(const std::string& aEngine);
+  void Control(const std::string& aAddress, const std::string& aBody);
+  std::string Metrics(const std::string& aAddress);
+
+  /// A load of streaming requests on the given VMs.
+  LoadSettings Load(const std::vector<std::string>& aVms) const;
+  static LoadReport RunLoad(const LoadSettings& aSettings);
+  /// Runs a load beside other steps of a test.
+  static LoadReport RunLoadWhile(const LoadSettings& aSettings,
+                                 const std::function<void()>& aSteps);
+
+  /// Runs cactusgwctl; returns its exit code and output.
+  std::pair<int, std::string> Ctl(const std::vector<std::string>& aWords);
+  /// Changes one limit of the configuration files.
+  void SetLimit(const std::string& aName, std::int64_t aValue);
+
+  const std::string& Platform() const { return mPlatform; }
+  const VmPorts& Vm(const std::string& aName) const { return mVms.at(aName); }
+  const EnginePorts& Engine(const std::string& aName) const
+  {
+    return mEngines.at(aName);
+  }
+  std::string Directory() const { return mDirectory; }
+
+private:
+  void WriteConfig() const;
+  void WriteSettings(const std::string& aVm) const;
+  void Spawn(const std::string& aName, std::vector<std::string> aCommand);
+  boost::json::value GetJson(const std::string& aAddress,
+                             const std::string& aTarget);
+
+  std::string mDirectory;
+  std::string mPlatform;
+  std::map<std::string, VmPorts> mVms;
+  std::map<std::string, EnginePorts> mEngines;
+  boost::json::object mLimits;
+  std::map<std::string, pid_t> mProcesses;
+};
+
+} // namespace cactusgw::testing_support
+
+#endif // CACTUSGW_TESTS_SYSTEM_CLUSTER_HPP
