A restarted upstream is seen at once and gets its cold limit

Seen red: after kill -9 and a start on the same address, 60 requests from two VMs made the fresh engine fall over (1 overload, limit 2). Cause: the VMs' reports had given their idle credits back, but the owner's limit stayed warm until its next load report, up to 1 s later.

Ruled out: polling faster only narrows the window; sending the engine's incarnation with each request needs engines to check it, which they do not promise. The owner now holds one idle connection to each upstream it owns. When that closes it counts the upstream as cold, takes idle credits back and grants nothing until a load report arrives.

Also found by the proofs: a request whose only upstream had failed was not tried there again although it may be (excluded upstreams are now passed over only while another serves), and a finished generation could not be resumed (an engine has to keep it for its resume time; the contract says so).

--- a/src/cactusgw/agent/agent.cpp
+++ b/src/cactusgw/agent/agent.cpp
@@ -150,18 +150,62 @@
         : mState.mConfig.Current().FindService(config->mService);
     const bool reports =
       service != nullptr && service->mKind == ServiceKind::Model;
-    if (reports && mPolling.insert(name).second) {
-      net::co_spawn(mContext, PollLoad(name, config->mAddress), net::detached);
+    if (!reports) {
+      continue;
+    }
+    StartPoll(name, config->mAddress);
+    if (mHeld.insert(name).second) {
+      net::co_spawn(
+        mContext, HoldConnection(name, config->mAddress), net::detached);
     }
   }
   return !mState.mStopping;
 }
 
+void
+Agent::StartPoll(const std::string& aUpstream, const std::string& aAddress)
+{
+  if (mPolling.insert(aUpstream).second) {
+    net::co_spawn(mContext, PollLoad(aUpstream, aAddress), net::detached);
+  }
+}
+
+Task<void>
+Agent::HoldConnection(std::string aUpstream, std::string aAddress)
+{
+  const bool wasOpen = co_await WaitForClose(aAddress);
+  mHeld.erase(aUpstream);
+  if (wasOpen) {
+    OnConnectionLost(aUpstream, aAddress);
+  }
+}
+
+void
+Agent::OnConnectionLost(const std::string& aUpstream,
+                        const std::string& aAddress)
+{
+  const auto it = mState.Owned().find(aUpstream);
+  if (it == mState.Owned().end()) {
+    return;
+  }
+  const std::vector<CreditGrant> revoked = it->second.OnConnectionLost(Now());
+  mPeers->SendGrants(aUpstream, revoked);
+  mRecorder.Record(EventKind::UpstreamLost, "", aUpstream);
+  mLog.Warn(aUpstream + " closed its connection and counts as cold.");
+  StartPoll(aUpstream, aAddress);
+}
+
 Task<void>
 Agent::PollLoad(std::string aUpstream, std::string aAddress)
 {
-  const Instant asked = Now();
-  const Result<EngineLoad> load = co_await mEngines.Load(aAddress);
+  Instant asked = Now();
+  Result<EngineLoad> load = co_await mEngines.Load(aAddress);
+  while (!load && AwaitsLoad(aUpstream)) {
+    net::steady_timer timer{ mContext, kAwaitedLoadPause };
+    co_await timer.async_wait(net::use_awaitable);
+    asked = Now();
+    load = co_await mEngines.Load(aAddress);
+  }
   mPolling.erase(aUpstream);
   const auto it = mState.Owned().find(aUpstream);
   if (it == mState.Owned().end()) {
@@ -191,6 +235,14 @@
   }
 }
 
+bool
+Agent::AwaitsLoad(const std::string& aUpstream) const
+{
+  const auto it = mState.Owned().find(aUpstream);
+  return it != mState.Owned().end() && it->second.AwaitsLoad() &&
+         !mState.mStopping;
+}
+
 void
 Agent::Stop(std::function<void()> aOnStopped)
 {
--- a/src/cactusgw/agent/agent.hpp
+++ b/src/cactusgw/agent/agent.hpp
@@ -29,6 +29,8 @@
   static constexpr Milliseconds kTick{ 20 };
   /// Pause between two load reports of an owned upstream.
   static constexpr Milliseconds kLoadPause{ 1000 };
+  /// The same while an upstream that may have restarted has not answered.
+  static constexpr Milliseconds kAwaitedLoadPause{ 100 };
   /// Pause between two heartbeats to another data centre.
   static constexpr Milliseconds kRelayPause{ 5000 };
 
@@ -48,6 +50,12 @@
   bool OnRelayTime();
   bool OnLoadTime();
   Task<void> PollLoad(std::string aUpstream, std::string aAddress);
+  bool AwaitsLoad(const std::string& aUpstream) const;
+  void StartPoll(const std::string& aUpstream, const std::string& aAddress);
+  /// Holds a connection open to an owned upstream, to see it restart at once.
+  Task<void> HoldConnection(std::string aUpstream, std::string aAddress);
+  void OnConnectionLost(const std::string& aUpstream,
+                        const std::string& aAddress);
   Task<void> HandOver(std::function<void()> aOnStopped);
 
   Task<void> HandleOperator(HttpExchange& aExchange);
@@ -70,6 +78,8 @@
   PartLog mLog;
   /// Upstreams whose load is being asked for.
   std::set<std::string, std::less<>> mPolling;
+  /// Upstreams to which a connection is held open.
+  std::set<std::string, std::less<>> mHeld;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/core/admission_control.cpp
+++ b/src/cactusgw/core/admission_control.cpp
@@ -145,10 +145,7 @@
   }
   const ServiceConfig* service = mDeployment.FindService(aAsk.mService);
   if (service == nullptr || ServingUpstreams(aAsk).empty()) {
-    const bool isKnown = service != nullptr && !aAsk.mExcluded.empty();
-    decisions.push_back(Refuse(aAsk,
-                               isKnown ? AdmissionOutcome::Busy
-                                       : AdmissionOutcome::UnknownTarget));
+    decisions.push_back(Refuse(aAsk, AdmissionOutcome::UnknownTarget));
     return decisions;
   }
   if (!TakeRetry(aAsk)) {
@@ -284,7 +281,6 @@
   const bool servesModel =
     aAsk.mModel.empty() || Contains(config.mModels, aAsk.mModel);
   return config.mService == aAsk.mService && servesModel &&
-         !Contains(aAsk.mExcluded, config.mName) &&
          !mDrains.IsDrained(config.mDataCentre);
 }
 
@@ -314,6 +310,13 @@
       names.push_back(name);
     }
   }
+  const auto isExcluded = [&](std::string_view aName) {
+    return Contains(aAsk.mExcluded, aName);
+  };
+  // The only upstream of a service is better than none.
+  if (!std::all_of(names.begin(), names.end(), isExcluded)) {
+    std::erase_if(names, isExcluded);
+  }
   return names;
 }
 
--- a/src/cactusgw/core/admission_control.hpp
+++ b/src/cactusgw/core/admission_control.hpp
@@ -33,6 +33,7 @@
   std::string mModel;
   std::string mWorkspace;
   std::uint64_t mPrefixHash = 0;
+  /// Upstreams to pass over as long as another one serves.
   std::vector<std::string> mExcluded;
   bool mIsRetry = false;
 };
--- a/src/cactusgw/core/credit_ledger.cpp
+++ b/src/cactusgw/core/credit_ledger.cpp
@@ -93,6 +93,21 @@
   return grants;
 }
 
+std::vector<CreditGrant>
+CreditLedger::RevokeIdle(Instant aNow)
+{
+  std::vector<CreditGrant> grants;
+  for (Account& account : mAccounts) {
+    if (account.mReported && account.mAllotted > account.mInUse) {
+      const std::uint32_t wished = account.mWished;
+      account.mWished = account.mInUse;
+      grants.push_back(GrantTo(account, account.mInUse, aNow));
+      account.mWished = wished;
+    }
+  }
+  return grants;
+}
+
 void
 CreditLedger::ObserveRunning(const RunningObservation& aObservation)
 {
--- a/src/cactusgw/core/credit_ledger.hpp
+++ b/src/cactusgw/core/credit_ledger.hpp
@@ -61,6 +61,9 @@
   /// Offers credits that a raised limit or passed time has freed to waiters.
   std::vector<CreditGrant> GrantWaiting(std::uint32_t aLimit, Instant aNow);
 
+  /// Takes back all credits that are not in use, from every VM that has some.
+  std::vector<CreditGrant> RevokeIdle(Instant aNow);
+
   /// Takes a load report of the upstream as evidence about silent VMs.
   void ObserveRunning(const RunningObservation& aObservation);
 
--- a/src/cactusgw/core/upstream_owner.cpp
+++ b/src/cactusgw/core/upstream_owner.cpp
@@ -39,6 +39,7 @@
 UpstreamOwner::OnLoad(const LoadObservation& aLoad, Instant aNow)
 {
   mFailedLoads = 0;
+  mAwaitsLoad = false;
   const bool isFirst = mIncarnation.empty();
   const bool restarted = !isFirst && aLoad.mIncarnation != mIncarnation;
   const bool overloaded = !isFirst && aLoad.mOverloads > mOverloads;
@@ -60,6 +61,14 @@
   }
 }
 
+std::vector<CreditGrant>
+UpstreamOwner::OnConnectionLost(Instant aNow)
+{
+  FallBackToCold();
+  mAwaitsLoad = true;
+  return mLedger.RevokeIdle(aNow);
+}
+
 void
 UpstreamOwner::SetDrained(bool aDrained)
 {
@@ -79,7 +88,7 @@
 std::uint32_t
 UpstreamOwner::Limit() const
 {
-  return IsDown() || mDrained ? 0 : mWarmup.Limit();
+  return IsDown() || mDrained || mAwaitsLoad ? 0 : mWarmup.Limit();
 }
 
 void
--- a/src/cactusgw/core/upstream_owner.hpp
+++ b/src/cactusgw/core/upstream_owner.hpp
@@ -52,6 +52,9 @@
                                     Instant aNow);
   std::vector<CreditGrant> OnLoad(const LoadObservation& aLoad, Instant aNow);
   void OnLoadFailed();
+  /// A connection that the owner holds open to the upstream broke: it may have
+  /// restarted. Nothing is granted until the next load report.
+  std::vector<CreditGrant> OnConnectionLost(Instant aNow);
   /// No new work at all, because the data centre is taken out.
   void SetDrained(bool aDrained);
   void SetBounds(LimitBounds aBounds) { mWarmup.SetBounds(aBounds); }
@@ -64,6 +67,7 @@
   /// Requests the upstream may run now; zero while down or drained.
   std::uint32_t Limit() const;
   bool IsDown() const { return mFailedLoads >= kFailuresUntilDown; }
+  bool AwaitsLoad() const { return mAwaitsLoad; }
   bool IsWarm() const { return mWarmup.IsWarm(); }
   const CreditLedger& Ledger() const { return mLedger; }
   std::uint64_t TimesCold() const { return mTimesCold; }
@@ -78,6 +82,7 @@
   std::uint64_t mOverloads = 0;
   std::uint32_t mFailedLoads = 0;
   bool mDrained = false;
+  bool mAwaitsLoad = false;
   std::uint64_t mTimesCold = 0;
 };
 
--- a/src/cactusgw/net/http_client.cpp
+++ b/src/cactusgw/net/http_client.cpp
@@ -155,6 +155,30 @@
   mStream.close();
 }
 
+Task<bool>
+WaitForClose(std::string aAddress)
+{
+  constexpr Milliseconds kConnectTime{ 1000 };
+  const Result<net::ip::tcp::endpoint> endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    co_return false;
+  }
+  TcpStream stream{ co_await net::this_coro::executor };
+  beast::error_code ec;
+  stream.expires_after(kConnectTime);
+  co_await stream.async_connect(endpoint.value(),
+                                net::redirect_error(net::use_awaitable, ec));
+  if (ec) {
+    co_return false;
+  }
+  SetDeadPeerTimeout(stream.socket(), kDeadPeerTime);
+  stream.expires_never();
+  co_await stream.socket().async_wait(
+    net::ip::tcp::socket::wait_read,
+    net::redirect_error(net::use_awaitable, ec));
+  co_return true;
+}
+
 Task<Result<HttpResponse>>
 FetchHttp(std::string_view aAddress,
           HttpRequest aRequest,
--- a/src/cactusgw/net/http_client.hpp
+++ b/src/cactusgw/net/http_client.hpp
@@ -59,6 +59,10 @@
   http::response_parser<http::buffer_body> mParser;
 };
 
+/// Connects and waits until the other side closes the connection.
+/// @return false when no connection could be made
+Task<bool> WaitForClose(std::string aAddress);
+
 /// A whole exchange with a bounded answer.
 Task<Result<HttpResponse>> FetchHttp(std::string_view aAddress,
                                      HttpRequest aRequest,
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -118,7 +118,12 @@
   Result<std::unique_ptr<HttpServer>> server = HttpServer::Listen(
     aContext,
     aAddress,
-    [] { return HttpServerLimits{}; },
+    [] {
+      HttpServerLimits limits;
+      // Engines leave idle connections open.
+      limits.mReadHeaderTime = Milliseconds{ 24 * 3'600'000 };
+      return limits;
+    },
     [self](HttpExchange& aExchange) { return self->Handle(aExchange); });
   if (!server) {
     return server.error();
@@ -372,18 +377,25 @@
       continue;
     }
     if (aSequence->mEnded) {
-      sent = co_await aExchange.Write(EndText(*aSequence));
+      static_cast<void>(co_await aExchange.Write(EndText(*aSequence)));
       static_cast<void>(co_await aExchange.Finish());
-      mSequences.erase(aSequence->mGeneration);
+      // Kept for a while: what was written may not have arrived.
+      EndReading(*aSequence);
       co_return;
     }
     boost::system::error_code ec;
     co_await mProgress.async_wait(net::redirect_error(net::use_awaitable, ec));
   }
   aExchange.Abort();
-  if (aSequence->mReaders > 0) {
-    --aSequence->mReaders;
-    aSequence->mUnreadSince = Clock::now();
+  EndReading(*aSequence);
+}
+
+void
+EngineStandin::EndReading(Sequence& aSequence)
+{
+  if (aSequence.mReaders > 0) {
+    --aSequence.mReaders;
+    aSequence.mUnreadSince = Clock::now();
   }
 }
 
--- a/tests/standins/engine_standin.hpp
+++ b/tests/standins/engine_standin.hpp
@@ -133,6 +133,7 @@
                         SequencePointer aSequence,
                         std::uint64_t aOffset,
                         bool aWithFaults);
+  static void EndReading(Sequence& aSequence);
   Task<bool> InjectFault(HttpExchange& aExchange,
                          const Sequence& aSequence,
                          std::uint64_t& aOffset);
--- a/tests/standins/link_relay.cpp
+++ b/tests/standins/link_relay.cpp
@@ -26,8 +26,7 @@
 LinkRelay::LinkRelay(std::string aTarget)
   : mTarget(std::move(aTarget))
   , mContext(1)
-  , mAcceptor(mContext,
-              tcp::endpoint{ net::ip::make_address("127.0.0.1"), 0 })
+  , mAcceptor(mContext, tcp::endpoint{ net::ip::make_address("127.0.0.1"), 0 })
 {
   net::co_spawn(mContext, AcceptLoop(), net::detached);
   mThread = std::thread{ [this] { mContext.run(); } };
--- a/tests/system/caller_test.cpp
+++ b/tests/system/caller_test.cpp
@@ -88,9 +88,8 @@
 
 TEST_F(CallerTest, AStreamedChatEndsWithTheClosingMarker)
 {
-  const Answer answer = Post(
-    "/v1/chat/completions",
-    R"({"model":"model-1","stream":true,
+  const Answer answer = Post("/v1/chat/completions",
+                             R"({"model":"model-1","stream":true,
         "messages":[{"role":"user","content":"tokens:3"}]})");
   EXPECT_EQ(answer.mStatus, 200U);
   EXPECT_THAT(answer.mBody, testing::EndsWith("data: [DONE]\n\n"));
@@ -106,10 +105,8 @@
 
 TEST_F(CallerTest, APlainServiceIsReachedWithAnyMethod)
 {
-  const Answer answer = sCluster->Call(Address(),
-                                       http::verb::put,
-                                       "/v1/services/portal/plain/bench",
-                                       "oak");
+  const Answer answer = sCluster->Call(
+    Address(), http::verb::put, "/v1/services/portal/plain/bench", "oak");
   EXPECT_EQ(answer.mStatus, 200U);
   EXPECT_THAT(answer.mBody, testing::HasSubstr("oak"));
 }
@@ -158,8 +155,8 @@
 
 TEST_F(CallerTest, AnOversizedHeaderIsRefused)
 {
-  const std::string answer = SendRaw("GET /v1/models HTTP/1.1\r\nX: " +
-                                     std::string(4000, 'x') + "\r\n\r\n");
+  const std::string answer = SendRaw(
+    "GET /v1/models HTTP/1.1\r\nX: " + std::string(4000, 'x') + "\r\n\r\n");
   EXPECT_THAT(answer, testing::StartsWith("HTTP/1.1 431 "));
 }
 
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -8,17 +8,16 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include <fcntl.h>
-#include <spawn.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <spawn.h>
+#include <sys/wait.h>
 #include <thread>
+#include <unistd.h>
 
 extern char** environ;
 
@@ -76,13 +75,12 @@
 {
   boost::asio::io_context context{ 1 };
   std::optional<T> result;
-  boost::asio::co_spawn(context,
-                        std::move(aTask),
-                        [&](const std::exception_ptr& aError, T aValue) {
-                          if (!aError) {
-                            result.emplace(std::move(aValue));
-                          }
-                        });
+  boost::asio::co_spawn(
+    context, std::move(aTask), [&](const std::exception_ptr& aError, T aValue) {
+      if (!aError) {
+        result.emplace(std::move(aValue));
+      }
+    });
   context.run();
   return std::move(*result);
 }
@@ -156,8 +154,7 @@
 void
 Cluster::Start()
 {
-  Spawn("platform",
-        { CACTUSGW_PLATFORM_STANDIN, "--listen", mPlatform });
+  Spawn("platform", { CACTUSGW_PLATFORM_STANDIN, "--listen", mPlatform });
   for (const auto& [name, engine] : mEngines) {
     StartEngine(name);
   }
@@ -181,27 +178,24 @@
                                     std::to_string(engine.mCold),
                                     "--warm",
                                     std::to_string(engine.mWarm) };
-  command.insert(
-    command.end(), engine.mOptions.begin(), engine.mOptions.end());
+  command.insert(command.end(), engine.mOptions.begin(), engine.mOptions.end());
   Spawn(aName, std::move(command));
 }
 
 void
 Cluster::StartAgent(const std::string& aVm)
 {
-  Spawn("agent/" + aVm,
-        { CACTUSGW_AGENT,
-          "--settings",
-          mDirectory + "/agent-" + aVm + ".json" });
+  Spawn(
+    "agent/" + aVm,
+    { CACTUSGW_AGENT, "--settings", mDirectory + "/agent-" + aVm + ".json" });
 }
 
 void
 Cluster::StartEntry(const std::string& aVm)
 {
-  Spawn("entry/" + aVm,
-        { CACTUSGW_ENTRY,
-          "--settings",
-          mDirectory + "/entry-" + aVm + ".json" });
+  Spawn(
+    "entry/" + aVm,
+    { CACTUSGW_ENTRY, "--settings", mDirectory + "/entry-" + aVm + ".json" });
 }
 
 void
@@ -213,11 +207,8 @@
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   constexpr int kMode = 0644;
-  posix_spawn_file_actions_addopen(&actions,
-                                   STDOUT_FILENO,
-                                   log.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND,
-                                   kMode);
+  posix_spawn_file_actions_addopen(
+    &actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, kMode);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
   std::vector<char*> argv;
   for (std::string& word : aCommand) {
@@ -273,15 +264,18 @@
 {
   return WaitUntil([&] {
     const json::value status = Status(aVm);
-    const Answer ready = Call(
-      mVms.at(aVm).mEntryOperator, http::verb::get, "/readyz", "");
+    const Answer ready =
+      Call(mVms.at(aVm).mEntryOperator, http::verb::get, "/readyz", "");
     if (!status.is_object() || ready.mStatus != 200) {
       return false;
     }
+    // An owner that has heard this VM: from here on it grants on demand.
     for (const json::value& upstream : status.at("upstreams").as_array()) {
       const bool isOwn =
         upstream.at("dataCentre").as_string() == mVms.at(aVm).mDataCentre;
-      if (isOwn && upstream.at("source").as_string() != "grant") {
+      const bool hasOwner = upstream.as_object().contains("owner");
+      const bool isHeard = upstream.at("source").as_string() != "none";
+      if (isOwn && !(hasOwner && isHeard)) {
         return false;
       }
     }
@@ -366,9 +360,7 @@
     boost::asio::io_context context{ 1 };
     LoadRun run{ context, aSettings };
     boost::asio::co_spawn(
-      context,
-      run.Run(),
-      [&](const std::exception_ptr&, LoadReport aReport) {
+      context, run.Run(), [&](const std::exception_ptr&, LoadReport aReport) {
         report = std::move(aReport);
         context.stop();
       });
@@ -416,8 +408,8 @@
   for (const auto& [name, vm] : mVms) {
     json::value& dataCentre = dataCentres[vm.mDataCentre];
     if (!dataCentre.is_object()) {
-      dataCentre = json::object{ { "region", "region-1" },
-                                 { "vms", json::object{} } };
+      dataCentre =
+        json::object{ { "region", "region-1" }, { "vms", json::object{} } };
     }
     dataCentre.at("vms").as_object()[name] =
       json::object{ { "peer", vm.mPeer } };
@@ -438,21 +430,21 @@
   const json::object document{
     { "dataCentres", std::move(dataCentres) },
     { "services",
-      json::object{ { "writer",
-                      json::object{ { "kind", "model" },
-                                    { "queueMs", 20'000 },
-                                    { "silenceMs", 1000 } } },
-                    { "portal",
-                      json::object{ { "kind", "plain" },
-                                    { "queueMs", 20'000 } } } } },
+      json::object{
+        { "writer",
+          json::object{ { "kind", "model" },
+                        { "queueMs", 20'000 },
+                        { "silenceMs", 1000 } } },
+        { "portal",
+          json::object{ { "kind", "plain" }, { "queueMs", 20'000 } } } } },
     { "models",
       json::object{ { "model-1", json::object{ { "service", "writer" } } } } },
     { "upstreams", std::move(upstreams) },
     { "workspaces",
       json::object{
         { "workspace-1",
-          json::object{ { "keySha256",
-                          json::array{ Sha256Hex("test-key") } } } } } },
+          json::object{
+            { "keySha256", json::array{ Sha256Hex("test-key") } } } } } },
     { "limits", mLimits }
   };
   WriteFile(mDirectory + "/base.json", document);
@@ -480,22 +472,19 @@
       { "credits",
         json::object{ { "validityMs", 1500 }, { "guardMs", 1000 } } },
       { "lease",
-        json::object{ { "durationMs", 4000 },
-                      { "renewMs", 1000 },
-                      { "guardMs", 500 } } },
+        json::object{
+          { "durationMs", 4000 }, { "renewMs", 1000 }, { "guardMs", 500 } } },
       { "heartbeatMs", 400 },
       { "ownershipMs", 2000 } });
-  WriteFile(
-    mDirectory + "/entry-" + aVm + ".json",
-    json::object{
-      { "vm", aVm },
-      { "dataCentre", vm.mDataCentre },
-      { "listen", vm.mListen },
-      { "agent", vm.mEntryPort },
-      { "unreadyMs", 300 },
-      { "operator",
-        json::object{ { "listen", vm.mEntryOperator },
-                      { "token", kToken } } } });
+  WriteFile(mDirectory + "/entry-" + aVm + ".json",
+            json::object{ { "vm", aVm },
+                          { "dataCentre", vm.mDataCentre },
+                          { "listen", vm.mListen },
+                          { "agent", vm.mEntryPort },
+                          { "unreadyMs", 300 },
+                          { "operator",
+                            json::object{ { "listen", vm.mEntryOperator },
+                                          { "token", kToken } } } });
 }
 
 } // namespace cactusgw::testing_support
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -11,14 +11,13 @@
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 
-#include <sys/types.h>
-
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <sys/types.h>
 #include <vector>
 
 namespace cactusgw::testing_support {
--- a/tests/system/failure_test.cpp
+++ b/tests/system/failure_test.cpp
@@ -1,5 +1,4 @@
 #include "cluster.hpp"
-
 #include "link_relay.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -49,9 +48,8 @@
   std::int64_t Counter(const std::string& aEngine, const std::string& aName)
   {
     const json::value counters = mCluster.Counters(aEngine);
-    return counters.is_object()
-             ? counters.at(aName).to_number<std::int64_t>()
-             : -1;
+    return counters.is_object() ? counters.at(aName).to_number<std::int64_t>()
+                                : -1;
   }
 
   bool WaitForRunning(const std::string& aEngine, std::int64_t aCount)
@@ -88,6 +86,12 @@
   const char* mControl;
 };
 
+void
+PrintTo(const StreamFault& aFault, std::ostream* aOut)
+{
+  *aOut << aFault.mName;
+}
+
 class UpstreamFaultTest
   : public FailureTest
   , public testing::WithParamInterface<StreamFault>
@@ -202,8 +206,7 @@
   EXPECT_EQ(report.mWhole, 8U);
   // The abandoned generation ends on the engine by itself.
   EXPECT_TRUE(Cluster::WaitUntil([&] {
-    return Counter("engine-1", "running") + Counter("engine-2", "running") ==
-           0;
+    return Counter("engine-1", "running") + Counter("engine-2", "running") == 0;
   }));
 }
 
@@ -216,8 +219,7 @@
   load.mLengths = { LengthKind::Fixed, 300, 0, 0 };
   const LoadReport report = Cluster::RunLoadWhile(load, [&] {
     ASSERT_TRUE(Cluster::WaitUntil([&] {
-      return Counter("engine-1", "running") +
-               Counter("engine-2", "running") ==
+      return Counter("engine-1", "running") + Counter("engine-2", "running") ==
              2;
     }));
     mCluster.Signal("agent/vm-1", SIGKILL);
@@ -241,9 +243,8 @@
   }));
   const std::string other = holder == "vm-1" ? "vm-2" : "vm-1";
   mCluster.Signal("agent/" + holder, SIGSTOP);
-  ASSERT_TRUE(Cluster::WaitUntil([&] {
-    return mCluster.Status(other).at("holdsLease").as_bool();
-  }));
+  ASSERT_TRUE(Cluster::WaitUntil(
+    [&] { return mCluster.Status(other).at("holdsLease").as_bool(); }));
   ASSERT_TRUE(mCluster.WaitForCredits(other));
   LoadSettings load = mCluster.Load({ other });
   load.mRequests = 10;
@@ -275,9 +276,8 @@
   EXPECT_EQ(report.mWhole, 40U);
   EXPECT_FALSE(LeaseHolder().empty());
   // More than the static shares were in use: owners went on granting.
-  EXPECT_GT(Counter("engine-1", "peakRunning") +
-              Counter("engine-2", "peakRunning"),
-            4);
+  EXPECT_GT(
+    Counter("engine-1", "peakRunning") + Counter("engine-2", "peakRunning"), 4);
   mCluster.Control(mCluster.Platform(), R"({"down":false})");
   EXPECT_TRUE(Cluster::WaitUntil([&] {
     const std::string holder = LeaseHolder();
@@ -339,15 +339,12 @@
   load.mLengths = { LengthKind::Fixed, 300, 0, 0 };
   const LoadReport report = Cluster::RunLoadWhile(load, [&] {
     ASSERT_TRUE(Cluster::WaitUntil([&] {
-      return Counter("engine-1", "running") +
-               Counter("engine-2", "running") ==
+      return Counter("engine-1", "running") + Counter("engine-2", "running") ==
              3;
     }));
     mCluster.Signal("entry/vm-1", SIGTERM);
-    const Answer ready = mCluster.Call(mCluster.Vm("vm-1").mEntryOperator,
-                                       http::verb::get,
-                                       "/readyz",
-                                       "");
+    const Answer ready = mCluster.Call(
+      mCluster.Vm("vm-1").mEntryOperator, http::verb::get, "/readyz", "");
     EXPECT_EQ(ready.mStatus, 503U);
   });
   EXPECT_EQ(report.mWhole, 3U);
@@ -369,8 +366,8 @@
       return Counter("engine-1", "running") == 1;
     }));
   }
-  EXPECT_TRUE(Cluster::WaitUntil(
-    [&] { return Counter("engine-1", "cancelled") == 1; }));
+  EXPECT_TRUE(
+    Cluster::WaitUntil([&] { return Counter("engine-1", "cancelled") == 1; }));
 }
 
 TEST_F(FailureTest, ASilentConnectionIsLeftForAFreshOneAndTheStreamResumes)
@@ -505,8 +502,7 @@
   load.mLengths = { LengthKind::Fixed, 600, 0, 0 };
   const LoadReport report = Cluster::RunLoadWhile(load, [&] {
     ASSERT_TRUE(Cluster::WaitUntil([&] {
-      return Counter("engine-1", "running") +
-               Counter("engine-2", "running") ==
+      return Counter("engine-1", "running") + Counter("engine-2", "running") ==
              1;
     }));
     EXPECT_EQ(mCluster.Ctl({ "data-centre", "drain", "dc-1" }).first, 0);
@@ -516,11 +512,11 @@
           mCluster.Vm(vm).mEntryOperator, http::verb::get, "/readyz", "");
         return ready.mStatus == 503;
       }));
-      const Answer refused = mCluster.Call(
-        mCluster.Vm(vm).mListen,
-        http::verb::post,
-        "/v1/completions",
-        R"({"model":"model-1","prompt":"tokens:5"})");
+      const Answer refused =
+        mCluster.Call(mCluster.Vm(vm).mListen,
+                      http::verb::post,
+                      "/v1/completions",
+                      R"({"model":"model-1","prompt":"tokens:5"})");
       EXPECT_EQ(refused.mStatus, 503U);
       EXPECT_EQ(refused.mVerdict, "not-run");
     }
