Control costs per VM no longer grow with the fleet

Causes, found by kind of message: a request waiting for a scarce credit asked all 57 owners; a new lease holder planned before it had heard its members, so that few VMs owned most upstreams.

A VM now uses 16 upstreams per service and data centre, chosen by hash; waiting requests ask two owners; the holder listens for two intervals and gives each VM its part and one at most.

--- a/src/cactusgw/agent/agent.cpp
+++ b/src/cactusgw/agent/agent.cpp
@@ -57,10 +57,13 @@
     return entry.error();
   }
   mEntry = std::move(entry.value());
-  Result<std::unique_ptr<PeerPort>> peers = PeerPort::Listen(
-    mZmq, mContext, mState, [this](AdmissionControl::Decisions aDecisions) {
-      mEntry->SendDecisions(aDecisions);
-    });
+  Result<std::unique_ptr<PeerPort>> peers =
+    PeerPort::Listen(mZmq,
+                     mContext,
+                     mState,
+                     [this](const AdmissionControl::Decisions& aDecisions) {
+                       mEntry->SendDecisions(aDecisions);
+                     });
   if (!peers) {
     return peers.error();
   }
@@ -93,7 +96,7 @@
   RunEvery(mContext, every(kTick), [this] { return OnTick(); });
   RunEvery(
     mContext,
-    [this] { return mPeers->HeartbeatInterval(); },
+    [this] { return mState.HeartbeatInterval(); },
     [this] { return OnHeartbeatTime(); });
   RunEvery(mContext, every(kRelayPause), [this] { return OnRelayTime(); });
   RunEvery(mContext, every(kLoadPause), [this] { return OnLoadTime(); });
--- a/src/cactusgw/agent/agent_report.cpp
+++ b/src/cactusgw/agent/agent_report.cpp
@@ -108,6 +108,16 @@
   return "none";
 }
 
+/// Where the VM's credits for an upstream come from.
+std::string
+SourceOf(const AgentState& aState, std::string_view aUpstream, Instant aNow)
+{
+  if (!aState.mAdmission.Uses(aUpstream)) {
+    return "unused";
+  }
+  return std::string{ SourceText(aState.mAdmission.Source(aUpstream, aNow)) };
+}
+
 json::array
 UpstreamsJson(const AgentState& aState, Instant aNow)
 {
@@ -117,9 +127,7 @@
                        { "dataCentre", config.mDataCentre },
                        { "inUse", aState.mAdmission.InUse(config.mName) },
                        { "cap", aState.mAdmission.Cap(config.mName, aNow) },
-                       { "source",
-                         std::string{ SourceText(
-                           aState.mAdmission.Source(config.mName, aNow)) } } };
+                       { "source", SourceOf(aState, config.mName, aNow) } };
     const OwnerAssignment* owner = FindOwner(aState.mOwnership, config.mName);
     if (owner != nullptr) {
       item["owner"] = owner->mOwner.mVm;
--- a/src/cactusgw/agent/agent_state.cpp
+++ b/src/cactusgw/agent/agent_state.cpp
@@ -1,5 +1,6 @@
 #include "cactusgw/agent/agent_state.hpp"
 
+#include "cactusgw/config/upstream_subset.hpp"
 #include "cactusgw/core/static_share.hpp"
 
 #include <algorithm>
@@ -12,15 +13,33 @@
 /// Missed heartbeats after which a VM is taken for dead.
 constexpr int kMissedHeartbeats = 3;
 
-MemberTimes
-MemberTimesOf(const AgentSettings& aSettings)
+/// Ownership is confirmed for this many heartbeat intervals, so that one lost
+/// heartbeat does not end it.
+constexpr int kIntervalsPerOwnership = 3;
+/// The lease holder hears at most so many heartbeats a second, however many
+/// VMs the data centre has.
+constexpr std::size_t kHolderHeartbeatsPerSecond = 16;
+constexpr std::size_t kMillisecondsPerSecond = 1000;
+
+std::vector<std::string>
+VmNames(const DataCentreConfig& aDataCentre)
 {
-  MemberTimes times;
-  times.mDeadAfter = aSettings.mHeartbeatEvery * kMissedHeartbeats;
-  times.mOwnershipValidity = aSettings.mOwnershipValidity;
-  times.mPromise = aSettings.mLease.mDuration;
-  times.mGuard = aSettings.mLease.mGuard;
-  return times;
+  std::vector<std::string> names;
+  for (const VmConfig& vm : aDataCentre.mVms) {
+    names.push_back(vm.mName);
+  }
+  return names;
+}
+
+bool
+MayUse(const Deployment& aDeployment,
+       const DataCentreConfig& aFrom,
+       std::string_view aVm,
+       const UpstreamConfig& aUpstream)
+{
+  const std::vector<std::string_view> names =
+    UpstreamsOfVm(aDeployment, aFrom, aVm);
+  return std::find(names.begin(), names.end(), aUpstream.mName) != names.end();
 }
 
 } // namespace
@@ -33,7 +52,7 @@
   , mDrains(DrainTable::Create())
   , mLease(
       LeaseKeeper::Create(aSettings.mPlace.mVm, aIncarnation, aSettings.mLease))
-  , mMembers(MemberTable::Create(MemberTimesOf(aSettings)))
+  , mMembers(MemberTable::Create({}))
   , mAdmission(AdmissionControl::Create(aSettings.mPlace.mVm,
                                         aSettings.mPlace.mDataCentre,
                                         aIncarnation,
@@ -43,6 +62,39 @@
   , mIncarnation(aIncarnation)
   , mRecorder(aRecorder)
 {
+  mMembers.SetTimes(MemberTimesNow());
+}
+
+MemberTimes
+AgentState::MemberTimesNow() const
+{
+  MemberTimes times;
+  times.mDeadAfter = HeartbeatInterval() * kMissedHeartbeats;
+  times.mOwnershipValidity = OwnershipValidity();
+  times.mPromise = mSettings.mLease.mDuration;
+  times.mGuard = mSettings.mLease.mGuard;
+  return times;
+}
+
+Milliseconds
+AgentState::HeartbeatInterval() const
+{
+  const std::size_t scaled =
+    LocalVms().size() * kMillisecondsPerSecond / kHolderHeartbeatsPerSecond;
+  return std::max(mSettings.mHeartbeatEvery, Milliseconds{ scaled });
+}
+
+Milliseconds
+AgentState::OwnershipValidity() const
+{
+  return std::max(mSettings.mOwnershipValidity,
+                  HeartbeatInterval() * kIntervalsPerOwnership);
+}
+
+bool
+AgentState::HearsHolder(Instant aNow) const
+{
+  return aNow < mHolderHeardAt + HeartbeatInterval() * kMissedHeartbeats;
 }
 
 ApplyOutcome
@@ -75,6 +127,7 @@
                    static_cast<std::int64_t>(mConfig.Revision()));
   mAdmission.SetDeployment(mConfig.Current(), aNow);
   mLease.SetGroup(LocalVms());
+  mMembers.SetTimes(MemberTimesNow());
   RebuildOwned(aNow);
 }
 
@@ -126,7 +179,8 @@
     const bool isKnown =
       std::find(names.begin(), names.end(), upstream.mDataCentre) !=
       names.end();
-    if (own != nullptr && !isKnown && MaySendTo(*own, upstream)) {
+    if (own != nullptr && !isKnown &&
+        IsWithinScope(deployment, *own, upstream)) {
       names.push_back(upstream.mDataCentre);
     }
   }
@@ -273,48 +327,24 @@
 AgentState::HoldersOf(const UpstreamConfig& aUpstream) const
 {
   std::vector<CreditHolder> holders;
-  for (const DataCentreConfig& dataCentre : mConfig.Current().mDataCentres) {
-    if (!MaySendTo(dataCentre, aUpstream)) {
+  const Deployment& deployment = mConfig.Current();
+  for (const DataCentreConfig& dataCentre : deployment.mDataCentres) {
+    if (!IsWithinScope(deployment, dataCentre, aUpstream)) {
       continue;
     }
-    std::vector<std::string> names;
-    for (const VmConfig& vm : dataCentre.mVms) {
-      names.push_back(vm.mName);
-    }
     const bool isLocal = dataCentre.mName == aUpstream.mDataCentre;
+    const std::vector<std::string> names = VmNames(dataCentre);
     for (const std::string& name : names) {
       const std::uint32_t share =
         isLocal
           ? StaticShare(aUpstream.mName, name, names, aUpstream.mLimits.mCold)
           : 0;
-      holders.push_back({ name, share });
+      if (share > 0 || MayUse(deployment, dataCentre, name, aUpstream)) {
+        holders.push_back({ name, share });
+      }
     }
   }
   return holders;
 }
 
-bool
-AgentState::MaySendTo(const DataCentreConfig& aFrom,
-                      const UpstreamConfig& aUpstream) const
-{
-  const Deployment& deployment = mConfig.Current();
-  const DataCentreConfig* home =
-    deployment.FindDataCentre(aUpstream.mDataCentre);
-  const ServiceConfig* service = deployment.FindService(aUpstream.mService);
-  if (home == nullptr || service == nullptr) {
-    return false;
-  }
-  const bool isLocal = aFrom.mName == home->mName;
-  const bool isSameRegion = aFrom.mRegion == home->mRegion;
-  switch (service->mOverflow) {
-    case OverflowScope::None:
-      return isLocal;
-    case OverflowScope::Region:
-      return isSameRegion;
-    case OverflowScope::Any:
-      return true;
-  }
-  return isLocal;
-}
-
 } // namespace cactusgw
--- a/src/cactusgw/agent/agent_state.hpp
+++ b/src/cactusgw/agent/agent_state.hpp
@@ -59,8 +59,6 @@
   /// Whether this VM may act as owner now.
   bool MayActAsOwner(Instant aNow) const;
   bool HoldsLease(Instant aNow) const { return mLease.IsHeld(aNow); }
-  /// When the lease holder was last heard.
-  Instant HolderHeardAt() const { return mHolderHeardAt; }
   void NoteHolderHeard(Instant aNow) { mHolderHeardAt = aNow; }
 
   /// The owner of an upstream this VM owns now, or null.
@@ -69,6 +67,14 @@
   OwnedUpstreams& Owned() { return mOwned; }
   const OwnedUpstreams& Owned() const { return mOwned; }
 
+  /// Time between two heartbeats of a VM: longer in large data centres, so that
+  /// the lease holder hears a bounded number a second.
+  Milliseconds HeartbeatInterval() const;
+  /// How long an owner may act on one reply; several intervals at least.
+  Milliseconds OwnershipValidity() const;
+  /// Whether the lease holder was heard lately.
+  bool HearsHolder(Instant aNow) const;
+
   /// VMs of this data centre, in the order of the configuration.
   std::vector<std::string> LocalVms() const;
   std::vector<std::string> LocalUpstreams() const;
@@ -91,10 +97,9 @@
 
 private:
   void OnConfigChanged(Instant aNow);
+  MemberTimes MemberTimesNow() const;
   void RebuildOwned(Instant aNow);
   std::vector<CreditHolder> HoldersOf(const UpstreamConfig& aUpstream) const;
-  bool MaySendTo(const DataCentreConfig& aFrom,
-                 const UpstreamConfig& aUpstream) const;
 
   AgentSettings mSettings;
   std::uint64_t mIncarnation;
--- a/src/cactusgw/agent/internal/platform_sync_impl.hpp
+++ b/src/cactusgw/agent/internal/platform_sync_impl.hpp
@@ -88,9 +88,7 @@
 PlatformSync<Client>::LeaseOnce()
 {
   const Instant now = internal::SyncNow();
-  const Milliseconds heard = mState.Settings().mHeartbeatEvery * 3;
-  const bool hearsHolder = now < mState.HolderHeardAt() + heard;
-  if (!mHeld && hearsHolder) {
+  if (!mHeld && mState.HearsHolder(now)) {
     co_return; // The holder is well; nothing to read.
   }
   const LeaseStep step = mState.mLease.Next(now, mRandom());
@@ -167,7 +165,6 @@
     return;
   }
   const std::uint64_t fence = mState.mLease.FencingNumber();
-  mHeldSince = now;
   mOwnershipRead = false;
   mState.ApplyLeaseHolder(mState.Vm(), fence);
   recorder.Record(EventKind::LeaseTaken,
@@ -183,9 +180,7 @@
 Milliseconds
 PlatformSync<Client>::LeasePause() const
 {
-  const Instant now = internal::SyncNow();
-  const Milliseconds heard = mState.Settings().mHeartbeatEvery * 3;
-  const bool hearsHolder = now < mState.HolderHeardAt() + heard;
+  const bool hearsHolder = mState.HearsHolder(internal::SyncNow());
   if (mHeld || hearsHolder || mState.mConfig.Revision() == 0) {
     return kLeasePause;
   }
@@ -197,10 +192,7 @@
 PlatformSync<Client>::OwnershipLoop()
 {
   while (!mState.mStopping) {
-    // A new holder hears the others for a while before it plans.
-    const Milliseconds settle = mState.Settings().mHeartbeatEvery * 2;
-    const bool settled = internal::SyncNow() >= mHeldSince + settle;
-    if (mHeld && settled) {
+    if (mHeld) {
       co_await PlanOnce();
     }
     co_await Sleep(kLeasePause);
@@ -239,12 +231,16 @@
       co_return;
     }
     // Owners under the former holder may act for a while yet.
-    mState.mMembers.OnLeaseTaken(mState.mOwnership.mOwners,
-                                 internal::SyncNow());
+    mListeningSince = internal::SyncNow();
+    mState.mMembers.OnLeaseTaken(mState.mOwnership.mOwners, mListeningSince);
     mEvents.mOnTaken();
     co_return;
   }
+  // A new holder hears all others before it plans.
   const Instant now = internal::SyncNow();
+  if (now < mListeningSince + mState.HeartbeatInterval() * 2) {
+    co_return;
+  }
   mState.mMembers.OnHeartbeat(mState.Self(), 0, now);
   OwnershipPlan plan = PlanOwnership(mState.mOwnership,
                                      mState.LocalUpstreams(),
--- a/src/cactusgw/agent/peer_port.cpp
+++ b/src/cactusgw/agent/peer_port.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// The lease holder hears at most so many heartbeats a second, however many
-/// VMs the data centre has.
-constexpr std::size_t kHolderHeartbeatsPerSecond = 16;
 constexpr std::size_t kMaxSentHeartbeats = 64;
 
 Instant
@@ -137,16 +134,6 @@
   return port;
 }
 
-Milliseconds
-PeerPort::HeartbeatInterval() const
-{
-  const Milliseconds base = mState.Settings().mHeartbeatEvery;
-  constexpr std::size_t kMillisecondsPerSecond = 1000;
-  const std::size_t scaled = mState.LocalVms().size() * kMillisecondsPerSecond /
-                             kHolderHeartbeatsPerSecond;
-  return std::max(base, Milliseconds{ scaled });
-}
-
 void
 PeerPort::FillVersions(wire::Heartbeat& aHeartbeat) const
 {
@@ -369,8 +356,8 @@
     }
     if (mState.HoldsLease(aNow) && !heartbeat.stopping()) {
       reply.set_reply(mState.mMembers.OnReplySent(sender, aNow));
-      reply.set_ownership_valid_ms(static_cast<std::uint32_t>(
-        mState.Settings().mOwnershipValidity.count()));
+      reply.set_ownership_valid_ms(
+        static_cast<std::uint32_t>(mState.OwnershipValidity().count()));
       reply.set_promise_ms(
         static_cast<std::uint32_t>(mState.Settings().mLease.mDuration.count()));
     }
--- a/src/cactusgw/agent/peer_port.hpp
+++ b/src/cactusgw/agent/peer_port.hpp
@@ -41,7 +41,8 @@
 {
 public:
   /// Decisions that a grant made possible.
-  using DecisionHandler = std::function<void(AdmissionControl::Decisions)>;
+  using DecisionHandler =
+    std::function<void(const AdmissionControl::Decisions&)>;
 
   static Result<std::unique_ptr<PeerPort>> Listen(
     zmq::context_t& aZmq,
@@ -68,7 +69,6 @@
   /// Tells the lease holder that this VM owns nothing any more.
   void SendStopping(Instant aNow);
 
-  Milliseconds HeartbeatInterval() const;
   const PeerTraffic& Traffic() const { return mTraffic; }
   std::uint64_t RefusedMessages() const { return mCodec.Refused(); }
 
--- a/src/cactusgw/agent/platform_sync.hpp
+++ b/src/cactusgw/agent/platform_sync.hpp
@@ -81,7 +81,7 @@
   PartLog mLog;
   std::mt19937_64 mRandom;
   bool mHeld = false;
-  Instant mHeldSince;
+  Instant mListeningSince;
   bool mOwnershipRead = false;
   std::uint64_t mHeadVersion = 0;
   std::uint64_t mDrainVersion = 0;
--- a/src/cactusgw/config/deployment.cpp
+++ b/src/cactusgw/config/deployment.cpp
@@ -15,7 +15,7 @@
 constexpr IntegerRange kCountRange{ 1, 100'000 };
 constexpr IntegerRange kMillisecondsRange{ 1, 3'600'000 };
 constexpr IntegerRange kRetentionRange{ 1000, 7 * 86'400'000LL };
-constexpr IntegerRange kBytesRange{ 1024, 64 * 1024 * 1024 };
+constexpr IntegerRange kBytesRange{ 1024, 64LL * 1024 * 1024 };
 constexpr IntegerRange kPercentRange{ 0, 100 };
 constexpr IntegerRange kPriorityRange{ 0, 9 };
 constexpr IntegerRange kTokensRange{ 1, 1'000'000 };
@@ -168,9 +168,9 @@
 ReadLimits(ObjectReader& aReader, LimitsConfig& aLimits)
 {
   aLimits.mMaxHeaderBytes =
-    CountOr(aReader, "maxHeaderBytes", kBytesRange, 16 * 1024);
+    CountOr(aReader, "maxHeaderBytes", kBytesRange, 16LL * 1024);
   aLimits.mMaxBodyBytes =
-    CountOr(aReader, "maxBodyBytes", kBytesRange, 1024 * 1024);
+    CountOr(aReader, "maxBodyBytes", kBytesRange, 1024LL * 1024);
   aLimits.mReadHeaderTime = TimeOr(aReader, "readHeaderMs", 10'000);
   aLimits.mReadBodyTime = TimeOr(aReader, "readBodyMs", 20'000);
   aLimits.mCallerStallTime = TimeOr(aReader, "callerStallMs", 30'000);
@@ -334,21 +334,23 @@
   FaultSink sink{ std::string{ aFile }, aFaults };
   ObjectReader reader{ aDocument, "", sink };
   Deployment deployment;
-  reader.ForEach("dataCentres", [&](std::string_view aName, ObjectReader& it) {
-    ReadDataCentre(aName, it, deployment);
+  reader.ForEach("dataCentres",
+                 [&](std::string_view aName, ObjectReader& aPart) {
+                   ReadDataCentre(aName, aPart, deployment);
+                 });
+  reader.ForEach("services", [&](std::string_view aName, ObjectReader& aPart) {
+    ReadService(aName, aPart, deployment);
   });
-  reader.ForEach("services", [&](std::string_view aName, ObjectReader& it) {
-    ReadService(aName, it, deployment);
+  reader.ForEach("models", [&](std::string_view aName, ObjectReader& aPart) {
+    ReadModel(aName, aPart, deployment);
   });
-  reader.ForEach("models", [&](std::string_view aName, ObjectReader& it) {
-    ReadModel(aName, it, deployment);
-  });
-  reader.ForEach("upstreams", [&](std::string_view aName, ObjectReader& it) {
-    ReadUpstream(aName, it, deployment);
-  });
-  reader.ForEach("workspaces", [&](std::string_view aName, ObjectReader& it) {
-    ReadWorkspace(aName, it, deployment);
+  reader.ForEach("upstreams", [&](std::string_view aName, ObjectReader& aPart) {
+    ReadUpstream(aName, aPart, deployment);
   });
+  reader.ForEach("workspaces",
+                 [&](std::string_view aName, ObjectReader& aPart) {
+                   ReadWorkspace(aName, aPart, deployment);
+                 });
   const boost::json::value none(boost::json::object_kind);
   ObjectReader defaults{ none, "/limits", sink };
   ReadLimits(defaults, deployment.mLimits);
--- a/src/cactusgw/core/admission_control.cpp
+++ b/src/cactusgw/core/admission_control.cpp
@@ -1,6 +1,6 @@
 #include "cactusgw/core/admission_control.hpp"
 
-#include "cactusgw/core/hash.hpp"
+#include "cactusgw/config/upstream_subset.hpp"
 #include "cactusgw/core/static_share.hpp"
 
 #include <algorithm>
@@ -68,8 +68,17 @@
 {
   Upstreams kept;
   kept.swap(mUpstreams);
-  for (const UpstreamConfig& config : aDeployment.mUpstreams) {
-    AddUpstream(config, aDeployment, kept, aNow);
+  const DataCentreConfig* own = aDeployment.FindDataCentre(mDataCentre);
+  if (own != nullptr) {
+    const std::vector<std::string_view> subset =
+      UpstreamsOfVm(aDeployment, *own, mVm);
+    for (const UpstreamConfig& upstream : aDeployment.mUpstreams) {
+      const bool isChosen =
+        std::find(subset.begin(), subset.end(), upstream.mName) != subset.end();
+      if (isChosen || ShareOf(upstream, aDeployment) > 0) {
+        AddUpstream(upstream, aDeployment, kept, aNow);
+      }
+    }
   }
   for (const ServiceConfig& service : aDeployment.mServices) {
     mRetryBudgets.try_emplace(
@@ -85,13 +94,7 @@
                               Upstreams& aKept,
                               Instant aNow)
 {
-  const DataCentreConfig* dataCentre =
-    aDeployment.FindDataCentre(aConfig.mDataCentre);
-  const std::uint32_t share =
-    dataCentre == nullptr
-      ? 0
-      : StaticShare(
-          aConfig.mName, mVm, VmNames(*dataCentre), aConfig.mLimits.mCold);
+  const std::uint32_t share = ShareOf(aConfig, aDeployment);
   const auto it = aKept.find(aConfig.mName);
   if (it != aKept.end()) {
     UpstreamState state = std::move(it->second);
@@ -118,6 +121,18 @@
   mUpstreams.emplace(aConfig.mName, std::move(state));
 }
 
+std::uint32_t
+AdmissionControl::ShareOf(const UpstreamConfig& aConfig,
+                          const Deployment& aDeployment) const
+{
+  const DataCentreConfig* dataCentre =
+    aDeployment.FindDataCentre(aConfig.mDataCentre);
+  return dataCentre == nullptr
+           ? 0
+           : StaticShare(
+               aConfig.mName, mVm, VmNames(*dataCentre), aConfig.mLimits.mCold);
+}
+
 std::uint32_t
 AdmissionControl::DistanceTo(const UpstreamConfig& aConfig,
                              const Deployment& aDeployment) const
@@ -284,29 +299,12 @@
          !mDrains.IsDrained(config.mDataCentre);
 }
 
-bool
-AdmissionControl::IsWithinScope(const UpstreamState& aState,
-                                const ServiceConfig& aService) const
-{
-  switch (aService.mOverflow) {
-    case OverflowScope::None:
-      return aState.mDistance == 0;
-    case OverflowScope::Region:
-      return aState.mDistance <= 1;
-    case OverflowScope::Any:
-      return true;
-  }
-  return false;
-}
-
 std::vector<std::string_view>
 AdmissionControl::ServingUpstreams(const AdmissionAsk& aAsk) const
 {
   std::vector<std::string_view> names;
-  const ServiceConfig* service = mDeployment.FindService(aAsk.mService);
   for (const auto& [name, state] : mUpstreams) {
-    if (service != nullptr && Serves(state, aAsk) &&
-        IsWithinScope(state, *service)) {
+    if (Serves(state, aAsk)) {
       names.push_back(name);
     }
   }
@@ -513,25 +511,21 @@
 void
 AdmissionControl::AddDemand(const AdmissionAsk& aAsk)
 {
-  UpstreamState* best = nullptr;
+  std::vector<UpstreamState*> states;
   for (const std::string_view name : ServingUpstreams(aAsk)) {
-    UpstreamState& state = mUpstreams.find(name)->second;
-    if (state.mWallet.IsScarce()) {
-      // Contended: wait in every owner's line; what is not used goes back.
-      ++state.mWanted;
-      continue;
-    }
-    const std::uint32_t load = state.mWallet.InUse() + state.mWanted;
-    const bool isBetter =
-      best == nullptr ||
-      std::make_pair(state.mDistance, load) <
-        std::make_pair(best->mDistance, best->mWallet.InUse() + best->mWanted);
-    if (isBetter) {
-      best = &state;
-    }
-  }
-  if (best != nullptr) {
-    ++best->mWanted;
+    states.push_back(&mUpstreams.find(name)->second);
+  }
+  std::stable_sort(states.begin(),
+                   states.end(),
+                   [](const UpstreamState* aLeft, const UpstreamState* aRight) {
+                     return aLeft->DemandOrder() < aRight->DemandOrder();
+                   });
+  // Contended owners are asked in pairs; what is not used goes back.
+  const bool isScarce = !states.empty() && states[0]->mWallet.IsScarce();
+  const std::size_t asks =
+    std::min(states.size(), isScarce ? kScarceAsks : std::size_t{ 1 });
+  for (std::size_t i = 0; i < asks; ++i) {
+    ++states[i]->mWanted;
   }
 }
 
--- a/src/cactusgw/core/admission_control.hpp
+++ b/src/cactusgw/core/admission_control.hpp
@@ -18,6 +18,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace cactusgw {
@@ -105,7 +106,9 @@
   /// the upstream within this time.
   static constexpr Milliseconds kAbandonTime{ 6000 };
   /// Shortest time between two reports for one upstream.
-  static constexpr Milliseconds kMinReportGap{ 20 };
+  static constexpr Milliseconds kMinReportGap{ 40 };
+  /// Owners a waiting request asks at once when credits are scarce.
+  static constexpr std::size_t kScarceAsks = 2;
 
   static AdmissionControl Create(std::string aVm,
                                  std::string aDataCentre,
@@ -137,6 +140,11 @@
   template<typename EpochOf>
   std::vector<OutgoingReport> DueReports(EpochOf aEpochOf, Instant aNow);
 
+  /// Whether this VM may send to the upstream at all.
+  bool Uses(std::string_view aUpstream) const
+  {
+    return FindState(aUpstream) != nullptr;
+  }
   std::uint32_t InUse(std::string_view aUpstream) const;
   std::uint32_t Cap(std::string_view aUpstream, Instant aNow) const;
   CreditSource Source(std::string_view aUpstream, Instant aNow) const;
@@ -156,6 +164,12 @@
     std::uint64_t mReportedEpoch = 0;
     bool mUrgent = false;
     Instant mAvoidUntil;
+
+    /// Where to ask for a credit first: where none wait, near, little loaded.
+    std::tuple<bool, std::uint32_t, std::uint32_t> DemandOrder() const
+    {
+      return { mWallet.IsScarce(), mDistance, mWallet.InUse() + mWanted };
+    }
   };
 
   struct WaitingAsk
@@ -187,11 +201,11 @@
                    const Deployment& aDeployment,
                    Upstreams& aKept,
                    Instant aNow);
+  std::uint32_t ShareOf(const UpstreamConfig& aConfig,
+                        const Deployment& aDeployment) const;
   std::uint32_t DistanceTo(const UpstreamConfig& aConfig,
                            const Deployment& aDeployment) const;
   bool Serves(const UpstreamState& aState, const AdmissionAsk& aAsk) const;
-  bool IsWithinScope(const UpstreamState& aState,
-                     const ServiceConfig& aService) const;
   std::vector<std::string_view> ServingUpstreams(
     const AdmissionAsk& aAsk) const;
   bool TryPlace(const AdmissionAsk& aAsk, Instant aNow, Decisions& aDecisions);
--- a/src/cactusgw/core/hybrid_clock.hpp
+++ b/src/cactusgw/core/hybrid_clock.hpp
@@ -16,7 +16,7 @@
   std::int64_t mPhysicalMs = 0;
   std::uint32_t mLogical = 0;
 
-  auto operator<=>(const EventStamp&) const = default;
+  std::strong_ordering operator<=>(const EventStamp&) const = default;
 };
 
 /// Not thread-safe.
--- a/src/cactusgw/core/member_table.hpp
+++ b/src/cactusgw/core/member_table.hpp
@@ -33,6 +33,9 @@
 public:
   static MemberTable Create(MemberTimes aTimes);
 
+  /// New times, after the data centre's size changed.
+  void SetTimes(MemberTimes aTimes) { mTimes = aTimes; }
+
   /// Starts anew after the lease was taken. Owners under the former holder may
   /// act until their validity has passed.
   void OnLeaseTaken(std::span<const OwnerAssignment> aOwners, Instant aNow);
--- a/src/cactusgw/core/ownership.cpp
+++ b/src/cactusgw/core/ownership.cpp
@@ -14,17 +14,45 @@
   return std::find(aVms.begin(), aVms.end(), aVm) != aVms.end();
 }
 
+/// Upstreams a VM may be given, so that no VM owns far more than its part.
+std::size_t
+MostPerVm(std::size_t aUpstreams, std::size_t aVms)
+{
+  return aUpstreams / aVms + 1;
+}
+
+std::size_t
+CountOwned(const OwnershipPlan& aPlan, const VmIncarnation& aVm)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aPlan.mOwners.begin(),
+    aPlan.mOwners.end(),
+    [&](const OwnerAssignment& aOwner) { return aOwner.mOwner == aVm; }));
+}
+
+/// The VM of highest score that has room; the VM that owns least when none
+/// has.
 const VmIncarnation&
-BestOwner(std::string_view aUpstream, std::span<const VmIncarnation> aAlive)
+BestOwner(std::string_view aUpstream,
+          std::span<const VmIncarnation> aAlive,
+          const OwnershipPlan& aPlan,
+          std::size_t aMost)
 {
-  return *std::max_element(
-    aAlive.begin(),
-    aAlive.end(),
-    [&](const VmIncarnation& aLeft, const VmIncarnation& aRight) {
-      const std::uint64_t left = RendezvousScore(aUpstream, aLeft.mVm);
-      const std::uint64_t right = RendezvousScore(aUpstream, aRight.mVm);
-      return left != right ? left < right : aLeft.mVm > aRight.mVm;
-    });
+  const VmIncarnation* best = nullptr;
+  const VmIncarnation* least = &aAlive.front();
+  std::uint64_t bestScore = 0;
+  for (const VmIncarnation& vm : aAlive) {
+    const std::size_t owned = CountOwned(aPlan, vm);
+    const std::uint64_t score = RendezvousScore(aUpstream, vm.mVm);
+    least = owned < CountOwned(aPlan, *least) ? &vm : least;
+    const bool isBetter = best == nullptr || score > bestScore ||
+                          (score == bestScore && vm.mVm < best->mVm);
+    if (owned < aMost && isBetter) {
+      best = &vm;
+      bestScore = score;
+    }
+  }
+  return best != nullptr ? *best : *least;
 }
 
 } // namespace
@@ -52,18 +80,25 @@
   plan.mVersion = aCurrent.mVersion;
   plan.mFence = aCurrent.mFence;
   plan.mLastEpoch = aCurrent.mLastEpoch;
+  std::vector<std::string_view> open;
   for (const std::string& upstream : aUpstreams) {
     const OwnerAssignment* current = FindOwner(aCurrent, upstream);
     if (current != nullptr && Contains(aCandidates.mKeep, current->mOwner)) {
       plan.mOwners.push_back(*current);
-      continue;
+    } else {
+      open.push_back(upstream);
     }
-    if (aCandidates.mAlive.empty()) {
-      continue;
+  }
+  const std::vector<VmIncarnation>& alive = aCandidates.mAlive;
+  const std::size_t most =
+    alive.empty() ? 0 : MostPerVm(aUpstreams.size(), alive.size());
+  for (const std::string_view upstream : open) {
+    if (alive.empty()) {
+      break;
     }
+    const VmIncarnation owner = BestOwner(upstream, alive, plan, most);
     ++plan.mLastEpoch;
-    plan.mOwners.push_back(
-      { upstream, BestOwner(upstream, aCandidates.mAlive), plan.mLastEpoch });
+    plan.mOwners.push_back({ std::string{ upstream }, owner, plan.mLastEpoch });
   }
   std::sort(plan.mOwners.begin(),
             plan.mOwners.end(),
--- a/src/cactusgw/core/ownership.hpp
+++ b/src/cactusgw/core/ownership.hpp
@@ -57,8 +57,8 @@
 };
 
 /// Makes the next plan: every upstream keeps its owner where that is allowed,
-/// and gets the alive VM of highest rendezvous score otherwise. Upstreams that
-/// are no longer configured are left out.
+/// and gets the alive VM of highest rendezvous score that does not own its part
+/// already. Upstreams that are no longer configured are left out.
 ///
 /// @param aUpstreams upstreams of the data centre, in any order
 OwnershipPlan PlanOwnership(const OwnershipPlan& aCurrent,
--- a/tests/core/membership_test.cpp
+++ b/tests/core/membership_test.cpp
@@ -128,6 +128,23 @@
   }
 }
 
+TEST(PlanOwnership, GivesNoVmFarMoreThanItsPart)
+{
+  std::vector<std::string> upstreams;
+  for (int i = 0; i < 60; ++i) {
+    upstreams.push_back("upstream-" + std::to_string(i));
+  }
+  const OwnerCandidates everyone = Everyone(8);
+  const OwnershipPlan plan = PlanOwnership({}, upstreams, everyone);
+  for (const VmIncarnation& vm : everyone.mAlive) {
+    const std::ptrdiff_t owned = std::count_if(
+      plan.mOwners.begin(),
+      plan.mOwners.end(),
+      [&](const OwnerAssignment& aOwner) { return aOwner.mOwner == vm; });
+    EXPECT_LE(owned, 60 / 8 + 1);
+  }
+}
+
 TEST(PlanOwnership, ChangesNothingWhileAllOwnersLive)
 {
   const OwnershipPlan plan = PlanOwnership({}, kUpstreams, Everyone(3));
--- a/tests/standins/engine_standin_main.cpp
+++ b/tests/standins/engine_standin_main.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdio>
+#include <sstream>
 
 /// The engine stand-in as a process.
 int
@@ -21,7 +22,10 @@
   long seed = 1;
   bool ignoreFencing = false;
   const std::array<OptionSpec, 9> options{
-    OptionSpec{ "listen", "address to listen on", "IP:PORT", &listen },
+    OptionSpec{ "listen",
+                "addresses to listen on, an engine each",
+                "IP:PORT,...",
+                &listen },
     OptionSpec{ "step-ms", "time per token", "MS", nullptr, &stepMs },
     OptionSpec{ "step-per-running-us",
                 "time per token and further generation",
@@ -63,11 +67,17 @@
   model.mSeed = static_cast<std::uint64_t>(seed);
   model.mHonoursFencing = !ignoreFencing;
   net::io_context context{ 1 };
-  Result<std::unique_ptr<standins::EngineStandin>> engine =
-    standins::EngineStandin::Listen(context, listen, model);
-  if (!engine) {
-    std::fprintf(stderr, "%s\n", engine.error().mDetail.c_str());
-    return kExitCannotListen;
+  std::vector<std::unique_ptr<standins::EngineStandin>> engines;
+  std::istringstream addresses{ listen };
+  for (std::string address; std::getline(addresses, address, ',');) {
+    Result<std::unique_ptr<standins::EngineStandin>> engine =
+      standins::EngineStandin::Listen(context, address, model);
+    if (!engine) {
+      std::fprintf(stderr, "%s\n", engine.error().mDetail.c_str());
+      return kExitCannotListen;
+    }
+    engines.push_back(std::move(engine.value()));
+    ++model.mSeed;
   }
   StopOnSignals(context, [&context] { context.stop(); });
   context.run();
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -19,8 +19,6 @@
 #include <thread>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace cactusgw::testing_support {
 
 namespace json = boost::json;
@@ -155,9 +153,7 @@
 Cluster::Start()
 {
   Spawn("platform", { CACTUSGW_PLATFORM_STANDIN, "--listen", mPlatform });
-  for (const auto& [name, engine] : mEngines) {
-    StartEngine(name);
-  }
+  StartEngines();
   WriteConfig();
   WaitUntil([&] { return Ctl({ "config", "apply", mDirectory }).first == 0; });
   for (const auto& [name, vm] : mVms) {
@@ -167,19 +163,47 @@
   }
 }
 
+void
+Cluster::StartEngines()
+{
+  std::string listen;
+  std::size_t count = 0;
+  for (const auto& [name, engine] : mEngines) {
+    if (mEnginesPerProcess == 1) {
+      StartEngine(name);
+      continue;
+    }
+    listen += (listen.empty() ? "" : ",") + engine.mAddress;
+    ++count;
+    const bool isFull = count % mEnginesPerProcess == 0;
+    if (isFull || count == mEngines.size()) {
+      Spawn("engines-" + std::to_string(count), EngineCommand(engine, listen));
+      listen.clear();
+    }
+  }
+}
+
 void
 Cluster::StartEngine(const std::string& aName)
 {
   const EnginePorts& engine = mEngines.at(aName);
+  Spawn(aName, EngineCommand(engine, engine.mAddress));
+}
+
+std::vector<std::string>
+Cluster::EngineCommand(const EnginePorts& aEngine,
+                       const std::string& aListen) const
+{
   std::vector<std::string> command{ CACTUSGW_ENGINE_STANDIN,
                                     "--listen",
-                                    engine.mAddress,
+                                    aListen,
                                     "--cold",
-                                    std::to_string(engine.mCold),
+                                    std::to_string(aEngine.mCold),
                                     "--warm",
-                                    std::to_string(engine.mWarm) };
-  command.insert(command.end(), engine.mOptions.begin(), engine.mOptions.end());
-  Spawn(aName, std::move(command));
+                                    std::to_string(aEngine.mWarm) };
+  command.insert(
+    command.end(), aEngine.mOptions.begin(), aEngine.mOptions.end());
+  return command;
 }
 
 void
@@ -433,10 +457,10 @@
       json::object{
         { "writer",
           json::object{ { "kind", "model" },
-                        { "queueMs", 20'000 },
+                        { "queueMs", mQueueMs },
                         { "silenceMs", 1000 } } },
         { "portal",
-          json::object{ { "kind", "plain" }, { "queueMs", 20'000 } } } } },
+          json::object{ { "kind", "plain" }, { "queueMs", mQueueMs } } } } },
     { "models",
       json::object{ { "model-1", json::object{ { "service", "writer" } } } } },
     { "upstreams", std::move(upstreams) },
@@ -458,24 +482,25 @@
   for (const auto& [name, other] : mVms) {
     seeds.emplace_back(other.mPeer);
   }
-  WriteFile(
-    mDirectory + "/agent-" + aVm + ".json",
-    json::object{
-      { "vm", aVm },
-      { "dataCentre", vm.mDataCentre },
-      { "platform", vm.mPlatform },
-      { "entryListen", vm.mEntryPort },
-      { "peerListen", vm.mPeer },
-      { "seeds", std::move(seeds) },
-      { "operator",
-        json::object{ { "listen", vm.mAgentOperator }, { "token", kToken } } },
-      { "credits",
-        json::object{ { "validityMs", 1500 }, { "guardMs", 1000 } } },
-      { "lease",
-        json::object{
-          { "durationMs", 4000 }, { "renewMs", 1000 }, { "guardMs", 500 } } },
-      { "heartbeatMs", 400 },
-      { "ownershipMs", 2000 } });
+  json::object agent{ { "vm", aVm },
+                      { "dataCentre", vm.mDataCentre },
+                      { "platform", vm.mPlatform },
+                      { "entryListen", vm.mEntryPort },
+                      { "peerListen", vm.mPeer },
+                      { "seeds", std::move(seeds) },
+                      { "operator",
+                        json::object{ { "listen", vm.mAgentOperator },
+                                      { "token", kToken } } } };
+  if (!mDefaultTimes) {
+    agent["credits"] =
+      json::object{ { "validityMs", 1500 }, { "guardMs", 1000 } };
+    agent["lease"] = json::object{ { "durationMs", 4000 },
+                                   { "renewMs", 1000 },
+                                   { "guardMs", 500 } };
+    agent["heartbeatMs"] = 400;
+    agent["ownershipMs"] = 2000;
+  }
+  WriteFile(mDirectory + "/agent-" + aVm + ".json", agent);
   WriteFile(mDirectory + "/entry-" + aVm + ".json",
             json::object{ { "vm", aVm },
                           { "dataCentre", vm.mDataCentre },
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -69,6 +69,18 @@
   /// A plain service is served by every engine stand-in's /plain paths.
   void Start();
 
+  /// Runs many engines in one process each, for systems of many VMs.
+  void SetEnginesPerProcess(std::size_t aCount) { mEnginesPerProcess = aCount; }
+  /// The process id, for measurements.
+  pid_t ProcessId(const std::string& aProcess) const
+  {
+    return mProcesses.at(aProcess);
+  }
+  /// Leaves out the short times that tests use.
+  void UseDefaultTimes() { mDefaultTimes = true; }
+  /// Sets how long requests may wait for admission.
+  void SetQueueMs(std::int64_t aQueueMs) { mQueueMs = aQueueMs; }
+
   void StartEngine(const std::string& aName);
   void StartAgent(const std::string& aVm);
   void StartEntry(const std::string& aVm);
@@ -113,6 +125,9 @@
   std::string Directory() const { return mDirectory; }
 
 private:
+  void StartEngines();
+  std::vector<std::string> EngineCommand(const EnginePorts& aEngine,
+                                         const std::string& aListen) const;
   void WriteConfig() const;
   void WriteSettings(const std::string& aVm) const;
   void Spawn(const std::string& aName, std::vector<std::string> aCommand);
@@ -124,6 +139,9 @@
   std::map<std::string, VmPorts> mVms;
   std::map<std::string, EnginePorts> mEngines;
   boost::json::object mLimits;
+  std::size_t mEnginesPerProcess = 1;
+  std::int64_t mQueueMs = 20'000;
+  bool mDefaultTimes = false;
   std::map<std::string, pid_t> mProcesses;
 };
 
--- a/tests/system/failure_test.cpp
+++ b/tests/system/failure_test.cpp
@@ -360,7 +360,7 @@
     load.mLengths = { LengthKind::Fixed, 19'000, 0, 0 };
     LoadRun run{ context, load };
     boost::asio::co_spawn(
-      context, run.Run(), [](const std::exception_ptr&, LoadReport) {});
+      context, run.Run(), [](const std::exception_ptr&, const LoadReport&) {});
     ASSERT_TRUE(Cluster::WaitUntil([&] {
       context.run_for(std::chrono::milliseconds{ 20 });
       return Counter("engine-1", "running") == 1;
