--- a/src/cactusgw/agent/agent.cpp
+++ b/src/cactusgw/agent/agent.cpp
@@ -2,6 +2,7 @@
 
 #include "cactusgw/agent/agent_report.hpp"
 #include "cactusgw/net/operator_port.hpp"
+#include "cactusgw/net/steady_now.hpp"
 #include "cactusgw/programs/event_loop.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -15,22 +16,12 @@
 
 namespace net = boost::asio;
 
-namespace {
-
-Instant
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
-} // namespace
-
 Agent::Agent(net::io_context& aContext, AgentSettings aSettings)
   : mContext(aContext)
   , mZmq(1)
   , mIncarnation(static_cast<std::uint64_t>(WallClockMs()))
   , mRecorder("agent/" + aSettings.mPlace.mVm)
-  , mState(std::move(aSettings), mIncarnation, Now(), mRecorder)
+  , mState(std::move(aSettings), mIncarnation, SteadyNow(), mRecorder)
   , mPlatform(mState.Settings().mPlatform)
   , mLog("agent")
 {
@@ -52,7 +43,9 @@
 Agent::Listen()
 {
   Result<std::unique_ptr<EntryPort>> entry =
-    EntryPort::Listen(mZmq, mContext, mState, mPlatform);
+    EntryPort::Listen(mZmq, mContext, mState, mPlatform, [this] {
+      mPeers->SendReports(SteadyNow());
+    });
   if (!entry) {
     return entry.error();
   }
@@ -88,7 +81,7 @@
     mPlatform,
     mState,
     mContext,
-    LeaseEvents{ [this] { mPeers->AnnounceLease(Now()); }, [] {} });
+    LeaseEvents{ [this] { mPeers->AnnounceLease(SteadyNow()); }, [] {} });
   mSync->Start();
   const auto every = [](Milliseconds aTime) {
     return [aTime] { return aTime; };
@@ -105,7 +98,7 @@
 bool
 Agent::OnTick()
 {
-  const Instant now = Now();
+  const Instant now = SteadyNow();
   const Instant promised = mState.mMembers.PromisedUntil([&] {
     std::vector<std::string> group = mState.mLease.Group();
     std::erase(group, mState.Vm());
@@ -128,7 +121,7 @@
   if (mState.mConfig.Revision() == 0) {
     mPeers->AskSeeds();
   } else {
-    mPeers->SendHeartbeats(Now());
+    mPeers->SendHeartbeats(SteadyNow());
   }
   return !mState.mStopping;
 }
@@ -136,8 +129,8 @@
 bool
 Agent::OnRelayTime()
 {
-  if (mState.HoldsLease(Now())) {
-    mPeers->SendRelayHeartbeat(Now());
+  if (mState.HoldsLease(SteadyNow())) {
+    mPeers->SendRelayHeartbeat(SteadyNow());
   }
   return !mState.mStopping;
 }
@@ -191,7 +184,8 @@
   if (it == mState.Owned().end()) {
     return;
   }
-  const std::vector<CreditGrant> revoked = it->second.OnConnectionLost(Now());
+  const std::vector<CreditGrant> revoked =
+    it->second.OnConnectionLost(SteadyNow());
   mPeers->SendGrants(aUpstream, revoked);
   mRecorder.Record(EventKind::UpstreamLost, "", aUpstream);
   mLog.Warn(aUpstream + " closed its connection and counts as cold.");
@@ -201,12 +195,12 @@
 Task<void>
 Agent::PollLoad(std::string aUpstream, std::string aAddress)
 {
-  Instant asked = Now();
+  Instant asked = SteadyNow();
   Result<EngineLoad> load = co_await mEngines.Load(aAddress);
   while (!load && AwaitsLoad(aUpstream)) {
     net::steady_timer timer{ mContext, kAwaitedLoadPause };
     co_await timer.async_wait(net::use_awaitable);
-    asked = Now();
+    asked = SteadyNow();
     load = co_await mEngines.Load(aAddress);
   }
   mPolling.erase(aUpstream);
@@ -224,8 +218,9 @@
                                        load.value().mRunning,
                                        load.value().mOverloads,
                                        asked - load.value().mAge };
-    const std::vector<CreditGrant> grants = owner.OnLoad(observation, Now());
-    if (mState.MayActAsOwner(Now())) {
+    const std::vector<CreditGrant> grants =
+      owner.OnLoad(observation, SteadyNow());
+    if (mState.MayActAsOwner(SteadyNow())) {
       mPeers->SendGrants(aUpstream, grants);
     }
   }
@@ -259,7 +254,7 @@
 {
   // Ownership ends here first, so that a successor may start at once.
   mState.mStopping = true;
-  mPeers->SendStopping(Now());
+  mPeers->SendStopping(SteadyNow());
   co_await mSync->Resign();
   net::steady_timer timer{ mContext, Milliseconds{ 200 } };
   co_await timer.async_wait(net::use_awaitable);
@@ -331,13 +326,13 @@
 std::string
 Agent::WriteMetrics() const
 {
-  return WriteAgentMetrics(mState, *mPeers, mPlatform.Counts(), Now());
+  return WriteAgentMetrics(mState, *mPeers, mPlatform.Counts(), SteadyNow());
 }
 
 std::string
 Agent::WriteStatus() const
 {
-  return WriteAgentStatus(mState, Now());
+  return WriteAgentStatus(mState, SteadyNow());
 }
 
 } // namespace cactusgw
--- a/src/cactusgw/agent/agent_state.cpp
+++ b/src/cactusgw/agent/agent_state.cpp
@@ -1,7 +1,6 @@
 #include "cactusgw/agent/agent_state.hpp"
 
 #include "cactusgw/config/upstream_subset.hpp"
-#include "cactusgw/core/static_share.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -21,16 +20,6 @@
 constexpr std::size_t kHolderHeartbeatsPerSecond = 16;
 constexpr std::size_t kMillisecondsPerSecond = 1000;
 
-std::vector<std::string>
-VmNames(const DataCentreConfig& aDataCentre)
-{
-  std::vector<std::string> names;
-  for (const VmConfig& vm : aDataCentre.mVms) {
-    names.push_back(vm.mName);
-  }
-  return names;
-}
-
 bool
 MayUse(const Deployment& aDeployment,
        const DataCentreConfig& aFrom,
@@ -244,14 +233,8 @@
 std::vector<std::string>
 AgentState::LocalVms() const
 {
-  std::vector<std::string> names;
   const DataCentreConfig* own = mConfig.Current().FindDataCentre(DataCentre());
-  if (own != nullptr) {
-    for (const VmConfig& vm : own->mVms) {
-      names.push_back(vm.mName);
-    }
-  }
-  return names;
+  return own == nullptr ? std::vector<std::string>{} : VmNames(*own);
 }
 
 std::vector<std::string>
@@ -332,13 +315,8 @@
     if (!IsWithinScope(deployment, dataCentre, aUpstream)) {
       continue;
     }
-    const bool isLocal = dataCentre.mName == aUpstream.mDataCentre;
-    const std::vector<std::string> names = VmNames(dataCentre);
-    for (const std::string& name : names) {
-      const std::uint32_t share =
-        isLocal
-          ? StaticShare(aUpstream.mName, name, names, aUpstream.mLimits.mCold)
-          : 0;
+    for (const std::string& name : VmNames(dataCentre)) {
+      const std::uint32_t share = StaticShareOf(deployment, aUpstream, name);
       if (share > 0 || MayUse(deployment, dataCentre, name, aUpstream)) {
         holders.push_back({ name, share });
       }
--- a/src/cactusgw/agent/entry_port.cpp
+++ b/src/cactusgw/agent/entry_port.cpp
@@ -1,6 +1,7 @@
 #include "cactusgw/agent/entry_port.hpp"
 
 #include "cactusgw/config/layering.hpp"
+#include "cactusgw/net/steady_now.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,12 +17,6 @@
 /// A permit must be used within this time; part of the credits' guard.
 constexpr std::uint32_t kPermitValidMs = 1000;
 
-Instant
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 wire::AdmitOutcome
 ToWire(AdmissionOutcome aOutcome)
 {
@@ -67,14 +62,15 @@
 
 } // namespace
 
-EntryPort::EntryPort(zmq::context_t&,
-                     boost::asio::io_context& aContext,
+EntryPort::EntryPort(boost::asio::io_context& aContext,
                      AgentState& aState,
-                     HttpPlatformClient& aPlatform)
+                     HttpPlatformClient& aPlatform,
+                     std::function<void()> aOnDemand)
   : mContext(aContext)
   , mState(aState)
   , mCodec(aState.Vm(), aState.Self().mIncarnation, aState.Recorder())
   , mClaims(aPlatform)
+  , mOnDemand(std::move(aOnDemand))
   , mLog("entry-port")
 {
 }
@@ -83,10 +79,11 @@
 EntryPort::Listen(zmq::context_t& aZmq,
                   boost::asio::io_context& aContext,
                   AgentState& aState,
-                  HttpPlatformClient& aPlatform)
+                  HttpPlatformClient& aPlatform,
+                  std::function<void()> aOnDemand)
 {
   std::unique_ptr<EntryPort> port{ new EntryPort{
-    aZmq, aContext, aState, aPlatform } };
+    aContext, aState, aPlatform, std::move(aOnDemand) } };
   EntryPort* self = port.get();
   Result<std::unique_ptr<MessageSocket>> socket = MessageSocket::Bind(
     aZmq,
@@ -134,7 +131,7 @@
     return;
   }
   const wire::Envelope& envelope = decoded.value();
-  const Instant now = Now();
+  const Instant now = SteadyNow();
   mIdentity = aIdentity;
   mHeardAt = now;
   switch (envelope.body_case()) {
@@ -187,6 +184,9 @@
 EntryPort::OnAdmit(const wire::AdmitRequest& aRequest, Instant aNow)
 {
   SendDecisions(mState.mAdmission.Admit(ToAsk(aRequest), aNow));
+  if (mState.mAdmission.QueueLength() > 0) {
+    mOnDemand();
+  }
 }
 
 void
--- a/src/cactusgw/agent/entry_port.hpp
+++ b/src/cactusgw/agent/entry_port.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <zmq.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -23,11 +24,14 @@
 class EntryPort
 {
 public:
+  /// @param aOnDemand called when a request waits for a credit, so that owners
+  ///        can be asked at once
   static Result<std::unique_ptr<EntryPort>> Listen(
     zmq::context_t& aZmq,
     boost::asio::io_context& aContext,
     AgentState& aState,
-    HttpPlatformClient& aPlatform);
+    HttpPlatformClient& aPlatform,
+    std::function<void()> aOnDemand);
 
   /// Sends decisions on requests that were waiting.
   void SendDecisions(const AdmissionControl::Decisions& aDecisions);
@@ -36,10 +40,10 @@
   Instant HeardAt() const { return mHeardAt; }
 
 private:
-  EntryPort(zmq::context_t& aZmq,
-            boost::asio::io_context& aContext,
+  EntryPort(boost::asio::io_context& aContext,
             AgentState& aState,
-            HttpPlatformClient& aPlatform);
+            HttpPlatformClient& aPlatform,
+            std::function<void()> aOnDemand);
 
   void OnMessage(std::string_view aIdentity, std::string_view aPayload);
   void OnHello(const wire::Envelope& aEnvelope, Instant aNow);
@@ -53,6 +57,7 @@
   AgentState& mState;
   EnvelopeCodec mCodec;
   KeyClaims<HttpPlatformClient> mClaims;
+  std::function<void()> mOnDemand;
   PartLog mLog;
   std::unique_ptr<MessageSocket> mSocket;
   /// Routing identity of the entry, as it last introduced itself.
--- a/src/cactusgw/agent/internal/platform_sync_impl.hpp
+++ b/src/cactusgw/agent/internal/platform_sync_impl.hpp
@@ -7,6 +7,7 @@
 #include "cactusgw/config/layering.hpp"
 #include "cactusgw/config/ownership_document.hpp"
 #include "cactusgw/core/hash.hpp"
+#include "cactusgw/net/steady_now.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,16 +21,6 @@
 
 namespace cactusgw {
 
-namespace internal {
-
-inline Instant
-SyncNow()
-{
-  return std::chrono::steady_clock::now();
-}
-
-} // namespace internal
-
 template<PlatformClient Client>
 PlatformSync<Client>::PlatformSync(Client& aClient,
                                    AgentState& aState,
@@ -57,7 +48,7 @@
 boost::asio::awaitable<void>
 PlatformSync<Client>::Resign()
 {
-  const Instant now = internal::SyncNow();
+  const Instant now = SteadyNow();
   if (!mState.mLease.IsHeld(now)) {
     co_return;
   }
@@ -87,7 +78,7 @@
 boost::asio::awaitable<void>
 PlatformSync<Client>::LeaseOnce()
 {
-  const Instant now = internal::SyncNow();
+  const Instant now = SteadyNow();
   if (!mHeld && mState.HearsHolder(now)) {
     co_return; // The holder is well; nothing to read.
   }
@@ -119,7 +110,7 @@
     }
     record = parsed.value();
   }
-  mState.mLease.OnRead(object.value().mVersion, record, internal::SyncNow());
+  mState.mLease.OnRead(object.value().mVersion, record, SteadyNow());
 }
 
 template<PlatformClient Client>
@@ -151,7 +142,7 @@
 void
 PlatformSync<Client>::CheckLeaseChange()
 {
-  const Instant now = internal::SyncNow();
+  const Instant now = SteadyNow();
   const bool held = mState.mLease.IsHeld(now);
   if (held == mHeld) {
     return;
@@ -180,7 +171,7 @@
 Milliseconds
 PlatformSync<Client>::LeasePause() const
 {
-  const bool hearsHolder = mState.HearsHolder(internal::SyncNow());
+  const bool hearsHolder = mState.HearsHolder(SteadyNow());
   if (mHeld || hearsHolder || mState.mConfig.Revision() == 0) {
     return kLeasePause;
   }
@@ -208,7 +199,7 @@
   if (!object) {
     co_return false;
   }
-  const Instant now = internal::SyncNow();
+  const Instant now = SteadyNow();
   if (object.value().mVersion != 0) {
     Result<OwnershipPlan> plan = ParseOwnership(object.value().mValue);
     if (!plan) {
@@ -231,13 +222,13 @@
       co_return;
     }
     // Owners under the former holder may act for a while yet.
-    mListeningSince = internal::SyncNow();
+    mListeningSince = SteadyNow();
     mState.mMembers.OnLeaseTaken(mState.mOwnership.mOwners, mListeningSince);
     mEvents.mOnTaken();
     co_return;
   }
   // A new holder hears all others before it plans.
-  const Instant now = internal::SyncNow();
+  const Instant now = SteadyNow();
   if (now < mListeningSince + mState.HeartbeatInterval() * 2) {
     co_return;
   }
@@ -261,7 +252,7 @@
     co_return;
   }
   plan.mVersion = reply.mVersion;
-  mState.ApplyOwnership(mState.DataCentre(), plan, internal::SyncNow());
+  mState.ApplyOwnership(mState.DataCentre(), plan, SteadyNow());
   mState.Recorder().Record(EventKind::OwnershipWritten,
                            "",
                            mState.DataCentre(),
@@ -281,20 +272,19 @@
 boost::asio::awaitable<bool>
 PlatformSync<Client>::ReadAll()
 {
-  const std::vector<WatchedKey> keys{ { kConfigHeadKey, 0 }, { kDrainKey, 0 } };
-  for (const WatchedKey& key : keys) {
-    Result<StoredObject> object = co_await mClient.Get(key.mKey);
-    NoteReachable(object.has_value());
-    if (!object) {
-      co_return false;
-    }
-    co_await TakeObject(object.value());
+  // A watch that knows nothing answers with all objects at once: one call.
+  std::vector<WatchedKey> keys = WatchedKeys();
+  for (WatchedKey& key : keys) {
+    key.mKnownVersion = 0;
   }
-  for (const std::string& dataCentre : mState.ReachableDataCentres()) {
-    const bool read = co_await ReadOwnership(dataCentre);
-    if (!read) {
-      co_return false;
-    }
+  Result<std::vector<StoredObject>> objects =
+    co_await mClient.Watch(std::move(keys), kReadAllTime);
+  NoteReachable(objects.has_value());
+  if (!objects) {
+    co_return false;
+  }
+  for (const StoredObject& object : objects.value()) {
+    co_await TakeObject(object);
   }
   co_return true;
 }
@@ -332,7 +322,7 @@
         continue;
       }
     }
-    const Instant started = internal::SyncNow();
+    const Instant started = SteadyNow();
     Result<std::vector<StoredObject>> changed =
       co_await mClient.Watch(WatchedKeys(), kWatchTime);
     NoteReachable(changed.has_value());
@@ -345,8 +335,7 @@
       co_await TakeObject(object);
     }
     // A watch that ended without news may have stopped reporting: look.
-    isCurrent =
-      !changed.value().empty() && internal::SyncNow() < started + kWatchTime;
+    isCurrent = !changed.value().empty() && SteadyNow() < started + kWatchTime;
   }
 }
 
@@ -373,7 +362,7 @@
     if (plan) {
       plan.value().mVersion = aObject.mVersion;
       const std::string dataCentre = DataCentreOfOwnershipKey(aObject.mKey);
-      mState.ApplyOwnership(dataCentre, plan.value(), internal::SyncNow());
+      mState.ApplyOwnership(dataCentre, plan.value(), SteadyNow());
     }
   }
 }
@@ -388,7 +377,7 @@
     co_return;
   }
   const ApplyOutcome outcome =
-    mState.ApplyConfigHead(head.value(), internal::SyncNow());
+    mState.ApplyConfigHead(head.value(), SteadyNow());
   if (outcome != ApplyOutcome::NeedsWhole && outcome != ApplyOutcome::Refused) {
     co_return;
   }
@@ -402,9 +391,9 @@
   update.mRevision = head.value().mSnapshotRevision;
   update.mDocument = snapshot.value().mValue;
   update.mDigest = DigestOfText(update.mDocument);
-  mState.ApplyConfig(update, internal::SyncNow());
+  mState.ApplyConfig(update, SteadyNow());
   const ApplyOutcome patched =
-    mState.ApplyConfigHead(head.value(), internal::SyncNow());
+    mState.ApplyConfigHead(head.value(), SteadyNow());
   if (patched == ApplyOutcome::Refused) {
     mLog.Error("A configuration was refused: it does not match its digest.");
   }
@@ -462,7 +451,7 @@
     }
   }
   if (aReachable) {
-    mState.mPlatformReachedAt = internal::SyncNow();
+    mState.mPlatformReachedAt = SteadyNow();
   }
 }
 
--- a/src/cactusgw/agent/peer_port.cpp
+++ b/src/cactusgw/agent/peer_port.cpp
@@ -1,7 +1,9 @@
 #include "cactusgw/agent/peer_port.hpp"
 
+#include "cactusgw/agent/wire_conversion.hpp"
 #include "cactusgw/config/ownership_document.hpp"
 #include "cactusgw/core/hash.hpp"
+#include "cactusgw/net/steady_now.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -12,91 +14,8 @@
 
 constexpr std::size_t kMaxSentHeartbeats = 64;
 
-Instant
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
-template<typename Message>
-void
-FillDrains(const DrainTable& aDrains, Message& aMessage)
-{
-  for (const DrainState& state : aDrains.States()) {
-    wire::DrainOrder* order = aMessage.add_drains();
-    order->set_data_centre(state.mDataCentre);
-    order->set_drained(state.mDrained);
-    order->set_drain_version(state.mVersion);
-  }
-}
-
-CreditReport
-ToReport(const wire::CreditReport& aMessage)
-{
-  CreditReport report;
-  report.mEpoch = aMessage.epoch();
-  report.mReportSequence = aMessage.report_sequence();
-  report.mAcknowledgedGrant = aMessage.acknowledged_grant();
-  report.mCap = aMessage.cap();
-  report.mInUse = aMessage.in_use();
-  report.mWanted = aMessage.wanted();
-  return report;
-}
-
-void
-FillReport(const OutgoingReport& aReport, wire::CreditReport& aMessage)
-{
-  aMessage.set_upstream(aReport.mUpstream);
-  aMessage.set_epoch(aReport.mReport.mEpoch);
-  aMessage.set_report_sequence(aReport.mReport.mReportSequence);
-  aMessage.set_acknowledged_grant(aReport.mReport.mAcknowledgedGrant);
-  aMessage.set_cap(aReport.mReport.mCap);
-  aMessage.set_in_use(aReport.mReport.mInUse);
-  aMessage.set_wanted(aReport.mReport.mWanted);
-  aMessage.set_completed(aReport.mWork.mCompleted);
-  aMessage.set_slow(aReport.mWork.mSlow);
-  aMessage.set_trouble(aReport.mWork.mTrouble);
-}
-
-CreditGrant
-ToGrant(const wire::CreditGrant& aMessage)
-{
-  CreditGrant grant;
-  grant.mEpoch = aMessage.epoch();
-  grant.mGrantSequence = aMessage.grant_sequence();
-  grant.mAnswersReport = aMessage.answers_report();
-  grant.mAllotment = aMessage.allotment();
-  grant.mScarce = aMessage.scarce();
-  return grant;
-}
-
 } // namespace
 
-std::string_view
-KindOf(const wire::Envelope& aEnvelope)
-{
-  switch (aEnvelope.body_case()) {
-    case wire::Envelope::kHeartbeat:
-      return "heartbeat";
-    case wire::Envelope::kHeartbeatReply:
-      return "heartbeat-reply";
-    case wire::Envelope::kCreditReport:
-      return "credit-report";
-    case wire::Envelope::kCreditGrant:
-      return "credit-grant";
-    case wire::Envelope::kConfigQuery:
-      return "config-query";
-    case wire::Envelope::kConfigPush:
-      return "config-push";
-    case wire::Envelope::kOwnershipPush:
-      return "ownership-push";
-    case wire::Envelope::kDrainOrder:
-      return "drain-order";
-    default:
-      return "other";
-  }
-}
-
 PeerPort::PeerPort(zmq::context_t& aZmq,
                    boost::asio::io_context& aContext,
                    AgentState& aState,
@@ -242,13 +161,7 @@
 {
   for (const CreditGrant& grant : aGrants) {
     wire::Envelope envelope;
-    wire::CreditGrant& message = *envelope.mutable_credit_grant();
-    message.set_upstream(std::string{ aUpstream });
-    message.set_epoch(grant.mEpoch);
-    message.set_grant_sequence(grant.mGrantSequence);
-    message.set_answers_report(grant.mAnswersReport);
-    message.set_allotment(grant.mAllotment);
-    message.set_scarce(grant.mScarce);
+    FillGrant(aUpstream, grant, *envelope.mutable_credit_grant());
     SendToVm(grant.mVm, envelope);
   }
 }
@@ -272,10 +185,7 @@
     const std::size_t count = isOwn ? dataCentre.mVms.size() : 1;
     for (std::size_t i = 0; i < std::min(count, dataCentre.mVms.size()); ++i) {
       wire::Envelope envelope;
-      wire::DrainOrder& order = *envelope.mutable_drain_order();
-      order.set_data_centre(aState.mDataCentre);
-      order.set_drained(aState.mDrained);
-      order.set_drain_version(aState.mVersion);
+      FillDrain(aState, *envelope.mutable_drain_order());
       if (dataCentre.mVms[i].mName != mState.Vm()) {
         SendToVm(dataCentre.mVms[i].mName, envelope);
       }
@@ -295,7 +205,7 @@
     mTraffic.mReceived[std::string{ KindOf(envelope.value()) }];
   ++count.mMessages;
   count.mBytes += aPayload.size();
-  Dispatch(envelope.value(), Now());
+  Dispatch(envelope.value(), SteadyNow());
 }
 
 void
@@ -324,10 +234,7 @@
       OnOwnershipPush(aEnvelope.ownership_push(), aNow);
       break;
     case wire::Envelope::kDrainOrder: {
-      const wire::DrainOrder& order = aEnvelope.drain_order();
-      const DrainState state{ order.data_centre(),
-                              order.drain_version(),
-                              order.drained() };
+      const DrainState state = ToDrainState(aEnvelope.drain_order());
       if (mState.ApplyDrain(state)) {
         SpreadDrain(state);
       }
@@ -457,8 +364,7 @@
   const google::protobuf::RepeatedPtrField<wire::DrainOrder>& aDrains)
 {
   for (const wire::DrainOrder& order : aDrains) {
-    mState.ApplyDrain(
-      { order.data_centre(), order.drain_version(), order.drained() });
+    mState.ApplyDrain(ToDrainState(order));
   }
 }
 
--- a/src/cactusgw/agent/peer_port.hpp
+++ b/src/cactusgw/agent/peer_port.hpp
@@ -125,9 +125,6 @@
   PeerTraffic mTraffic;
 };
 
-/// The name of a message's kind, for metrics.
-std::string_view KindOf(const wire::Envelope& aEnvelope);
-
 } // namespace cactusgw
 
 #endif // CACTUSGW_AGENT_PEER_PORT_HPP
--- a/src/cactusgw/agent/platform_sync.hpp
+++ b/src/cactusgw/agent/platform_sync.hpp
@@ -31,6 +31,8 @@
 public:
   /// How long a watch waits for a change.
   static constexpr Milliseconds kWatchTime{ 8000 };
+  /// The same when it is used to read what there is.
+  static constexpr Milliseconds kReadAllTime{ 1 };
   /// VMs of a data centre that hold a watch, besides the lease holder.
   static constexpr std::size_t kWatchers = 2;
   /// Pause between two looks at the lease while it is held or followed.
--- a/src/cactusgw/config/deployment.cpp
+++ b/src/cactusgw/config/deployment.cpp
@@ -97,7 +97,10 @@
   service.mQueueLength = CountOr(aReader, "queueLength", kCountRange, 64);
   service.mRetryPercent = CountOr(aReader, "retryPercent", kPercentRange, 10);
   service.mRetryBurst = CountOr(aReader, "retryBurst", kCountRange, 20);
-  service.mFirstByteTime = TimeOr(aReader, "firstByteMs", 30'000);
+  // Engines answer at once and then stream; other services answer when done.
+  const bool isModel = service.mKind == ServiceKind::Model;
+  service.mFirstByteTime =
+    TimeOr(aReader, "firstByteMs", isModel ? 5000 : 30'000);
   service.mSilenceTime = TimeOr(aReader, "silenceMs", 5000);
   aDeployment.mServices.push_back(std::move(service));
 }
--- a/src/cactusgw/config/upstream_subset.cpp
+++ b/src/cactusgw/config/upstream_subset.cpp
@@ -1,6 +1,7 @@
 #include "cactusgw/config/upstream_subset.hpp"
 
 #include "cactusgw/core/hash.hpp"
+#include "cactusgw/core/static_share.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -56,6 +57,47 @@
   return false;
 }
 
+std::uint32_t
+DistanceTo(const Deployment& aDeployment,
+           std::string_view aDataCentre,
+           const UpstreamConfig& aUpstream)
+{
+  constexpr std::uint32_t kSameRegion = 1;
+  constexpr std::uint32_t kOtherRegion = 2;
+  if (aUpstream.mDataCentre == aDataCentre) {
+    return 0;
+  }
+  const DataCentreConfig* own = aDeployment.FindDataCentre(aDataCentre);
+  const DataCentreConfig* theirs =
+    aDeployment.FindDataCentre(aUpstream.mDataCentre);
+  const bool isSame =
+    own != nullptr && theirs != nullptr && own->mRegion == theirs->mRegion;
+  return isSame ? kSameRegion : kOtherRegion;
+}
+
+std::vector<std::string>
+VmNames(const DataCentreConfig& aDataCentre)
+{
+  std::vector<std::string> names;
+  for (const VmConfig& vm : aDataCentre.mVms) {
+    names.push_back(vm.mName);
+  }
+  return names;
+}
+
+std::uint32_t
+StaticShareOf(const Deployment& aDeployment,
+              const UpstreamConfig& aUpstream,
+              std::string_view aVm)
+{
+  const DataCentreConfig* home =
+    aDeployment.FindDataCentre(aUpstream.mDataCentre);
+  return home == nullptr
+           ? 0
+           : StaticShare(
+               aUpstream.mName, aVm, VmNames(*home), aUpstream.mLimits.mCold);
+}
+
 std::vector<std::string_view>
 UpstreamsOfVm(const Deployment& aDeployment,
               const DataCentreConfig& aFrom,
--- a/src/cactusgw/config/upstream_subset.hpp
+++ b/src/cactusgw/config/upstream_subset.hpp
@@ -8,6 +8,8 @@
 #include "cactusgw/config/deployment.hpp"
 
 #include <cstddef>
+#include <cstdint>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -22,6 +24,20 @@
                    const DataCentreConfig& aFrom,
                    const UpstreamConfig& aUpstream);
 
+/// How far an upstream is: 0 in the same data centre, 1 in the same region, 2
+/// in another.
+std::uint32_t DistanceTo(const Deployment& aDeployment,
+                         std::string_view aDataCentre,
+                         const UpstreamConfig& aUpstream);
+
+/// Names of a data centre's VMs, in the order of the configuration.
+std::vector<std::string> VmNames(const DataCentreConfig& aDataCentre);
+
+/// The VM's static share of an upstream's cold limit.
+std::uint32_t StaticShareOf(const Deployment& aDeployment,
+                            const UpstreamConfig& aUpstream,
+                            std::string_view aVm);
+
 /// Names of the upstreams that a VM may send to, in the order of the
 /// configuration. The views live as long as the deployment.
 std::vector<std::string_view> UpstreamsOfVm(const Deployment& aDeployment,
--- a/src/cactusgw/core/admission_control.cpp
+++ b/src/cactusgw/core/admission_control.cpp
@@ -1,7 +1,6 @@
 #include "cactusgw/core/admission_control.hpp"
 
 #include "cactusgw/config/upstream_subset.hpp"
-#include "cactusgw/core/static_share.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -10,8 +9,6 @@
 
 namespace {
 
-/// Room for the permits of one incarnation, in bits.
-constexpr unsigned kPermitBits = 24;
 /// One idle credit is kept per this many in use, so that the next request
 /// need not wait for the owner.
 constexpr std::uint32_t kInUsePerSpare = 8;
@@ -24,16 +21,6 @@
   return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
 }
 
-std::vector<std::string>
-VmNames(const DataCentreConfig& aDataCentre)
-{
-  std::vector<std::string> names;
-  for (const VmConfig& vm : aDataCentre.mVms) {
-    names.push_back(vm.mName);
-  }
-  return names;
-}
-
 } // namespace
 
 AdmissionControl
@@ -59,7 +46,7 @@
   , mStartedAt(aNow)
   , mTimes(aTimes)
   , mDrains(DrainTable::Create())
-  , mNextPermit(aIncarnation << kPermitBits)
+  , mPermits(PermitTable::Create(aIncarnation))
 {
 }
 
@@ -75,7 +62,7 @@
     for (const UpstreamConfig& upstream : aDeployment.mUpstreams) {
       const bool isChosen =
         std::find(subset.begin(), subset.end(), upstream.mName) != subset.end();
-      if (isChosen || ShareOf(upstream, aDeployment) > 0) {
+      if (isChosen || StaticShareOf(aDeployment, upstream, mVm) > 0) {
         AddUpstream(upstream, aDeployment, kept, aNow);
       }
     }
@@ -94,12 +81,12 @@
                               Upstreams& aKept,
                               Instant aNow)
 {
-  const std::uint32_t share = ShareOf(aConfig, aDeployment);
+  const std::uint32_t share = StaticShareOf(aDeployment, aConfig, mVm);
   const auto it = aKept.find(aConfig.mName);
   if (it != aKept.end()) {
     UpstreamState state = std::move(it->second);
     state.mConfig = aConfig;
-    state.mDistance = DistanceTo(aConfig, aDeployment);
+    state.mDistance = DistanceTo(aDeployment, mDataCentre, aConfig);
     state.mWallet.SetStaticShare(share);
     mUpstreams.emplace(aConfig.mName, std::move(state));
     return;
@@ -107,7 +94,7 @@
   // An upstream added later has no former promises, but an agent that just
   // started may have made some in its former incarnation.
   UpstreamState state{ aConfig,
-                       DistanceTo(aConfig, aDeployment),
+                       DistanceTo(aDeployment, mDataCentre, aConfig),
                        CreditWallet::Create(share,
                                             mIncarnation,
                                             std::max(mStartedAt, aNow),
@@ -121,35 +108,6 @@
   mUpstreams.emplace(aConfig.mName, std::move(state));
 }
 
-std::uint32_t
-AdmissionControl::ShareOf(const UpstreamConfig& aConfig,
-                          const Deployment& aDeployment) const
-{
-  const DataCentreConfig* dataCentre =
-    aDeployment.FindDataCentre(aConfig.mDataCentre);
-  return dataCentre == nullptr
-           ? 0
-           : StaticShare(
-               aConfig.mName, mVm, VmNames(*dataCentre), aConfig.mLimits.mCold);
-}
-
-std::uint32_t
-AdmissionControl::DistanceTo(const UpstreamConfig& aConfig,
-                             const Deployment& aDeployment) const
-{
-  constexpr std::uint32_t kSameRegion = 1;
-  constexpr std::uint32_t kOtherRegion = 2;
-  if (aConfig.mDataCentre == mDataCentre) {
-    return 0;
-  }
-  const DataCentreConfig* own = aDeployment.FindDataCentre(mDataCentre);
-  const DataCentreConfig* theirs =
-    aDeployment.FindDataCentre(aConfig.mDataCentre);
-  const bool isSame =
-    own != nullptr && theirs != nullptr && own->mRegion == theirs->mRegion;
-  return isSame ? kSameRegion : kOtherRegion;
-}
-
 AdmissionControl::Decisions
 AdmissionControl::Admit(AdmissionAsk aAsk, Instant aNow)
 {
@@ -172,15 +130,15 @@
     decisions.push_back(Refuse(aAsk, AdmissionOutcome::Busy));
     return decisions;
   }
-  if (!HasWaiting(aAsk) && TryPlace(aAsk, aNow, decisions)) {
+  if (!mQueue.HasSameTarget(aAsk) && TryPlace(aAsk, aNow, decisions)) {
     return decisions;
   }
-  if (mQueue.size() >= service->mQueueLength) {
+  if (mQueue.Size() >= service->mQueueLength) {
     decisions.push_back(Refuse(aAsk, AdmissionOutcome::Busy));
     return decisions;
   }
   ++mCounts.mQueued;
-  mQueue.push_back({ std::move(aAsk), aNow + service->mQueueTime });
+  mQueue.Add(std::move(aAsk), aNow + service->mQueueTime);
   return decisions;
 }
 
@@ -188,11 +146,11 @@
 AdmissionControl::OnRelease(const PermitRelease& aRelease, Instant aNow)
 {
   Decisions decisions;
-  const auto it = mPermits.find(aRelease.mPermit);
-  if (it == mPermits.end()) {
+  const std::optional<Permit> permit = mPermits.Remove(aRelease.mPermit);
+  if (!permit) {
     return decisions;
   }
-  const auto upstream = mUpstreams.find(it->second.mUpstream);
+  const auto upstream = mUpstreams.find(permit->mUpstream);
   if (upstream != mUpstreams.end()) {
     UpstreamState& state = upstream->second;
     state.mWork.mCompleted += aRelease.mCompleted ? 1 : 0;
@@ -204,8 +162,7 @@
       state.mWallet.DropIdle();
     }
   }
-  ReturnCredit(it->second);
-  mPermits.erase(it);
+  ReturnCredit(*permit);
   ServeQueue(aNow, decisions);
   return decisions;
 }
@@ -238,30 +195,10 @@
                             bool aIsNewEntry,
                             Instant aNow)
 {
-  for (const LivePermit& live : aLive) {
-    const auto it = mPermits.find(live.mPermit);
-    if (it != mPermits.end()) {
-      it->second.mIsAbandoned = false;
-      continue;
-    }
-    const auto upstream = mUpstreams.find(live.mUpstream);
-    if (upstream != mUpstreams.end()) {
-      upstream->second.mWallet.Adopt();
-      mPermits[live.mPermit] = { live.mPermit, live.mUpstream, {}, false, {},
-                                 aNow };
-    }
-  }
-  for (auto& [id, permit] : mPermits) {
-    const std::uint64_t wanted = id;
-    const bool isLive =
-      std::any_of(aLive.begin(), aLive.end(), [&](const LivePermit& aPermit) {
-        return aPermit.mPermit == wanted;
-      });
-    // A permit granted just now may have crossed the entry's message.
-    const bool isOld = aIsNewEntry || aNow >= permit.mGrantedAt + kAvoidTime;
-    if (!isLive && isOld && !permit.mIsAbandoned) {
-      permit.mIsAbandoned = true;
-      permit.mAbandonedAt = aNow;
+  for (const std::string& name : mPermits.Reconcile(aLive, aIsNewEntry, aNow)) {
+    const auto it = mUpstreams.find(name);
+    if (it != mUpstreams.end()) {
+      it->second.mWallet.Adopt();
     }
   }
   mReconciled = true;
@@ -351,15 +288,14 @@
                         Instant aNow)
 {
   aState.mWallet.TryAcquire(aNow);
-  const std::uint64_t id = ++mNextPermit;
-  mPermits[id] = { id, aState.mConfig.mName, aAsk.mWorkspace, false, {}, aNow };
-  ++mInFlight[aAsk.mWorkspace];
+  const Permit& permit =
+    mPermits.Add(aState.mConfig.mName, aAsk.mWorkspace, aNow);
   ++mCounts.mGranted;
   AdmissionDecision decision;
   decision.mCall = aAsk.mCall;
   decision.mRequestId = aAsk.mRequestId;
   decision.mOutcome = AdmissionOutcome::Granted;
-  decision.mPermit = id;
+  decision.mPermit = permit.mId;
   decision.mUpstream = aState.mConfig.mName;
   decision.mAddress = aState.mConfig.mAddress;
   return decision;
@@ -383,13 +319,9 @@
 bool
 AdmissionControl::HasWorkspaceRoom(std::string_view aWorkspace) const
 {
-  const auto it = std::find_if(mDeployment.mWorkspaces.begin(),
-                               mDeployment.mWorkspaces.end(),
-                               [&](const WorkspaceConfig& aConfig) {
-                                 return aConfig.mName == aWorkspace;
-                               });
-  return it == mDeployment.mWorkspaces.end() ||
-         WorkspaceInFlight(aWorkspace) < it->mMaxInFlight;
+  const WorkspaceConfig* workspace = FindWorkspace(aWorkspace);
+  return workspace == nullptr ||
+         mPermits.InFlight(aWorkspace) < workspace->mMaxInFlight;
 }
 
 bool
@@ -406,78 +338,36 @@
   return true;
 }
 
-bool
-AdmissionControl::HasWaiting(const AdmissionAsk& aAsk) const
-{
-  return std::any_of(
-    mQueue.begin(), mQueue.end(), [&](const WaitingAsk& aWaiting) {
-      return aWaiting.mAsk.mService == aAsk.mService &&
-             aWaiting.mAsk.mModel == aAsk.mModel;
-    });
-}
-
 void
 AdmissionControl::ServeQueue(Instant aNow, Decisions& aDecisions)
 {
-  bool progress = !mQueue.empty();
-  while (progress) {
-    progress = false;
-    for (const std::size_t i : FairOrder()) {
-      if (TryPlace(mQueue[i].mAsk, aNow, aDecisions)) {
-        mQueue.erase(mQueue.begin() + static_cast<std::ptrdiff_t>(i));
-        progress = !mQueue.empty();
-        break;
-      }
-    }
-  }
-}
-
-std::vector<std::size_t>
-AdmissionControl::FairOrder() const
-{
-  std::vector<std::size_t> order(mQueue.size());
-  std::vector<double> shares(mQueue.size());
-  for (std::size_t i = 0; i < mQueue.size(); ++i) {
-    const std::string& workspace = mQueue[i].mAsk.mWorkspace;
-    order[i] = i;
-    shares[i] = static_cast<double>(WorkspaceInFlight(workspace)) /
-                WorkspaceWeight(workspace);
-  }
-  std::stable_sort(
-    order.begin(), order.end(), [&](std::size_t aLeft, std::size_t aRight) {
-      return shares[aLeft] < shares[aRight];
-    });
-  return order;
+  const auto shareOf = [&](std::string_view aWorkspace) {
+    return ShareOfWorkspace(aWorkspace);
+  };
+  mQueue.Serve(shareOf, [&](const AdmissionAsk& aAsk) {
+    return TryPlace(aAsk, aNow, aDecisions);
+  });
 }
 
 void
 AdmissionControl::ExpireQueue(Instant aNow, Decisions& aDecisions)
 {
   const bool drained = mDrains.IsDrained(mDataCentre);
-  std::erase_if(mQueue, [&](const WaitingAsk& aWaiting) {
-    if (!drained && aNow < aWaiting.mDeadline) {
-      return false;
-    }
+  const AdmissionOutcome outcome =
+    drained ? AdmissionOutcome::Drained : AdmissionOutcome::Busy;
+  for (const AdmissionAsk& ask :
+       drained ? mQueue.TakeAll() : mQueue.TakeExpired(aNow)) {
     ++mCounts.mExpired;
-    aDecisions.push_back(
-      Refuse(aWaiting.mAsk,
-             drained ? AdmissionOutcome::Drained : AdmissionOutcome::Busy));
-    return true;
-  });
+    aDecisions.push_back(Refuse(ask, outcome));
+  }
 }
 
 void
 AdmissionControl::ExpireAbandoned(Instant aNow)
 {
-  std::erase_if(mPermits, [&](const auto& aItem) {
-    const Permit& permit = aItem.second;
-    const bool isOver =
-      permit.mIsAbandoned && aNow >= permit.mAbandonedAt + kAbandonTime;
-    if (isOver) {
-      ReturnCredit(permit);
-    }
-    return isOver;
-  });
+  for (const Permit& permit : mPermits.RemoveAbandoned(kAbandonTime, aNow)) {
+    ReturnCredit(permit);
+  }
 }
 
 void
@@ -489,10 +379,6 @@
     state.mWallet.Release();
     state.mUrgent = state.mUrgent || state.mWallet.IsScarce();
   }
-  const auto it = mInFlight.find(aPermit.mWorkspace);
-  if (it != mInFlight.end() && --it->second == 0) {
-    mInFlight.erase(it);
-  }
 }
 
 void
@@ -503,7 +389,7 @@
     const bool keepsSpare = inUse > 0 && !state.mWallet.IsScarce();
     state.mWanted = keepsSpare ? 1 + inUse / kInUsePerSpare : 0;
   }
-  for (const WaitingAsk& waiting : mQueue) {
+  for (const WaitingAsk& waiting : mQueue.Waiting()) {
     AddDemand(waiting.mAsk);
   }
 }
@@ -540,7 +426,10 @@
   const CreditWallet& wallet = aState.mWallet;
   const Instant last = wallet.LastReportAt();
   const bool wantsMore = aState.mWanted > aState.mReportedWanted;
-  if ((aState.mUrgent || wantsMore) && aNow >= last + kMinReportGap) {
+  // The first want goes out at once; what follows is bundled.
+  const bool isFirstWant = wantsMore && aState.mReportedWanted == 0;
+  const bool isGapOver = aNow >= last + kMinReportGap;
+  if (isFirstWant || ((aState.mUrgent || wantsMore) && isGapOver)) {
     return true;
   }
   const bool isConcerned = wallet.InUse() > 0 || aState.mWanted > 0 ||
@@ -566,22 +455,23 @@
   return report;
 }
 
-std::uint32_t
-AdmissionControl::WorkspaceInFlight(std::string_view aWorkspace) const
+const WorkspaceConfig*
+AdmissionControl::FindWorkspace(std::string_view aWorkspace) const
 {
-  const auto it = mInFlight.find(aWorkspace);
-  return it == mInFlight.end() ? 0 : it->second;
+  const auto it = std::find_if(mDeployment.mWorkspaces.begin(),
+                               mDeployment.mWorkspaces.end(),
+                               [&](const WorkspaceConfig& aConfig) {
+                                 return aConfig.mName == aWorkspace;
+                               });
+  return it == mDeployment.mWorkspaces.end() ? nullptr : &*it;
 }
 
-std::uint32_t
-AdmissionControl::WorkspaceWeight(std::string_view aWorkspace) const
+double
+AdmissionControl::ShareOfWorkspace(std::string_view aWorkspace) const
 {
-  for (const WorkspaceConfig& workspace : mDeployment.mWorkspaces) {
-    if (workspace.mName == aWorkspace) {
-      return workspace.mWeight;
-    }
-  }
-  return 1;
+  const WorkspaceConfig* workspace = FindWorkspace(aWorkspace);
+  const std::uint32_t weight = workspace == nullptr ? 1 : workspace->mWeight;
+  return static_cast<double>(mPermits.InFlight(aWorkspace)) / weight;
 }
 
 const AdmissionControl::UpstreamState*
--- a/src/cactusgw/core/admission_control.hpp
+++ b/src/cactusgw/core/admission_control.hpp
@@ -6,14 +6,15 @@
 /// credits to ask the owners for.
 
 #include "cactusgw/config/deployment.hpp"
+#include "cactusgw/core/admission_queue.hpp"
 #include "cactusgw/core/credit_wallet.hpp"
 #include "cactusgw/core/drain_table.hpp"
+#include "cactusgw/core/permit_table.hpp"
 #include "cactusgw/core/placement.hpp"
 #include "cactusgw/core/retry_budget.hpp"
 #include "cactusgw/core/upstream_owner.hpp"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <span>
 #include <string>
@@ -23,22 +24,6 @@
 
 namespace cactusgw {
 
-/// A request that asks to be sent to an upstream.
-struct AdmissionAsk
-{
-  /// Chosen by the entry; the decision carries it back.
-  std::uint64_t mCall = 0;
-  std::string mRequestId;
-  std::string mService;
-  /// Empty for plain services.
-  std::string mModel;
-  std::string mWorkspace;
-  std::uint64_t mPrefixHash = 0;
-  /// Upstreams to pass over as long as another one serves.
-  std::vector<std::string> mExcluded;
-  bool mIsRetry = false;
-};
-
 enum class AdmissionOutcome
 {
   Granted,
@@ -70,12 +55,6 @@
   bool mTrouble = false;
 };
 
-struct LivePermit
-{
-  std::uint64_t mPermit = 0;
-  std::string mUpstream;
-};
-
 /// A report to be sent to the owner of an upstream.
 struct OutgoingReport
 {
@@ -148,8 +127,8 @@
   std::uint32_t InUse(std::string_view aUpstream) const;
   std::uint32_t Cap(std::string_view aUpstream, Instant aNow) const;
   CreditSource Source(std::string_view aUpstream, Instant aNow) const;
-  std::size_t QueueLength() const { return mQueue.size(); }
-  std::size_t PermitsInUse() const { return mPermits.size(); }
+  std::size_t QueueLength() const { return mQueue.Size(); }
+  std::size_t PermitsInUse() const { return mPermits.Size(); }
   const AdmissionCounts& Counts() const { return mCounts; }
 
 private:
@@ -172,23 +151,6 @@
     }
   };
 
-  struct WaitingAsk
-  {
-    AdmissionAsk mAsk;
-    Instant mDeadline;
-  };
-
-  struct Permit
-  {
-    std::uint64_t mId = 0;
-    std::string mUpstream;
-    std::string mWorkspace;
-    /// Set when the entry no longer claims the permit.
-    bool mIsAbandoned = false;
-    Instant mAbandonedAt;
-    Instant mGrantedAt;
-  };
-
   using Upstreams = std::map<std::string, UpstreamState, std::less<>>;
 
   AdmissionControl(std::string aVm,
@@ -201,10 +163,6 @@
                    const Deployment& aDeployment,
                    Upstreams& aKept,
                    Instant aNow);
-  std::uint32_t ShareOf(const UpstreamConfig& aConfig,
-                        const Deployment& aDeployment) const;
-  std::uint32_t DistanceTo(const UpstreamConfig& aConfig,
-                           const Deployment& aDeployment) const;
   bool Serves(const UpstreamState& aState, const AdmissionAsk& aAsk) const;
   std::vector<std::string_view> ServingUpstreams(
     const AdmissionAsk& aAsk) const;
@@ -215,9 +173,7 @@
   AdmissionDecision Refuse(const AdmissionAsk& aAsk, AdmissionOutcome aOutcome);
   bool HasWorkspaceRoom(std::string_view aWorkspace) const;
   bool TakeRetry(const AdmissionAsk& aAsk);
-  bool HasWaiting(const AdmissionAsk& aAsk) const;
   void ServeQueue(Instant aNow, Decisions& aDecisions);
-  std::vector<std::size_t> FairOrder() const;
   void ExpireQueue(Instant aNow, Decisions& aDecisions);
   void ExpireAbandoned(Instant aNow);
   void UpdateWanted();
@@ -229,8 +185,9 @@
                             std::uint64_t aEpoch,
                             Instant aNow);
   void ReturnCredit(const Permit& aPermit);
-  std::uint32_t WorkspaceInFlight(std::string_view aWorkspace) const;
-  std::uint32_t WorkspaceWeight(std::string_view aWorkspace) const;
+  const WorkspaceConfig* FindWorkspace(std::string_view aWorkspace) const;
+  /// Requests in flight per weight: the lowest is served first.
+  double ShareOfWorkspace(std::string_view aWorkspace) const;
   const UpstreamState* FindState(std::string_view aUpstream) const;
 
   std::string mVm;
@@ -242,10 +199,8 @@
   DrainTable mDrains;
   Upstreams mUpstreams;
   std::map<std::string, RetryBudget, std::less<>> mRetryBudgets;
-  std::map<std::string, std::uint32_t, std::less<>> mInFlight;
-  std::map<std::uint64_t, Permit> mPermits;
-  std::deque<WaitingAsk> mQueue;
-  std::uint64_t mNextPermit;
+  PermitTable mPermits;
+  AdmissionQueue mQueue;
   bool mReconciled = false;
   BoundedAffinity mPlacement;
   AdmissionCounts mCounts;
--- /dev/null
+++ b/src/cactusgw/core/admission_queue.hpp
@@ -0,0 +1,106 @@
+#ifndef CACTUSGW_CORE_ADMISSION_QUEUE_HPP
+#define CACTUSGW_CORE_ADMISSION_QUEUE_HPP
+
+/// Requests of one VM that wait for a credit, in the order in which workspaces
+/// share fairly.
+
+#include "cactusgw/core/verdict.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace cactusgw {
+
+/// A request that asks to be sent to an upstream.
+struct AdmissionAsk
+{
+  /// Chosen by the entry; the decision carries it back.
+  std::uint64_t mCall = 0;
+  std::string mRequestId;
+  std::string mService;
+  /// Empty for plain services.
+  std::string mModel;
+  std::string mWorkspace;
+  std::uint64_t mPrefixHash = 0;
+  /// Upstreams to pass over as long as another one serves.
+  std::vector<std::string> mExcluded;
+  bool mIsRetry = false;
+};
+
+struct WaitingAsk
+{
+  AdmissionAsk mAsk;
+  Instant mDeadline;
+};
+
+/// Not thread-safe.
+class AdmissionQueue
+{
+public:
+  void Add(AdmissionAsk aAsk, Instant aDeadline);
+
+  /// Whether a request for the same service and model waits.
+  bool HasSameTarget(const AdmissionAsk& aAsk) const;
+
+  /// Serves requests for which the function returns true, those of workspaces
+  /// with the lowest share first. Shares are asked for anew after each.
+  template<typename ShareOf, typename TryServe>
+  void Serve(ShareOf aShareOf, TryServe aTryServe);
+
+  /// Takes out the requests whose deadline has passed.
+  std::vector<AdmissionAsk> TakeExpired(Instant aNow);
+  std::vector<AdmissionAsk> TakeAll();
+
+  const std::deque<WaitingAsk>& Waiting() const { return mWaiting; }
+  std::size_t Size() const { return mWaiting.size(); }
+
+private:
+  template<typename ShareOf>
+  std::vector<std::size_t> FairOrder(ShareOf aShareOf) const;
+
+  std::deque<WaitingAsk> mWaiting;
+};
+
+template<typename ShareOf, typename TryServe>
+void
+AdmissionQueue::Serve(ShareOf aShareOf, TryServe aTryServe)
+{
+  bool progress = !mWaiting.empty();
+  while (progress) {
+    progress = false;
+    for (const std::size_t i : FairOrder(aShareOf)) {
+      if (aTryServe(mWaiting[i].mAsk)) {
+        mWaiting.erase(mWaiting.begin() + static_cast<std::ptrdiff_t>(i));
+        progress = !mWaiting.empty();
+        break;
+      }
+    }
+  }
+}
+
+template<typename ShareOf>
+std::vector<std::size_t>
+AdmissionQueue::FairOrder(ShareOf aShareOf) const
+{
+  std::vector<std::pair<double, std::size_t>> shares;
+  for (std::size_t i = 0; i < mWaiting.size(); ++i) {
+    shares.emplace_back(aShareOf(mWaiting[i].mAsk.mWorkspace), i);
+  }
+  // Equal shares keep the order of arrival.
+  std::sort(shares.begin(), shares.end());
+  std::vector<std::size_t> order;
+  for (const std::pair<double, std::size_t>& it : shares) {
+    order.push_back(it.second);
+  }
+  return order;
+}
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_CORE_ADMISSION_QUEUE_HPP
--- a/src/cactusgw/core/credit_ledger.cpp
+++ b/src/cactusgw/core/credit_ledger.cpp
@@ -94,15 +94,12 @@
 }
 
 std::vector<CreditGrant>
-CreditLedger::RevokeIdle(Instant aNow)
+CreditLedger::RevokeAll(Instant aNow)
 {
   std::vector<CreditGrant> grants;
   for (Account& account : mAccounts) {
-    if (account.mReported && account.mAllotted > account.mInUse) {
-      const std::uint32_t wished = account.mWished;
-      account.mWished = account.mInUse;
-      grants.push_back(GrantTo(account, account.mInUse, aNow));
-      account.mWished = wished;
+    if (account.mReported && account.mAllotted > 0) {
+      grants.push_back(GrantTo(account, 0, aNow));
     }
   }
   return grants;
--- a/src/cactusgw/core/credit_ledger.hpp
+++ b/src/cactusgw/core/credit_ledger.hpp
@@ -61,8 +61,9 @@
   /// Offers credits that a raised limit or passed time has freed to waiters.
   std::vector<CreditGrant> GrantWaiting(std::uint32_t aLimit, Instant aNow);
 
-  /// Takes back all credits that are not in use, from every VM that has some.
-  std::vector<CreditGrant> RevokeIdle(Instant aNow);
+  /// Allows no VM to start more until it has reported anew. What a VM last said
+  /// of its use may be old, so nothing is left to it on that account.
+  std::vector<CreditGrant> RevokeAll(Instant aNow);
 
   /// Takes a load report of the upstream as evidence about silent VMs.
   void ObserveRunning(const RunningObservation& aObservation);
--- a/src/cactusgw/core/credit_messages.hpp
+++ b/src/cactusgw/core/credit_messages.hpp
@@ -11,6 +11,18 @@
 
 namespace cactusgw {
 
+/// An upstream's limit as its owner sees it. VMs say it back, so that a new
+/// owner of a warm upstream need not start from the cold limit.
+struct LimitStatement
+{
+  /// Zero when nothing is known.
+  std::uint32_t mLimit = 0;
+  /// Stable hash of the upstream's incarnation that the limit is for.
+  std::uint64_t mIncarnation = 0;
+
+  bool operator==(const LimitStatement&) const = default;
+};
+
 /// VM to owner.
 struct CreditReport
 {
@@ -25,6 +37,8 @@
   std::uint32_t mInUse = 0;
   /// Further credits the VM could use now.
   std::uint32_t mWanted = 0;
+  /// What the last grant said, while it is valid.
+  LimitStatement mKnownLimit;
 };
 
 /// Owner to VM.
@@ -39,6 +53,7 @@
   std::uint32_t mAllotment = 0;
   /// Other VMs wait for credits: give idle ones back at once.
   bool mScarce = false;
+  LimitStatement mLimit;
 };
 
 /// Times both sides must share.
--- a/src/cactusgw/core/credit_wallet.cpp
+++ b/src/cactusgw/core/credit_wallet.cpp
@@ -54,6 +54,9 @@
                          std::uint32_t aWanted,
                          Instant aNow)
 {
+  // What a former owner said goes to its successor once, while recent.
+  const bool tellsFormer = aEpoch != mEpoch && aNow < mUsableUntil;
+  const LimitStatement known = tellsFormer ? mKnownLimit : LimitStatement{};
   if (aEpoch != mEpoch) {
     mEpoch = aEpoch;
     mGrantSequence = 0;
@@ -72,6 +75,7 @@
   report.mAcknowledgedGrant = mGrantSequence;
   report.mInUse = mInUse;
   report.mWanted = aWanted;
+  report.mKnownLimit = known;
   // Idle credits beyond what is wanted are given back by stating less.
   mAllotment = std::min(mAllotment, mInUse + aWanted);
   report.mCap = std::max(mInUse, mAllotment);
@@ -95,6 +99,7 @@
   mGrantSequence = aGrant.mGrantSequence;
   mAllotment = aGrant.mAllotment;
   mScarce = aGrant.mScarce;
+  mKnownLimit = aGrant.mLimit;
   mUsableUntil = usableUntil;
   mStaticFrom = aNow + mTimes.mGrantValidity + mTimes.mGuard;
   return true;
--- a/src/cactusgw/core/credit_wallet.hpp
+++ b/src/cactusgw/core/credit_wallet.hpp
@@ -96,6 +96,7 @@
   Instant mUsableUntil;
   Instant mStaticFrom;
   Instant mLastReportAt;
+  LimitStatement mKnownLimit;
   bool mScarce = false;
   std::vector<SentReport> mReports;
 };
--- a/src/cactusgw/core/upstream_owner.cpp
+++ b/src/cactusgw/core/upstream_owner.cpp
@@ -1,5 +1,8 @@
 #include "cactusgw/core/upstream_owner.hpp"
 
+#include "cactusgw/core/hash.hpp"
+
+#include <algorithm>
 #include <utility>
 
 namespace cactusgw {
@@ -12,12 +15,16 @@
                       CreditTimes aTimes)
 {
   return UpstreamOwner{ aBounds,
-                        CreditLedger::Create(aHolders, aEpoch, aNow, aTimes) };
+                        CreditLedger::Create(aHolders, aEpoch, aNow, aTimes),
+                        aNow };
 }
 
-UpstreamOwner::UpstreamOwner(LimitBounds aBounds, CreditLedger aLedger)
+UpstreamOwner::UpstreamOwner(LimitBounds aBounds,
+                             CreditLedger aLedger,
+                             Instant aNow)
   : mWarmup(WarmupLimit::Create(aBounds))
   , mLedger(std::move(aLedger))
+  , mCreatedAt(aNow)
 {
 }
 
@@ -32,7 +39,8 @@
   } else if (aWork.mCompleted > 0) {
     mWarmup.OnCompleted({ aWork.mCompleted, aWork.mSlow, mLedger.InUse() });
   }
-  return mLedger.OnReport(aVm, aReport, Limit(), aNow);
+  CollectKnownLimit(aReport.mKnownLimit);
+  return Stated(mLedger.OnReport(aVm, aReport, Limit(), aNow));
 }
 
 std::vector<CreditGrant>
@@ -49,7 +57,7 @@
   mIncarnation = aLoad.mIncarnation;
   mOverloads = aLoad.mOverloads;
   mLedger.ObserveRunning({ aLoad.mRunning, aLoad.mSampledAt });
-  return mLedger.GrantWaiting(Limit(), aNow);
+  return Stated(mLedger.GrantWaiting(Limit(), aNow));
 }
 
 void
@@ -66,7 +74,7 @@
 {
   FallBackToCold();
   mAwaitsLoad = true;
-  return mLedger.RevokeIdle(aNow);
+  return Stated(mLedger.RevokeAll(aNow));
 }
 
 void
@@ -82,7 +90,47 @@
 std::vector<CreditGrant>
 UpstreamOwner::OnTick(Instant aNow)
 {
-  return mLedger.GrantWaiting(Limit(), aNow);
+  InheritLimit(aNow);
+  return Stated(mLedger.GrantWaiting(Limit(), aNow));
+}
+
+void
+UpstreamOwner::CollectKnownLimit(const LimitStatement& aKnown)
+{
+  if (!mMayInherit || aKnown.mLimit == 0) {
+    return;
+  }
+  const bool isFirst = mFormer.mLimit == 0;
+  if (!isFirst && aKnown.mIncarnation != mFormer.mIncarnation) {
+    mMayInherit = false; // It restarted while the owner changed.
+    return;
+  }
+  mFormer = { isFirst ? aKnown.mLimit : std::min(mFormer.mLimit, aKnown.mLimit),
+              aKnown.mIncarnation };
+}
+
+void
+UpstreamOwner::InheritLimit(Instant aNow)
+{
+  const bool isCollected = aNow >= mCreatedAt + kInheritTime;
+  if (!mMayInherit || !isCollected || mIncarnation.empty()) {
+    return;
+  }
+  mMayInherit = false;
+  if (mFormer.mLimit > 0 && mFormer.mIncarnation == StableHash(mIncarnation)) {
+    mWarmup.Inherit(mFormer.mLimit);
+  }
+}
+
+std::vector<CreditGrant>
+UpstreamOwner::Stated(std::vector<CreditGrant> aGrants) const
+{
+  const bool isKnown = !mIncarnation.empty() && !mMayInherit;
+  for (CreditGrant& grant : aGrants) {
+    grant.mLimit = { isKnown ? Limit() : 0,
+                     isKnown ? StableHash(mIncarnation) : 0 };
+  }
+  return aGrants;
 }
 
 std::uint32_t
@@ -95,6 +143,7 @@
 UpstreamOwner::FallBackToCold()
 {
   mWarmup.OnTrouble();
+  mMayInherit = false;
   ++mTimesCold;
 }
 
--- a/src/cactusgw/core/upstream_owner.hpp
+++ b/src/cactusgw/core/upstream_owner.hpp
@@ -39,6 +39,8 @@
 public:
   /// Failed load reports in a row after which the upstream counts as down.
   static constexpr std::uint32_t kFailuresUntilDown = 2;
+  /// How long a new owner collects what VMs know of the former limit.
+  static constexpr Milliseconds kInheritTime{ 1500 };
 
   static UpstreamOwner Create(LimitBounds aBounds,
                               std::span<const CreditHolder> aHolders,
@@ -73,8 +75,11 @@
   std::uint64_t TimesCold() const { return mTimesCold; }
 
 private:
-  UpstreamOwner(LimitBounds aBounds, CreditLedger aLedger);
+  UpstreamOwner(LimitBounds aBounds, CreditLedger aLedger, Instant aNow);
   void FallBackToCold();
+  void CollectKnownLimit(const LimitStatement& aKnown);
+  void InheritLimit(Instant aNow);
+  std::vector<CreditGrant> Stated(std::vector<CreditGrant> aGrants) const;
 
   WarmupLimit mWarmup;
   CreditLedger mLedger;
@@ -84,6 +89,11 @@
   bool mDrained = false;
   bool mAwaitsLoad = false;
   std::uint64_t mTimesCold = 0;
+  Instant mCreatedAt;
+  /// The lowest limit that VMs know of, and for which incarnation.
+  LimitStatement mFormer;
+  /// False once the former limit was taken over, or may not be.
+  bool mMayInherit = true;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/core/warmup_limit.cpp
+++ b/src/cactusgw/core/warmup_limit.cpp
@@ -50,6 +50,12 @@
   mPeakInUse = 0;
 }
 
+void
+WarmupLimit::Inherit(std::uint32_t aLimit)
+{
+  mLimit = std::clamp(aLimit, mLimit, mBounds.mWarm);
+}
+
 void
 WarmupLimit::SetBounds(LimitBounds aBounds)
 {
--- a/src/cactusgw/core/warmup_limit.hpp
+++ b/src/cactusgw/core/warmup_limit.hpp
@@ -45,6 +45,9 @@
   /// The upstream restarted, broke, went silent or reported itself cold.
   void OnTrouble();
 
+  /// Starts from a limit that a former owner had reached.
+  void Inherit(std::uint32_t aLimit);
+
   /// New bounds from a configuration change. The limit never rises by it.
   void SetBounds(LimitBounds aBounds);
 
--- a/src/cactusgw/entry/agent_link.cpp
+++ b/src/cactusgw/entry/agent_link.cpp
@@ -1,5 +1,7 @@
 #include "cactusgw/entry/agent_link.hpp"
 
+#include "cactusgw/net/steady_now.hpp"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/parse.hpp>
@@ -12,12 +14,6 @@
 
 constexpr unsigned kCallBits = 20;
 
-Instant
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 Failure
 FailureOf(const wire::AdmitReply& aReply)
 {
@@ -105,7 +101,8 @@
   const AdmissionPermit permit{ reply.permit(),
                                 reply.upstream(),
                                 reply.address(),
-                                Now() + Milliseconds{ reply.valid_ms() } };
+                                SteadyNow() +
+                                  Milliseconds{ reply.valid_ms() } };
   mPermits[permit.mId] = permit;
   co_return permit;
 }
@@ -165,7 +162,7 @@
 bool
 AgentLink::IsConnected() const
 {
-  return Now() < mHeardAt + kSilenceTime;
+  return SteadyNow() < mHeardAt + kSilenceTime;
 }
 
 void
@@ -176,7 +173,7 @@
     mLog.Warn("A message was refused: " + decoded.error().mDetail + ".");
     return;
   }
-  mHeardAt = Now();
+  mHeardAt = SteadyNow();
   const wire::Envelope& envelope = decoded.value();
   switch (envelope.body_case()) {
     case wire::Envelope::kAgentState:
--- a/src/cactusgw/entry/entry.cpp
+++ b/src/cactusgw/entry/entry.cpp
@@ -7,6 +7,7 @@
 #include "cactusgw/entry/model_answer.hpp"
 #include "cactusgw/net/operator_port.hpp"
 #include "cactusgw/net/problem.hpp"
+#include "cactusgw/net/steady_now.hpp"
 #include "cactusgw/programs/event_loop.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -355,14 +356,14 @@
 Entry::FinishInProgress(std::function<void()> aOnStopped)
 {
   constexpr Milliseconds kPause{ 50 };
-  const Instant begun = std::chrono::steady_clock::now();
+  const Instant begun = SteadyNow();
   const Instant deadline = begun + mSettings.mStopTime;
   net::steady_timer timer{ mContext };
   timer.expires_after(mSettings.mUnreadyTime);
   co_await timer.async_wait(net::use_awaitable);
   mServer->StopAccepting();
   while (mServer->OpenExchanges() > 0 || mLink->PermitsInUse() > 0) {
-    if (std::chrono::steady_clock::now() >= deadline) {
+    if (SteadyNow() >= deadline) {
       mLog.Error("The stop time is over with requests in progress.");
       break;
     }
--- a/src/cactusgw/entry/internal/generation_call_impl.hpp
+++ b/src/cactusgw/entry/internal/generation_call_impl.hpp
@@ -5,6 +5,7 @@
 
 #include "cactusgw/core/hash.hpp"
 #include "cactusgw/entry/generation_call.hpp"
+#include "cactusgw/net/steady_now.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,12 +25,6 @@
 /// credit this long; the upstream drops unread generations sooner.
 inline constexpr Milliseconds kUnconfirmedHold{ 6000 };
 
-inline Instant
-CallNow()
-{
-  return std::chrono::steady_clock::now();
-}
-
 } // namespace internal
 
 template<EngineClient Client>
@@ -72,7 +67,7 @@
     co_return NotRun(FailureCode::NotFound,
                      "unknown model \"" + mRequest.mModel + "\"");
   }
-  mStartedAt = internal::CallNow();
+  mStartedAt = SteadyNow();
   Failure last;
   for (int i = 0; i < kMaxTries; ++i) {
     Result<GenerationResult> result = co_await RunOnce(aSink, i > 0);
@@ -112,7 +107,7 @@
     co_return permit.error();
   }
   mPermit = permit.value();
-  if (mCallerLeft || internal::CallNow() >= mPermit.mUseBefore) {
+  if (mCallerLeft || SteadyNow() >= mPermit.mUseBefore) {
     wire::ReleasePermit release;
     release.set_outcome(wire::OUTCOME_NOT_RUN);
     mContext.mLink.Release(mPermit, release);
@@ -197,7 +192,7 @@
 Task<Result<void>>
 GenerationCall<Client>::Deliver(TokenSink& aSink, const GenerationFrame& aFrame)
 {
-  NoteToken(internal::CallNow());
+  NoteToken(SteadyNow());
   const AnswerToken token{ aFrame.mText, aFrame.mGeneration, aFrame.mOffset };
   co_return co_await aSink(token);
 }
--- a/src/cactusgw/entry/plain_call.cpp
+++ b/src/cactusgw/entry/plain_call.cpp
@@ -1,21 +1,12 @@
 #include "cactusgw/entry/plain_call.hpp"
 
 #include "cactusgw/net/http_client.hpp"
+#include "cactusgw/net/steady_now.hpp"
 
 #include <utility>
 
 namespace cactusgw {
 
-namespace {
-
-Instant
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
-} // namespace
-
 bool
 IsIdempotent(http::verb aMethod)
 {
@@ -79,7 +70,7 @@
     co_return permit.error();
   }
   mPermit = permit.value();
-  if (Now() >= mPermit.mUseBefore) {
+  if (SteadyNow() >= mPermit.mUseBefore) {
     Result<HttpResponse> late =
       NotRun(FailureCode::Busy, "the permit was not used in time");
     EndPermit(late);
--- a/src/cactusgw/load/load_run.cpp
+++ b/src/cactusgw/load/load_run.cpp
@@ -3,6 +3,7 @@
 #include "cactusgw/engine/http_engine_client.hpp"
 #include "cactusgw/engine/sse_reader.hpp"
 #include "cactusgw/net/http_client.hpp"
+#include "cactusgw/net/steady_now.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -29,12 +30,6 @@
                                     Milliseconds{ 120'000 } };
 constexpr Milliseconds kPollPause{ 10 };
 
-Instant
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 LoadRun::LoadRun(net::io_context& aContext, LoadSettings aSettings)
@@ -48,7 +43,7 @@
 LoadRun::Run()
 {
   const EngineTotals before = co_await ReadEngines();
-  const Instant begun = Now();
+  const Instant begun = SteadyNow();
   if (mSettings.mRate > 0) {
     co_await RunOpen();
   } else {
@@ -60,7 +55,7 @@
     co_await timer.async_wait(net::use_awaitable);
   }
   mReport.mElapsedSeconds =
-    std::chrono::duration<double>(Now() - begun).count();
+    std::chrono::duration<double>(SteadyNow() - begun).count();
   const EngineTotals after = co_await ReadEngines();
   mReport.mPreemptions = after.mPreemptions - before.mPreemptions;
   mReport.mOverloads = after.mOverloads - before.mOverloads;
@@ -89,7 +84,7 @@
 Task<void>
 LoadRun::RunOpen()
 {
-  net::steady_timer timer{ mContext, Now() };
+  net::steady_timer timer{ mContext, SteadyNow() };
   while (mNextRequest < mSettings.mRequests) {
     timer.expires_at(timer.expiry() + mDraws.NextPause(mSettings.mRate));
     co_await timer.async_wait(net::use_awaitable);
@@ -146,7 +141,7 @@
                     HttpRequest aRequest,
                     std::uint32_t aLength)
 {
-  const Instant begun = Now();
+  const Instant begun = SteadyNow();
   Result<std::unique_ptr<HttpExchangeClient>> opened =
     co_await HttpExchangeClient::Open(aTarget, std::move(aRequest), kCallTimes);
   if (!opened) {
@@ -169,7 +164,7 @@
       break;
     }
     reader.Feed(bytes.value());
-    const Instant now = Now();
+    const Instant now = SteadyNow();
     for (std::optional<std::string> event = reader.Next(); event;
          event = reader.Next()) {
       if (check.Accept(*event) != EventKindSeen::Token) {
--- a/src/cactusgw/net/http_server.cpp
+++ b/src/cactusgw/net/http_server.cpp
@@ -333,6 +333,11 @@
 {
   constexpr Milliseconds kDeadCallerTime{ 30'000 };
   SetDeadPeerTimeout(aSocket, kDeadCallerTime);
+  // What a caller does not read waits at the upstream, not here.
+  constexpr int kSendBufferBytes = 64 * 1024;
+  beast::error_code ignored;
+  aSocket.set_option(net::socket_base::send_buffer_size{ kSendBufferBytes },
+                     ignored);
   TcpStream stream{ std::move(aSocket) };
   beast::flat_buffer buffer;
   ++mOpenConnections;
--- a/tests/core/small_parts_test.cpp
+++ b/tests/core/small_parts_test.cpp
@@ -1,5 +1,7 @@
+#include "cactusgw/core/credit_wallet.hpp"
 #include "cactusgw/core/drain_table.hpp"
 #include "cactusgw/core/event_log.hpp"
+#include "cactusgw/core/hash.hpp"
 #include "cactusgw/core/hybrid_clock.hpp"
 #include "cactusgw/core/placement.hpp"
 #include "cactusgw/core/retry_budget.hpp"
@@ -270,5 +272,108 @@
   EXPECT_EQ(mOwner.Limit(), 2U);
 }
 
+TEST_F(UpstreamOwnerTest, TakesAllCreditsBackWhenItsConnectionBreaks)
+{
+  mOwner.OnLoad(Load("first"), mNow);
+  WarmUp();
+  CreditReport report;
+  report.mEpoch = 1;
+  report.mReportSequence = 1000;
+  report.mInUse = 4;
+  report.mCap = 4;
+  report.mWanted = 2;
+  mOwner.OnReport("vm-1", report, {}, mNow);
+  const std::vector<CreditGrant> revoked = mOwner.OnConnectionLost(mNow);
+  ASSERT_EQ(revoked.size(), 1U);
+  // The four may have ended since the report: they leave room for none.
+  EXPECT_EQ(revoked[0].mAllotment, 0U);
+  EXPECT_EQ(mOwner.Limit(), 0U);
+}
+
+class LimitHandOverTest : public testing::Test
+{
+protected:
+  /// A new owner that hears VMs of the former one.
+  UpstreamOwner MakeSuccessor()
+  {
+    return UpstreamOwner::Create({ 2, 16 }, mHolders, 2, mNow, {});
+  }
+
+  void Report(UpstreamOwner& aOwner,
+              const std::string& aVm,
+              std::uint32_t aLimit,
+              const std::string& aIncarnation)
+  {
+    CreditReport report;
+    report.mEpoch = 2;
+    report.mReportSequence = 1;
+    report.mKnownLimit = { aLimit, StableHash(aIncarnation) };
+    aOwner.OnReport(aVm, report, {}, mNow);
+  }
+
+  void Settle(UpstreamOwner& aOwner)
+  {
+    aOwner.OnLoad({ "first", 0, 0, mNow }, mNow);
+    mNow += UpstreamOwner::kInheritTime;
+    aOwner.OnTick(mNow);
+  }
+
+  Instant mNow = Instant{} + std::chrono::hours{ 1 };
+  std::vector<CreditHolder> mHolders{ { "vm-1", 1 }, { "vm-2", 1 } };
+};
+
+TEST_F(LimitHandOverTest, ANewOwnerTakesTheLowestLimitThatVmsKnow)
+{
+  UpstreamOwner owner = MakeSuccessor();
+  Report(owner, "vm-1", 12, "first");
+  Report(owner, "vm-2", 9, "first");
+  EXPECT_EQ(owner.Limit(), 2U);
+  Settle(owner);
+  EXPECT_EQ(owner.Limit(), 9U);
+}
+
+TEST_F(LimitHandOverTest, ANewOwnerStartsColdWhenTheUpstreamRestarted)
+{
+  UpstreamOwner owner = MakeSuccessor();
+  Report(owner, "vm-1", 12, "before the restart");
+  Settle(owner);
+  EXPECT_EQ(owner.Limit(), 2U);
+}
+
+TEST_F(LimitHandOverTest, ANewOwnerStartsColdWhenVmsKnowDifferentIncarnations)
+{
+  UpstreamOwner owner = MakeSuccessor();
+  Report(owner, "vm-1", 12, "first");
+  Report(owner, "vm-2", 12, "second");
+  Settle(owner);
+  EXPECT_EQ(owner.Limit(), 2U);
+}
+
+TEST_F(LimitHandOverTest, ANewOwnerThatSeesTroubleStartsCold)
+{
+  UpstreamOwner owner = MakeSuccessor();
+  Report(owner, "vm-1", 12, "first");
+  owner.OnConnectionLost(mNow);
+  Settle(owner);
+  EXPECT_EQ(owner.Limit(), 2U);
+}
+
+TEST_F(LimitHandOverTest, AWalletTellsASuccessorOnceAndOnlyWhatIsRecent)
+{
+  CreditWallet wallet = CreditWallet::Create(0, 1, mNow, {});
+  CreditGrant grant;
+  grant.mEpoch = 1;
+  grant.mGrantSequence = 1;
+  grant.mAnswersReport = wallet.MakeReport(1, 1, mNow).mReportSequence;
+  grant.mLimit = { 12, 7 };
+  ASSERT_TRUE(wallet.OnGrant(grant, mNow));
+  EXPECT_EQ(wallet.MakeReport(1, 1, mNow).mKnownLimit, LimitStatement{});
+  CreditWallet late = wallet;
+  EXPECT_EQ(wallet.MakeReport(2, 1, mNow).mKnownLimit, grant.mLimit);
+  EXPECT_EQ(wallet.MakeReport(2, 1, mNow).mKnownLimit, LimitStatement{});
+  mNow += CreditTimes{}.mGrantValidity;
+  EXPECT_EQ(late.MakeReport(2, 1, mNow).mKnownLimit, LimitStatement{});
+}
+
 } // namespace
 } // namespace cactusgw
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -103,6 +103,8 @@
   , mProgress(aContext)
   , mModel(aModel)
   , mRandom(aModel.mSeed)
+  , mIncarnation(static_cast<std::uint64_t>(
+      std::chrono::system_clock::now().time_since_epoch().count()))
 {
   mProgress.expires_at(net::steady_timer::time_point::max());
 }
@@ -172,6 +174,7 @@
       continue;
     }
     ++sequence->mProduced;
+    ++mCounters.mProduced;
     if (sequence->mProduced >= sequence->mLength) {
       sequence->mEnded = true;
       ++mCounters.mCompleted;
@@ -544,6 +547,7 @@
                                { "preemptions", mCounters.mPreemptions },
                                { "overloads", mCounters.mOverloads },
                                { "peakRunning", mCounters.mPeakRunning },
+                               { "produced", mCounters.mProduced },
                                { "running", Running() },
                                { "limit", Limit() },
                                { "plainCalls", plain } };
--- a/tests/standins/engine_standin.hpp
+++ b/tests/standins/engine_standin.hpp
@@ -82,6 +82,7 @@
   /// Times the engine was given more than it bears.
   std::uint64_t mOverloads = 0;
   std::uint32_t mPeakRunning = 0;
+  std::uint64_t mProduced = 0;
 };
 
 class EngineStandin
@@ -146,7 +147,7 @@
   std::map<std::string, SequencePointer, std::less<>> mSequences;
   std::deque<LoadSample> mLoadSamples;
   std::mt19937_64 mRandom;
-  std::uint64_t mIncarnation = 1;
+  std::uint64_t mIncarnation;
   std::uint64_t mNextGeneration = 1;
   std::uint64_t mHighestFence = 0;
   std::string mOrderedState;
