--- a/src/cactusgw/programs/command_line.cpp
+++ b/src/cactusgw/programs/command_line.cpp
@@ -93,13 +93,13 @@
 std::optional<int>
 ParseCommandLine(const ProgramInfo& aProgram,
                  int aArgc,
-                 const char** aArgv,
+                 char** aArgv,
                  std::span<const OptionSpec> aOptions,
                  std::vector<std::string>& aRest)
 {
   const std::vector<poptOption> table = MakeTable(aOptions);
   const ContextPointer context{ poptGetContext(
-    aProgram.mName, aArgc, aArgv, table.data(), 0) };
+    aProgram.mName, aArgc, const_cast<const char**>(aArgv), table.data(), 0) };
   const std::string usage = "[OPTION...] " + std::string{ aProgram.mArguments };
   poptSetOtherOptionHelp(context.get(), usage.c_str());
   int value = poptGetNextOpt(context.get());
--- a/src/cactusgw/programs/command_line.hpp
+++ b/src/cactusgw/programs/command_line.hpp
@@ -44,7 +44,7 @@
 /// @return the exit code when the program should end at once
 std::optional<int> ParseCommandLine(const ProgramInfo& aProgram,
                                     int aArgc,
-                                    const char** aArgv,
+                                    char** aArgv,
                                     std::span<const OptionSpec> aOptions,
                                     std::vector<std::string>& aRest);
 
--- a/src/cactusgw/programs/ctl_main.cpp
+++ b/src/cactusgw/programs/ctl_main.cpp
@@ -143,11 +143,7 @@
   };
   std::vector<std::string> words;
   const std::optional<int> code =
-    ParseCommandLine({ "cactusgwctl", kCommands },
-                     aArgc,
-                     const_cast<const char**>(aArgv),
-                     specs,
-                     words);
+    ParseCommandLine({ "cactusgwctl", kCommands }, aArgc, aArgv, specs, words);
   if (code) {
     return *code;
   }
--- a/src/cactusgw/programs/daemon_main.hpp
+++ b/src/cactusgw/programs/daemon_main.hpp
@@ -43,8 +43,8 @@
                 &checkOnly }
   };
   std::vector<std::string> rest;
-  const std::optional<int> code = ParseCommandLine(
-    { aName }, aArgc, const_cast<const char**>(aArgv), options, rest);
+  const std::optional<int> code =
+    ParseCommandLine({ aName }, aArgc, aArgv, options, rest);
   if (code) {
     return *code;
   }
--- a/src/cactusgw/programs/load_main.cpp
+++ b/src/cactusgw/programs/load_main.cpp
@@ -39,6 +39,7 @@
   long mPromptBytes = 64;
   bool mPrint = false;
   bool mDirect = false;
+  bool mCheck = false;
 };
 
 LoadSettings
@@ -81,7 +82,7 @@
 main(int aArgc, char** aArgv)
 {
   Options options;
-  const std::array<OptionSpec, 13> specs{
+  const std::array<OptionSpec, 14> specs{
     OptionSpec{
       "targets", "entries, used in turn", "IP:PORT,...", &options.mTargets },
     OptionSpec{ "keys", "keys of workspaces", "KEY,...", &options.mKeys },
@@ -120,11 +121,17 @@
                 nullptr,
                 nullptr,
                 nullptr,
-                &options.mDirect }
+                &options.mDirect },
+    OptionSpec{ "check",
+                "check the options and exit",
+                nullptr,
+                nullptr,
+                nullptr,
+                &options.mCheck }
   };
   std::vector<std::string> rest;
-  const std::optional<int> code = ParseCommandLine(
-    { "cactusgw-load" }, aArgc, const_cast<const char**>(aArgv), specs, rest);
+  const std::optional<int> code =
+    ParseCommandLine({ "cactusgw-load" }, aArgc, aArgv, specs, rest);
   if (code) {
     return *code;
   }
@@ -138,6 +145,10 @@
     std::fprintf(stderr, "cactusgw-load: needs --targets, --keys, --model\n");
     return kExitUsage;
   }
+  if (options.mCheck) {
+    std::printf("cactusgw-load: ok\n");
+    return kExitOk;
+  }
   boost::asio::io_context context{ 1 };
   LoadRun run{ context, ToSettings(options, lengths.value()) };
   int exitCode = kExitFailure;
--- a/src/cactusgw/programs/timeline_main.cpp
+++ b/src/cactusgw/programs/timeline_main.cpp
@@ -60,11 +60,7 @@
   };
   std::vector<std::string> rest;
   const std::optional<int> code =
-    ParseCommandLine({ "cactusgw-timeline" },
-                     aArgc,
-                     const_cast<const char**>(aArgv),
-                     options,
-                     rest);
+    ParseCommandLine({ "cactusgw-timeline" }, aArgc, aArgv, options, rest);
   if (code) {
     return *code;
   }
--- a/tests/standins/engine_standin_main.cpp
+++ b/tests/standins/engine_standin_main.cpp
@@ -50,11 +50,7 @@
   };
   std::vector<std::string> rest;
   const std::optional<int> code =
-    ParseCommandLine({ "engine-standin" },
-                     aArgc,
-                     const_cast<const char**>(aArgv),
-                     options,
-                     rest);
+    ParseCommandLine({ "engine-standin" }, aArgc, aArgv, options, rest);
   if (code) {
     return *code;
   }
--- a/tests/standins/platform_standin_main.cpp
+++ b/tests/standins/platform_standin_main.cpp
@@ -15,11 +15,7 @@
     "listen", "address to listen on", "IP:PORT", &listen } };
   std::vector<std::string> rest;
   const std::optional<int> code =
-    ParseCommandLine({ "platform-standin" },
-                     aArgc,
-                     const_cast<const char**>(aArgv),
-                     options,
-                     rest);
+    ParseCommandLine({ "platform-standin" }, aArgc, aArgv, options, rest);
   if (code) {
     return *code;
   }
