--- a/src/cactusgw/agent/agent.cpp
+++ b/src/cactusgw/agent/agent.cpp
@@ -99,12 +99,7 @@
 Agent::OnTick()
 {
   const Instant now = SteadyNow();
-  const Instant promised = mState.mMembers.PromisedUntil([&] {
-    std::vector<std::string> group = mState.mLease.Group();
-    std::erase(group, mState.Vm());
-    return group;
-  }());
-  mState.mLease.ExtendUntil(promised);
+  ExtendLease();
   mEntry->SendDecisions(mState.mAdmission.OnTick(now));
   mPeers->SendReports(now);
   if (mState.MayActAsOwner(now)) {
@@ -115,6 +110,15 @@
   return !mState.mStopping;
 }
 
+void
+Agent::ExtendLease()
+{
+  // The holder needs no promise of its own.
+  std::vector<std::string> others = mState.mLease.Group();
+  std::erase(others, mState.Vm());
+  mState.mLease.ExtendUntil(mState.mMembers.PromisedUntil(others));
+}
+
 bool
 Agent::OnHeartbeatTime()
 {
--- a/src/cactusgw/agent/agent.hpp
+++ b/src/cactusgw/agent/agent.hpp
@@ -46,6 +46,8 @@
   Result<void> Listen();
   void StartLoops();
   bool OnTick();
+  /// Takes the promises of the other VMs into account.
+  void ExtendLease();
   bool OnHeartbeatTime();
   bool OnRelayTime();
   bool OnLoadTime();
--- a/tests/core/admission_control_test.cpp
+++ b/tests/core/admission_control_test.cpp
@@ -232,6 +232,21 @@
   EXPECT_EQ(mAdmission.InUse("u1"), 0U);
 }
 
+TEST_F(AdmissionControlTest, AsksTheOwnerAtOnceWhenARequestStartsToWait)
+{
+  const auto epochOf = [](std::string_view) { return 1U; };
+  mAdmission.DueReports(epochOf, mNow);
+  EXPECT_TRUE(mAdmission.DueReports(epochOf, mNow).empty());
+  Grant("big");
+  Grant("big");
+  mAdmission.Admit(Ask("big"), mNow);
+  const std::vector<OutgoingReport> reports =
+    mAdmission.DueReports(epochOf, mNow);
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].mUpstream, "u1");
+  EXPECT_GE(reports[0].mReport.mWanted, 1U);
+}
+
 TEST_F(AdmissionControlTest, SendsToAnotherDataCentreOnlyAsConfigured)
 {
   AdmissionAsk ask = Ask("big");
