--- a/src/cactusgw/config/object_reader.cpp
+++ b/src/cactusgw/config/object_reader.cpp
@@ -84,6 +84,27 @@
   return value == nullptr ? aDefault : IntegerAt(aName, *value, aRange);
 }
 
+double
+ObjectReader::NumberOr(std::string_view aName,
+                       NumberRange aRange,
+                       double aDefault)
+{
+  const json::value* value = Find(aName);
+  if (value == nullptr) {
+    return aDefault;
+  }
+  if (!value->is_number()) {
+    Fault(aName, "must be a number");
+    return aDefault;
+  }
+  const double n = value->to_number<double>();
+  if (n < aRange.mMin || n > aRange.mMax) {
+    Fault(aName, "is out of range");
+    return aDefault;
+  }
+  return n;
+}
+
 bool
 ObjectReader::BoolOr(std::string_view aName, bool aDefault)
 {
@@ -155,6 +176,18 @@
   reader.Finish();
 }
 
+std::vector<std::string>
+ObjectReader::Names() const
+{
+  std::vector<std::string> names;
+  if (mObject != nullptr) {
+    for (const json::key_value_pair& member : *mObject) {
+      names.emplace_back(member.key());
+    }
+  }
+  return names;
+}
+
 bool
 ObjectReader::Has(std::string_view aName) const
 {
--- a/src/cactusgw/config/object_reader.hpp
+++ b/src/cactusgw/config/object_reader.hpp
@@ -26,6 +26,12 @@
   std::int64_t mMax = 0;
 };
 
+struct NumberRange
+{
+  double mMin = 0;
+  double mMax = 0;
+};
+
 /// The file and the list that faults go to.
 struct FaultSink
 {
@@ -56,6 +62,8 @@
   std::int64_t IntegerOr(std::string_view aName,
                          IntegerRange aRange,
                          std::int64_t aDefault);
+  /// A number that may have a fraction.
+  double NumberOr(std::string_view aName, NumberRange aRange, double aDefault);
   bool BoolOr(std::string_view aName, bool aDefault);
   std::vector<std::string> StringsOr(std::string_view aName);
 
@@ -66,6 +74,8 @@
   using ObjectFunction = std::function<void(ObjectReader&)>;
   void ObjectOr(std::string_view aName, const ObjectFunction& aFunction);
 
+  /// The names of all members.
+  std::vector<std::string> Names() const;
   bool Has(std::string_view aName) const;
   /// Records a fault at a member of this object.
   void Fault(std::string_view aName, std::string aReason);
--- a/src/cactusgw/config/process_settings.cpp
+++ b/src/cactusgw/config/process_settings.cpp
@@ -46,16 +46,50 @@
 }
 
 LogSettings
-ReadLog(ObjectReader& aReader)
+ReadLog(ObjectReader& aReader, std::string_view aDefaultOutput = "stderr")
 {
   LogSettings settings;
+  settings.mOutput = aDefaultOutput;
   aReader.ObjectOr("log", [&](ObjectReader& aMember) {
     settings.mLevel = aMember.OneOf("level", kLogLevels, "info");
-    settings.mOutput = aMember.StringOr("output", "stderr");
+    settings.mOutput = aMember.StringOr("output", aDefaultOutput);
   });
   return settings;
 }
 
+/// An object whose members are data centres, each with its region.
+std::map<std::string, std::string, std::less<>>
+ReadRegions(ObjectReader& aReader)
+{
+  std::map<std::string, std::string, std::less<>> regions;
+  aReader.ObjectOr("regions", [&](ObjectReader& aMember) {
+    for (const std::string& dataCentre : aMember.Names()) {
+      regions[dataCentre] = aMember.String(dataCentre);
+    }
+  });
+  return regions;
+}
+
+GatewayBounds
+ReadGatewayBounds(ObjectReader& aReader)
+{
+  constexpr IntegerRange kFreshnessRange{ 0, 3'600'000 };
+  constexpr IntegerRange kCountRange{ 0, 1'000'000 };
+  constexpr NumberRange kRatioRange{ 0, 100 };
+  GatewayBounds bounds;
+  aReader.ObjectOr("bounds", [&](ObjectReader& aMember) {
+    bounds.mKeyFreshness =
+      Milliseconds{ aMember.IntegerOr("keyFreshnessMs", kFreshnessRange, 0) };
+    bounds.mRetryRatio = aMember.NumberOr("retryRatio", kRatioRange, 0.1);
+    bounds.mRetryExtra = static_cast<std::uint32_t>(
+      aMember.IntegerOr("retryExtra", kCountRange, 10));
+    bounds.mColdFactor = aMember.NumberOr("coldFactor", kRatioRange, 1);
+    bounds.mColdExtra = static_cast<std::uint32_t>(
+      aMember.IntegerOr("coldExtra", kCountRange, 0));
+  });
+  return bounds;
+}
+
 std::vector<std::string>
 ReadAddresses(ObjectReader& aReader, std::string_view aName)
 {
@@ -133,6 +167,29 @@
   });
 }
 
+SettingsResult<GatewaySettings>
+ReadGatewaySettings(std::string_view aText, std::string_view aFile)
+{
+  return ReadSettings<GatewaySettings>(aText, aFile, [](ObjectReader& aReader) {
+    GatewaySettings settings;
+    settings.mPlace = ReadPlace(aReader);
+    settings.mRegions = ReadRegions(aReader);
+    if (settings.mRegions.count(settings.mPlace.mDataCentre) == 0) {
+      aReader.Fault("regions", "does not hold this VM's data centre");
+    }
+    settings.mListen = aReader.Address("listen");
+    settings.mReadyListen = aReader.Address("readyListen");
+    settings.mMetricsListen = aReader.Address("metricsListen");
+    settings.mPeerListen = aReader.Address("peerListen");
+    settings.mPlatform = aReader.Address("platform");
+    settings.mBounds = ReadGatewayBounds(aReader);
+    settings.mLog = ReadLog(aReader, "stdout");
+    settings.mUnreadyTime = TimeOr(aReader, "unreadyMs", 3000);
+    settings.mStopTime = TimeOr(aReader, "stopMs", 8000);
+    return settings;
+  });
+}
+
 SettingsResult<AgentSettings>
 ReadAgentSettings(std::string_view aText, std::string_view aFile)
 {
--- a/src/cactusgw/config/process_settings.hpp
+++ b/src/cactusgw/config/process_settings.hpp
@@ -11,6 +11,9 @@
 #include <boost/outcome/basic_result.hpp>
 #include <boost/outcome/policy/terminate.hpp>
 
+#include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,7 +29,7 @@
 {
   /// One of "debug", "info", "warn", "error".
   std::string mLevel = "info";
-  /// "stderr" or the path of a file.
+  /// "stdout", "stderr" or the path of a file.
   std::string mOutput = "stderr";
 };
 
@@ -59,6 +62,41 @@
   Milliseconds mStopTime{ 0 };
 };
 
+/// Bounds that a gateway keeps together with all others.
+struct GatewayBounds
+{
+  /// Age of the configuration up to which keys are accepted; zero: any age.
+  Milliseconds mKeyFreshness{ 0 };
+  /// Repeats allowed per first send, and the repeats allowed beyond that in
+  /// one window, by all gateways together.
+  double mRetryRatio = 0;
+  std::uint32_t mRetryExtra = 0;
+  /// What a cold upstream bears beyond its declared rate: a factor and a
+  /// number of requests a second, for all gateways together.
+  double mColdFactor = 1;
+  std::uint32_t mColdExtra = 0;
+};
+
+struct GatewaySettings
+{
+  PlaceSettings mPlace;
+  /// Region of each data centre.
+  std::map<std::string, std::string, std::less<>> mRegions;
+  std::string mListen;
+  /// Where the balancer asks whether this VM is ready.
+  std::string mReadyListen;
+  std::string mMetricsListen;
+  /// Where the other gateways send what they know.
+  std::string mPeerListen;
+  std::string mPlatform;
+  GatewayBounds mBounds;
+  LogSettings mLog;
+  /// How long a stopping gateway still accepts, while it is unready.
+  Milliseconds mUnreadyTime{ 0 };
+  /// Longest time a graceful stop takes in all.
+  Milliseconds mStopTime{ 0 };
+};
+
 struct AgentSettings
 {
   PlaceSettings mPlace;
@@ -88,6 +126,9 @@
 SettingsResult<EntrySettings> ReadEntrySettings(std::string_view aText,
                                                 std::string_view aFile);
 
+SettingsResult<GatewaySettings> ReadGatewaySettings(std::string_view aText,
+                                                    std::string_view aFile);
+
 SettingsResult<AgentSettings> ReadAgentSettings(std::string_view aText,
                                                 std::string_view aFile);
 
--- a/src/cactusgw/core/verdict.cpp
+++ b/src/cactusgw/core/verdict.cpp
@@ -42,6 +42,8 @@
       return "key-mismatch";
     case FailureCode::StoreUnavailable:
       return "store-unavailable";
+    case FailureCode::HistoryGone:
+      return "history-gone";
     case FailureCode::Conflict:
       return "conflict";
     case FailureCode::UpstreamUnreachable:
--- a/src/cactusgw/core/verdict.hpp
+++ b/src/cactusgw/core/verdict.hpp
@@ -43,6 +43,8 @@
   KeyInProgress,
   KeyMismatch,
   StoreUnavailable,
+  /// The store no longer holds the changes that were asked for.
+  HistoryGone,
   Conflict,
   UpstreamUnreachable,
   UpstreamRefused,
--- /dev/null
+++ b/src/cactusgw/gateway/cold_gate.hpp
@@ -0,0 +1,42 @@
+#ifndef CACTUSGW_GATEWAY_COLD_GATE_HPP
+#define CACTUSGW_GATEWAY_COLD_GATE_HPP
+
+/// Bounds the requests a second that this gateway sends to a cold upstream.
+/// The upstream's bound is divided into fixed shares, so that it holds also
+/// while gateways can't hear each other.
+
+#include "cactusgw/core/verdict.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace cactusgw {
+
+/// Not thread-safe. Time is passed in.
+class ColdGate
+{
+public:
+  /// The bound holds in any second; sends a little apart may arrive together.
+  static constexpr Milliseconds kWindow{ 1250 };
+
+  static ColdGate Create() { return ColdGate{}; }
+
+  /// Whether one more request may go now.
+  bool Allows(std::string_view aUpstream,
+              std::uint32_t aShare,
+              Instant aNow) const;
+  void OnSent(std::string_view aUpstream, Instant aNow);
+  void Forget(std::string_view aUpstream);
+
+private:
+  ColdGate() = default;
+
+  std::map<std::string, std::deque<Instant>, std::less<>> mSent;
+};
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_GATEWAY_COLD_GATE_HPP
--- /dev/null
+++ b/src/cactusgw/gateway/event_splitter.cpp
@@ -0,0 +1,56 @@
+#include "cactusgw/gateway/event_splitter.hpp"
+
+#include <algorithm>
+
+namespace cactusgw {
+
+namespace {
+
+/// Behind the last blank line, or zero.
+std::size_t
+EndOfLastEvent(std::string_view aText)
+{
+  const std::size_t plain = aText.rfind("\n\n");
+  const std::size_t crlf = aText.rfind("\r\n\r\n");
+  const std::size_t afterPlain =
+    plain == std::string_view::npos ? 0 : plain + 2;
+  const std::size_t afterCrlf = crlf == std::string_view::npos ? 0 : crlf + 4;
+  return std::max(afterPlain, afterCrlf);
+}
+
+} // namespace
+
+std::string
+EventSplitter::Feed(std::string_view aBytes)
+{
+  mRest += aBytes;
+  const std::size_t end = EndOfLastEvent(mRest);
+  std::string whole = mRest.substr(0, end);
+  mRest.erase(0, end);
+  TakeIds(whole);
+  return whole;
+}
+
+void
+EventSplitter::TakeIds(std::string_view aEvents)
+{
+  constexpr std::string_view kField = "id:";
+  std::size_t at = 0;
+  while (at < aEvents.size()) {
+    const std::size_t end = std::min(aEvents.find('\n', at), aEvents.size());
+    std::string_view line = aEvents.substr(at, end - at);
+    at = end + 1;
+    if (line.substr(0, kField.size()) != kField) {
+      continue;
+    }
+    line.remove_prefix(kField.size());
+    const std::size_t first = line.find_first_not_of(' ');
+    const std::size_t last = line.find_last_not_of(" \r");
+    if (first != std::string_view::npos) {
+      mLastId = line.substr(first, last - first + 1);
+      ++mEvents;
+    }
+  }
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -0,0 +1,320 @@
+#include "cactusgw/gateway/gateway.hpp"
+
+#include "cactusgw/gateway/gateway_call.hpp"
+#include "cactusgw/net/operator_port.hpp"
+#include "cactusgw/programs/event_loop.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace cactusgw {
+
+namespace {
+
+/// How often time-bound conclusions are looked at again.
+constexpr Milliseconds kTickTime{ 100 };
+/// Records of upstreams lag: for this long after their data centre was taken
+/// back they count as cold. Covers a registration interval and its delay.
+constexpr Milliseconds kTakenBackTime{ 3000 };
+/// Kept from the stop time for the process's own end.
+constexpr Milliseconds kExitMargin{ 500 };
+
+Instant
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+Gateway::Gateway(boost::asio::io_context& aContext,
+                 GatewaySettings aSettings,
+                 HeaderNames aNames)
+  : mContext(aContext)
+  , mState(std::move(aSettings), std::move(aNames))
+{
+}
+
+Result<std::unique_ptr<Gateway>>
+Gateway::Start(boost::asio::io_context& aContext,
+               GatewaySettings aSettings,
+               HeaderNames aNames)
+{
+  std::unique_ptr<Gateway> gateway{ new Gateway{
+    aContext, std::move(aSettings), std::move(aNames) } };
+  const Result<void> listening = gateway->Listen();
+  if (!listening) {
+    return listening.error();
+  }
+  Gateway* const self = gateway.get();
+  RunEvery(
+    aContext, [] { return kTickTime; }, [self] { return self->Tick(); });
+  const GatewaySettings& settings = gateway->mState.mSettings;
+  gateway->mState.mLog.WriteAlways(
+    "started",
+    { { "vm", settings.mPlace.mVm },
+      { "dataCentre", settings.mPlace.mDataCentre },
+      { "listen", settings.mListen } });
+  return gateway;
+}
+
+Result<void>
+Gateway::Listen()
+{
+  const GatewaySettings& settings = mState.mSettings;
+  Result<std::unique_ptr<HttpServer>> server = HttpServer::Listen(
+    mContext,
+    settings.mListen,
+    [this] { return CallerBounds(); },
+    [this](HttpExchange& aExchange) { return ServeCaller(aExchange); });
+  if (!server) {
+    return server.error();
+  }
+  mServer = std::move(server.value());
+  const HttpHandler operators = [this](HttpExchange& aExchange) {
+    return ServeOperator(aExchange);
+  };
+  Result<std::unique_ptr<HttpServer>> ready = HttpServer::Listen(
+    mContext,
+    settings.mReadyListen,
+    [] { return HttpServerLimits{}; },
+    operators);
+  if (!ready) {
+    return ready.error();
+  }
+  mReadyServer = std::move(ready.value());
+  Result<std::unique_ptr<HttpServer>> metrics = HttpServer::Listen(
+    mContext,
+    settings.mMetricsListen,
+    [] { return HttpServerLimits{}; },
+    operators);
+  if (!metrics) {
+    return metrics.error();
+  }
+  mMetricsServer = std::move(metrics.value());
+  return boost::outcome_v2::success();
+}
+
+HttpServerLimits
+Gateway::CallerBounds() const
+{
+  HttpServerLimits limits;
+  if (mState.mTable) {
+    const CallerLimits& configured = mState.mTable->Config().mLimits;
+    limits.mMaxHeaderBytes = configured.mMaxHeaderBytes;
+    limits.mMaxBodyBytes = configured.mMaxBodyBytes;
+    limits.mReadHeaderTime = configured.mHeaderTime;
+    limits.mIdleTime = configured.mIdleTime;
+  }
+  return limits;
+}
+
+Task<void>
+Gateway::ServeCaller(HttpExchange& aExchange)
+{
+  GatewayCall call{ mState, aExchange };
+  co_await call.Run();
+}
+
+Task<void>
+Gateway::ServeOperator(HttpExchange& aExchange)
+{
+  OperatorPages pages;
+  pages.mReady = IsReady();
+  pages.mMetrics = [this] { return WriteMetrics(); };
+  pages.mEvents = [] { return std::string{}; };
+  pages.mStatus = [] { return std::string{ "{}" }; };
+  co_await ServeOperatorPage(aExchange, "", std::move(pages));
+}
+
+std::string
+Gateway::WriteMetrics()
+{
+  mState.mMetrics.mKnowledgeAge.Set(
+    std::chrono::duration<double>(mState.mFreshness.Age(BootNow())).count());
+  return mState.mMetrics.Write();
+}
+
+bool
+Gateway::IsReady() const
+{
+  return !mStopping && mState.mTable && mHasUpstreams && mHasDrained &&
+         mState.mFreshness.IsFresh(BootNow());
+}
+
+bool
+Gateway::Tick()
+{
+  const Instant now = Now();
+  for (const std::string& id : mState.mDirectory.DropLapsed(now)) {
+    OnDirectoryChange(DirectoryChange::Leaving, id);
+  }
+  mState.mPool.CloseExpired(now);
+  mState.mLine.WakeFirst();
+  return true;
+}
+
+void
+Gateway::OnConfig(GatewayConfig aConfig)
+{
+  const std::uint64_t known =
+    mState.mTable ? mState.mTable->Config().mVersion : 0;
+  if (mState.mTable && aConfig.mVersion <= known) {
+    return;
+  }
+  mState.mLog.Write(
+    "config-applied",
+    { { "version", static_cast<std::int64_t>(aConfig.mVersion) },
+      { "before", static_cast<std::int64_t>(known) },
+      { "routes", static_cast<std::int64_t>(aConfig.mRoutes.size()) } },
+    Now());
+  mState.mMetrics.mConfigVersion.Set(static_cast<double>(aConfig.mVersion));
+  mState.mTable = std::make_shared<const RoutingTable>(
+    RoutingTable::Create(std::move(aConfig)));
+  mState.mLine.WakeFirst();
+}
+
+void
+Gateway::OnConfigConfirmed(BootTime aAsOf)
+{
+  mState.mFreshness.OnConfirmed(aAsOf);
+}
+
+void
+Gateway::OnDirectoryChange(DirectoryChange aChange, const std::string& aId)
+{
+  switch (aChange) {
+    case DirectoryChange::Added:
+      mState.Forget(aId);
+      mState.mLog.Write("upstream-added", { { "upstream", aId } }, Now());
+      mState.mLine.WakeFirst();
+      break;
+    case DirectoryChange::Leaving:
+      mState.mPool.Forget(aId);
+      mState.mLog.Write("upstream-leaving", { { "upstream", aId } }, Now());
+      break;
+    case DirectoryChange::None:
+    case DirectoryChange::Updated:
+      break;
+  }
+}
+
+void
+Gateway::OnUpstreams(std::vector<UpstreamRecord> aRecords)
+{
+  const Instant now = Now();
+  mHasUpstreams = true;
+  std::set<std::string> ids;
+  for (UpstreamRecord& record : aRecords) {
+    const std::string id = record.mId;
+    ids.insert(id);
+    OnDirectoryChange(mState.mDirectory.Put(std::move(record), now), id);
+  }
+  for (const std::string& id : mState.mDirectory.RetainOnly(ids, now)) {
+    OnDirectoryChange(DirectoryChange::Leaving, id);
+  }
+}
+
+void
+Gateway::OnUpstreamChanges(std::vector<Change<UpstreamRecord>> aChanges)
+{
+  const Instant now = Now();
+  for (Change<UpstreamRecord>& change : aChanges) {
+    const DirectoryChange effect =
+      change.mValue ? mState.mDirectory.Put(std::move(*change.mValue), now)
+                    : mState.mDirectory.Remove(change.mName, now);
+    OnDirectoryChange(effect, change.mName);
+  }
+}
+
+void
+Gateway::OnDrained(std::set<std::string> aDataCentres)
+{
+  mHasDrained = true;
+  for (const std::string& dataCentre : mDrained) {
+    if (aDataCentres.count(dataCentre) == 0) {
+      OnTakenBack(dataCentre);
+    }
+  }
+  mDrained = std::move(aDataCentres);
+  mState.mDirectory.SetDrained(mDrained);
+  mState.mLine.WakeFirst();
+}
+
+void
+Gateway::OnDrainedChange(const std::string& aDataCentre, bool aIsDrained)
+{
+  std::set<std::string> drained = mDrained;
+  if (aIsDrained) {
+    drained.insert(aDataCentre);
+    mState.mLog.Write(
+      "data-centre-drained", { { "dataCentre", aDataCentre } }, Now());
+  } else {
+    drained.erase(aDataCentre);
+  }
+  OnDrained(std::move(drained));
+}
+
+void
+Gateway::OnTakenBack(const std::string& aDataCentre)
+{
+  const Instant now = Now();
+  mState.mTakenBackUntil[aDataCentre] = now + kTakenBackTime;
+  mState.mLog.Write(
+    "data-centre-taken-back", { { "dataCentre", aDataCentre } }, now);
+}
+
+void
+Gateway::OnStoreLost(std::string_view aWhat, const Failure& aFailure)
+{
+  mState.mLog.WriteAlways("store-lost",
+                          { { "collection", aWhat },
+                            { "reason", ToString(aFailure.mCode) },
+                            { "detail", aFailure.mDetail } });
+}
+
+void
+Gateway::OnStoreBack(std::string_view aWhat)
+{
+  mState.mDirectory.OnStoreBack(Now());
+  mState.mLog.WriteAlways("store-back", { { "collection", aWhat } });
+}
+
+void
+Gateway::Stop(std::function<void()> aOnStopped)
+{
+  mStopping = true;
+  mState.mLog.WriteAlways(
+    "stopping",
+    { { "openRequests",
+        static_cast<std::int64_t>(mServer->OpenExchanges()) } });
+  net::co_spawn(
+    mContext, FinishInProgress(std::move(aOnStopped)), net::detached);
+}
+
+Task<void>
+Gateway::FinishInProgress(std::function<void()> aOnStopped)
+{
+  constexpr Milliseconds kPause{ 20 };
+  const Instant begun = Now();
+  const Instant deadline = begun + mState.mSettings.mStopTime - kExitMargin;
+  net::steady_timer timer{ mContext };
+  mServer->Drain();
+  timer.expires_after(mState.mSettings.mUnreadyTime);
+  co_await timer.async_wait(net::use_awaitable);
+  mServer->StopAccepting();
+  while (mServer->OpenExchanges() > 0 && Now() < deadline) {
+    timer.expires_after(kPause);
+    co_await timer.async_wait(net::use_awaitable);
+  }
+  mState.mLog.WriteAlways(
+    "stopped",
+    { { "cutRequests", static_cast<std::int64_t>(mServer->OpenExchanges()) } });
+  aOnStopped();
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -0,0 +1,75 @@
+#ifndef CACTUSGW_GATEWAY_GATEWAY_HPP
+#define CACTUSGW_GATEWAY_GATEWAY_HPP
+
+/// The gateway of a VM: carries callers' requests to upstreams that register
+/// themselves in the platform's store.
+
+#include "cactusgw/gateway/gateway_state.hpp"
+#include "cactusgw/interfaces/registry_source.hpp"
+#include "cactusgw/net/http_server.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cactusgw {
+
+/// Not thread-safe; lives on one io_context.
+class Gateway
+{
+public:
+  /// Starts to listen. Errors: InvalidInput.
+  static Result<std::unique_ptr<Gateway>> Start(
+    boost::asio::io_context& aContext,
+    GatewaySettings aSettings,
+    HeaderNames aNames);
+
+  /// Turns unready at once, goes on accepting until the balancer has noticed,
+  /// finishes what is in progress, and then calls the function.
+  void Stop(std::function<void()> aOnStopped);
+
+  // What the store says, as RegistryFollower reports it.
+  void OnConfig(GatewayConfig aConfig);
+  void OnConfigConfirmed(BootTime aAsOf);
+  void OnUpstreams(std::vector<UpstreamRecord> aRecords);
+  void OnUpstreamChanges(std::vector<Change<UpstreamRecord>> aChanges);
+  void OnDrained(std::set<std::string> aDataCentres);
+  void OnDrainedChange(const std::string& aDataCentre, bool aIsDrained);
+  void OnStoreLost(std::string_view aWhat, const Failure& aFailure);
+  void OnStoreBack(std::string_view aWhat);
+
+  GatewayState& State() { return mState; }
+
+private:
+  Gateway(boost::asio::io_context& aContext,
+          GatewaySettings aSettings,
+          HeaderNames aNames);
+  Result<void> Listen();
+  HttpServerLimits CallerBounds() const;
+  Task<void> ServeCaller(HttpExchange& aExchange);
+  Task<void> ServeOperator(HttpExchange& aExchange);
+  Task<void> FinishInProgress(std::function<void()> aOnStopped);
+  bool Tick();
+  void OnDirectoryChange(DirectoryChange aChange, const std::string& aId);
+  void OnTakenBack(const std::string& aDataCentre);
+  bool IsReady() const;
+  std::string WriteMetrics();
+
+  boost::asio::io_context& mContext;
+  GatewayState mState;
+  std::unique_ptr<HttpServer> mServer;
+  std::unique_ptr<HttpServer> mReadyServer;
+  std::unique_ptr<HttpServer> mMetricsServer;
+  std::set<std::string> mDrained;
+  bool mHasUpstreams = false;
+  bool mHasDrained = false;
+  bool mStopping = false;
+};
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_GATEWAY_GATEWAY_HPP
--- /dev/null
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -0,0 +1,99 @@
+#ifndef CACTUSGW_GATEWAY_GATEWAY_CALL_HPP
+#define CACTUSGW_GATEWAY_GATEWAY_CALL_HPP
+
+/// One caller's request, from its reception to its final answer.
+
+#include "cactusgw/gateway/event_splitter.hpp"
+#include "cactusgw/gateway/gateway_state.hpp"
+#include "cactusgw/net/http_server.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusgw {
+
+/// Not thread-safe; lives as long as its exchange.
+class GatewayCall
+{
+public:
+  GatewayCall(GatewayState& aState, HttpExchange& aExchange);
+  ~GatewayCall();
+  GatewayCall(const GatewayCall&) = delete;
+  GatewayCall& operator=(const GatewayCall&) = delete;
+
+  /// Answers the caller, or closes the connection when the answer can't be
+  /// whole any more.
+  Task<void> Run();
+
+private:
+  /// Finds route, workspace and times. Errors: NotRun.
+  Result<void> Admit();
+  Result<void> AdmitKey();
+  void ReadNeed();
+  void ChooseService();
+  Task<void> Forward();
+  /// The id of an upstream that has room, after waiting for one if need be.
+  Task<Result<std::string>> Choose();
+  Task<Result<std::string>> WaitForUpstream();
+  const Candidate* FindRoom(std::vector<Candidate>& aCandidates) const;
+
+  /// Sends the request to one upstream and passes the answer on. Success means
+  /// that the caller has its final answer.
+  Task<Result<void>> SendTo(const std::string& aUpstream);
+  Task<Result<void>> Connect(const UpstreamRecord& aUpstream);
+  HttpRequest MakeRequest(const UpstreamRecord& aUpstream) const;
+  Task<Result<void>> ReadAnswerHeader(HttpRequest aRequest, Instant aUntil);
+  Result<void> CheckAnswer() const;
+  Task<Result<void>> PassOn(Instant aUntil);
+  Task<Result<void>> PassWhole(Instant aUntil);
+  Task<Result<void>> PassStream(Instant aUntil);
+  Task<Result<void>> PassEvents(const std::string& aEvents);
+  Task<Result<void>> PassPieces(std::string aBegin, Instant aUntil);
+  Task<Result<void>> Deliver(std::string aBody);
+  void OnCompleted();
+
+  void OnSendFailed(const Failure& aFailure);
+  bool MayTryAgain(const Failure& aFailure);
+  Instant AttemptEnd(Instant aNow) const;
+  Task<void> Refuse(const Failure& aFailure);
+  void OnCallerLeft();
+  Milliseconds Elapsed() const;
+
+  GatewayState& mState;
+  HttpExchange& mExchange;
+  Instant mStart;
+  /// When the caller must have its final answer.
+  Instant mEnd;
+  /// When the caller stops waiting.
+  Instant mCallerEnd;
+  std::string mRequestId;
+  /// Keeps the version that the call began with.
+  std::shared_ptr<const RoutingTable> mTable;
+  const GatewayRoute* mRoute = nullptr;
+  const Workspace* mWorkspace = nullptr;
+  const GatewayService* mService = nullptr;
+  std::vector<std::string> mRegions;
+  std::uint32_t mRank = 0;
+  TokenNeed mNeed;
+  HttpRequest mForwarded;
+
+  std::vector<std::string> mTried;
+  /// Sends that may have run.
+  std::uint32_t mRuns = 0;
+  std::uint32_t mSends = 0;
+  bool mMayHaveRun = false;
+  std::string mUpstream;
+  std::unique_ptr<HttpConnection> mConnection;
+  WaitingLine::Place* mPlace = nullptr;
+  bool mCallerLeft = false;
+  /// Of the last event that was passed on.
+  std::string mLastEventId;
+  Instant mLastEventAt;
+};
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_GATEWAY_GATEWAY_CALL_HPP
--- /dev/null
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -0,0 +1,134 @@
+#include "cactusgw/gateway/gateway_state.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusgw {
+
+namespace {
+
+/// Part of a shared bound that is used, so that small differences in what the
+/// two sides count never break it.
+constexpr double kUsedPart = 0.8;
+/// Part of the bound on the age of keys up to which they are accepted. The
+/// rest covers the time between the check and the send.
+constexpr double kFreshnessPart = 0.9;
+
+bool
+Holds(std::span<const std::string> aTexts, std::string_view aText)
+{
+  return std::find(aTexts.begin(), aTexts.end(), aText) != aTexts.end();
+}
+
+} // namespace
+
+GatewayState::GatewayState(GatewaySettings aSettings, HeaderNames aNames)
+  : mSettings(std::move(aSettings))
+  , mNames(std::move(aNames))
+  , mDirectory(UpstreamDirectory::Create())
+  , mLoads(LoadTable::Create())
+  , mHealth(UpstreamHealth::Create())
+  , mColdGate(ColdGate::Create())
+  , mPool(UpstreamPool::Create())
+  , mLine(WaitingLine::Create())
+  , mFreshness(StoreFreshness::Create(std::chrono::duration_cast<Milliseconds>(
+      mSettings.mBounds.mKeyFreshness * kFreshnessPart)))
+  , mLog("gateway")
+{
+}
+
+Distance
+GatewayState::DistanceTo(const std::string& aDataCentre) const
+{
+  if (aDataCentre == mSettings.mPlace.mDataCentre) {
+    return Distance::SameDataCentre;
+  }
+  const auto there = mSettings.mRegions.find(aDataCentre);
+  const auto here = mSettings.mRegions.find(mSettings.mPlace.mDataCentre);
+  const bool same = there != mSettings.mRegions.end() &&
+                    here != mSettings.mRegions.end() &&
+                    there->second == here->second;
+  return same ? Distance::SameRegion : Distance::OtherRegion;
+}
+
+bool
+GatewayState::IsCold(const KnownUpstream& aUpstream, Instant aNow) const
+{
+  const auto back = mTakenBackUntil.find(aUpstream.mRecord.mDataCentre);
+  const bool takenBack = back != mTakenBackUntil.end() && aNow < back->second;
+  return takenBack || aNow < aUpstream.mColdUntil;
+}
+
+std::uint32_t
+GatewayState::ColdShare(const GatewayService& aService) const
+{
+  const GatewayBounds& bounds = mSettings.mBounds;
+  const double all = aService.mColdPerSecond * bounds.mColdFactor +
+                     static_cast<double>(bounds.mColdExtra);
+  const double share = kUsedPart * all / static_cast<double>(mGateways);
+  return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(share));
+}
+
+std::vector<Candidate>
+GatewayState::Candidates(const GatewayService& aService,
+                         std::span<const std::string> aRegions,
+                         std::span<const std::string> aExcluded,
+                         Instant aNow) const
+{
+  std::vector<Candidate> candidates;
+  for (const KnownUpstream* const known : mDirectory.Serving(aService.mName)) {
+    const UpstreamRecord& record = known->mRecord;
+    const auto region = mSettings.mRegions.find(record.mDataCentre);
+    const bool isAllowed =
+      aRegions.empty() ||
+      (region != mSettings.mRegions.end() && Holds(aRegions, region->second));
+    const bool isLimited =
+      aService.mColdPerSecond > 0 && IsCold(*known, aNow) &&
+      !mColdGate.Allows(record.mId, ColdShare(aService), aNow);
+    if (isAllowed && !isLimited && !Holds(aExcluded, record.mId)) {
+      candidates.push_back({ known,
+                             mLoads.Total(record.mId, aNow),
+                             DistanceTo(record.mDataCentre),
+                             mHealth.Badness(record.mId, aNow) });
+    }
+  }
+  return candidates;
+}
+
+RetryBudget&
+GatewayState::RetriesTo(const std::string& aService)
+{
+  const auto it = mRetryBudgets.find(aService);
+  if (it != mRetryBudgets.end()) {
+    return it->second;
+  }
+  constexpr double kHundred = 100.0;
+  const GatewayBounds& bounds = mSettings.mBounds;
+  const double percent = kUsedPart * bounds.mRetryRatio * kHundred;
+  const double burst =
+    kUsedPart * bounds.mRetryExtra / static_cast<double>(mGateways);
+  return mRetryBudgets
+    .emplace(aService,
+             RetryBudget::Create(static_cast<std::uint32_t>(percent),
+                                 static_cast<std::uint32_t>(burst)))
+    .first->second;
+}
+
+void
+GatewayState::OnSent(const KnownUpstream& aUpstream, Instant aNow)
+{
+  mMetrics.mSends.Add();
+  if (IsCold(aUpstream, aNow)) {
+    mColdGate.OnSent(aUpstream.mRecord.mId, aNow);
+  }
+}
+
+void
+GatewayState::Forget(const std::string& aUpstream)
+{
+  mHealth.Forget(aUpstream);
+  mColdGate.Forget(aUpstream);
+  mPool.Forget(aUpstream);
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/gateway/message_headers.cpp
@@ -0,0 +1,143 @@
+#include "cactusgw/gateway/message_headers.hpp"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string>
+#include <vector>
+
+namespace cactusgw {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> kConnectionHeaders{
+  "Connection",
+  "Keep-Alive",
+  "Proxy-Connection",
+  "Proxy-Authenticate",
+  "Proxy-Authorization",
+  "TE",
+  "Trailer",
+  "Transfer-Encoding",
+  "Upgrade"
+};
+
+beast::string_view
+View(std::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+/// Headers that concern only the connection they came on.
+std::vector<std::string>
+ConnectionHeaders(const http::fields& aFields)
+{
+  std::vector<std::string> names{ kConnectionHeaders.begin(),
+                                  kConnectionHeaders.end() };
+  const auto range = aFields.equal_range(http::field::connection);
+  for (auto it = range.first; it != range.second; ++it) {
+    for (const beast::string_view token : http::token_list{ it->value() }) {
+      names.emplace_back(token);
+    }
+  }
+  return names;
+}
+
+bool
+IsOneOf(beast::string_view aName, const std::vector<std::string>& aNames)
+{
+  return std::any_of(
+    aNames.begin(), aNames.end(), [&](const std::string& aOther) {
+      return beast::iequals(aName, aOther);
+    });
+}
+
+} // namespace
+
+HttpRequest
+ForwardedRequest(const HttpRequest& aRequest, const HeaderNames& aNames)
+{
+  const std::vector<std::string> dropped = ConnectionHeaders(aRequest);
+  HttpRequest forwarded;
+  forwarded.version(11);
+  forwarded.method_string(aRequest.method_string());
+  forwarded.target(aRequest.target());
+  for (const http::fields::value_type& field : aRequest) {
+    const beast::string_view name = field.name_string();
+    const bool passes = !IsOneOf(name, dropped) &&
+                        !IsOneOf(name, aNames.mReserved) &&
+                        field.name() != http::field::authorization &&
+                        field.name() != http::field::content_length &&
+                        field.name() != http::field::expect;
+    if (passes) {
+      forwarded.insert(name, field.value());
+    }
+  }
+  forwarded.body() = aRequest.body();
+  const bool hadBody = aRequest.has_content_length() || aRequest.chunked();
+  if (hadBody) {
+    forwarded.content_length(forwarded.body().size());
+  }
+  return forwarded;
+}
+
+HttpResponse
+ForwardedHeader(unsigned aStatus, const http::fields& aFields)
+{
+  const std::vector<std::string> dropped = ConnectionHeaders(aFields);
+  HttpResponse forwarded;
+  forwarded.result(aStatus);
+  for (const http::fields::value_type& field : aFields) {
+    if (!IsOneOf(field.name_string(), dropped) &&
+        field.name() != http::field::content_length) {
+      forwarded.insert(field.name_string(), field.value());
+    }
+  }
+  return forwarded;
+}
+
+std::string_view
+BearerKey(std::string_view aAuthorization)
+{
+  constexpr std::string_view kScheme = "Bearer ";
+  const std::string_view scheme = aAuthorization.substr(0, kScheme.size());
+  if (!beast::iequals(View(scheme), View(kScheme))) {
+    return {};
+  }
+  return aAuthorization.substr(kScheme.size());
+}
+
+std::optional<std::uint64_t>
+ParseNumber(std::string_view aText)
+{
+  std::uint64_t number = 0;
+  const char* const end = aText.data() + aText.size();
+  const std::from_chars_result read =
+    std::from_chars(aText.data(), end, number);
+  if (read.ec != std::errc{} || read.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::optional<TokenCounts>
+ParseTokenCounts(std::string_view aText)
+{
+  const std::size_t comma = aText.find(',');
+  if (comma == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::optional<std::uint64_t> prompt =
+    ParseNumber(aText.substr(0, comma));
+  const std::optional<std::uint64_t> output =
+    ParseNumber(aText.substr(comma + 1));
+  if (!prompt || !output) {
+    return std::nullopt;
+  }
+  return TokenCounts{ *prompt, *output };
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/gateway/routing_table.cpp
@@ -0,0 +1,79 @@
+#include "cactusgw/gateway/routing_table.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace cactusgw {
+
+namespace {
+
+/// The host without its port, in lower case.
+std::string
+HostName(std::string_view aHost)
+{
+  std::string name{ aHost.substr(0, aHost.find(':')) };
+  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return name;
+}
+
+} // namespace
+
+RoutingTable
+RoutingTable::Create(GatewayConfig aConfig)
+{
+  return RoutingTable{ std::move(aConfig) };
+}
+
+RoutingTable::RoutingTable(GatewayConfig aConfig)
+  : mConfig(std::move(aConfig))
+{
+  for (const GatewayRoute& route : mConfig.mRoutes) {
+    mRoutes.emplace(HostName(route.mHost) + route.mPathPrefix, &route);
+  }
+  for (const GatewayService& service : mConfig.mServices) {
+    mServices.emplace(service.mName, &service);
+  }
+  for (const Workspace& workspace : mConfig.mWorkspaces) {
+    for (const std::string& key : workspace.mKeys) {
+      mKeys.emplace(key, &workspace);
+    }
+  }
+}
+
+const GatewayRoute*
+RoutingTable::FindRoute(std::string_view aHost, std::string_view aPath) const
+{
+  std::string key = HostName(aHost);
+  const std::size_t hostLength = key.size();
+  key += aPath;
+  // Each prefix ends with a slash: try them from the longest to the shortest.
+  std::size_t slash = key.rfind('/');
+  while (slash != std::string::npos && slash >= hostLength) {
+    key.resize(slash + 1);
+    const auto it = mRoutes.find(key);
+    if (it != mRoutes.end()) {
+      return it->second;
+    }
+    slash = slash == 0 ? std::string::npos : key.rfind('/', slash - 1);
+  }
+  return nullptr;
+}
+
+const GatewayService*
+RoutingTable::FindService(std::string_view aName) const
+{
+  const auto it = mServices.find(std::string{ aName });
+  return it == mServices.end() ? nullptr : it->second;
+}
+
+const Workspace*
+RoutingTable::FindWorkspace(std::string_view aKey) const
+{
+  const auto it = mKeys.find(std::string{ aKey });
+  return it == mKeys.end() ? nullptr : it->second;
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/gateway/store_freshness.cpp
@@ -0,0 +1,36 @@
+#include "cactusgw/gateway/store_freshness.hpp"
+
+#include <algorithm>
+#include <ctime>
+
+namespace cactusgw {
+
+BootTime
+BootNow()
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::seconds{ now.tv_sec } +
+         std::chrono::nanoseconds{ now.tv_nsec };
+}
+
+void
+StoreFreshness::OnConfirmed(BootTime aAsOf)
+{
+  mAsOf = mIsKnown ? std::max(mAsOf, aAsOf) : aAsOf;
+  mIsKnown = true;
+}
+
+bool
+StoreFreshness::IsFresh(BootTime aNow) const
+{
+  return mIsKnown && (mLimit == Milliseconds::zero() || aNow - mAsOf < mLimit);
+}
+
+Milliseconds
+StoreFreshness::Age(BootTime aNow) const
+{
+  return std::chrono::duration_cast<Milliseconds>(aNow - mAsOf);
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/gateway/upstream_choice.cpp
@@ -0,0 +1,102 @@
+#include "cactusgw/gateway/upstream_choice.hpp"
+
+#include <algorithm>
+
+namespace cactusgw {
+
+namespace {
+
+/// Part of an engine's memory that is given out. The rest covers outputs that
+/// grow beyond their estimate and requests of others not heard of yet.
+constexpr double kUsableMemory = 0.9;
+/// Requests per slot that a plain service may hold, as waiting there is short.
+constexpr std::uint32_t kPlainRequestsPerSlot = 2;
+
+/// Weights of the score; one is a whole upstream's load.
+constexpr double kPromptWeight = 1.0;
+constexpr double kBadnessWeight = 1.0;
+constexpr double kSameRegionWeight = 0.05;
+constexpr double kOtherRegionWeight = 0.3;
+
+double
+DistanceWeight(Distance aDistance)
+{
+  switch (aDistance) {
+    case Distance::SameDataCentre:
+      return 0;
+    case Distance::SameRegion:
+      return kSameRegionWeight;
+    case Distance::OtherRegion:
+      return kOtherRegionWeight;
+  }
+  return kOtherRegionWeight;
+}
+
+std::uint32_t
+SlotsOf(const Candidate& aCandidate, const GatewayService& aService)
+{
+  const std::uint32_t declared =
+    aService.mEngine ? aService.mEngine->mSlots : 0;
+  const std::uint32_t own = aCandidate.mUpstream->mRecord.mSlots;
+  return std::max<std::uint32_t>(1, own != 0 ? own : declared);
+}
+
+double
+Score(const Candidate& aCandidate,
+      const GatewayService& aService,
+      const TokenNeed& aNeed)
+{
+  const double slots = SlotsOf(aCandidate, aService);
+  double load = (aCandidate.mUse.mRequests + 1) / slots;
+  if (aService.mEngine && aService.mEngine->mMemoryTokens > 0) {
+    const double memory = static_cast<double>(aService.mEngine->mMemoryTokens);
+    const double tokens =
+      static_cast<double>(aCandidate.mUse.mTokens + aNeed.mTotal) / memory;
+    const double prompts =
+      static_cast<double>(aCandidate.mUse.mPromptTokens) / memory;
+    load = std::max(load, tokens) + kPromptWeight * prompts;
+  }
+  return load + DistanceWeight(aCandidate.mDistance) +
+         kBadnessWeight * aCandidate.mBadness;
+}
+
+} // namespace
+
+bool
+Fits(const Candidate& aCandidate,
+     const GatewayService& aService,
+     const TokenNeed& aNeed)
+{
+  const std::uint32_t slots = SlotsOf(aCandidate, aService);
+  if (!aService.mEngine) {
+    return aCandidate.mUse.mRequests < slots * kPlainRequestsPerSlot;
+  }
+  const double usable =
+    kUsableMemory * static_cast<double>(aService.mEngine->mMemoryTokens);
+  const bool isEmpty = aCandidate.mUse.mRequests == 0;
+  const double wanted =
+    static_cast<double>(aCandidate.mUse.mTokens + aNeed.mTotal);
+  return aCandidate.mUse.mRequests < slots && (isEmpty || wanted <= usable);
+}
+
+const Candidate*
+ChooseUpstream(std::span<const Candidate> aCandidates,
+               const GatewayService& aService,
+               const TokenNeed& aNeed)
+{
+  const Candidate* best = nullptr;
+  double bestScore = 0;
+  for (const Candidate& candidate : aCandidates) {
+    if (!Fits(candidate, aService, aNeed)) {
+      continue;
+    }
+    const double score = Score(candidate, aService, aNeed);
+    if (best == nullptr || score < bestScore) {
+      best = &candidate;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/gateway/upstream_directory.hpp
@@ -0,0 +1,104 @@
+#ifndef CACTUSGW_GATEWAY_UPSTREAM_DIRECTORY_HPP
+#define CACTUSGW_GATEWAY_UPSTREAM_DIRECTORY_HPP
+
+/// The upstreams that exist, as registered by themselves, and the data centres
+/// that operators have taken out.
+
+#include "cactusgw/core/verdict.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusgw {
+
+/// What an upstream registered about itself.
+struct UpstreamRecord
+{
+  std::string mId;
+  std::string mService;
+  /// `IP:port`.
+  std::string mAddress;
+  std::string mDataCentre;
+  /// Unix time of its start; tells two starts under one id apart.
+  std::int64_t mStartedMs = 0;
+  /// Requests that it works on at once.
+  std::uint32_t mSlots = 0;
+  bool mIsLeaving = false;
+  /// How long it stays cold, counted from when the record was written.
+  Milliseconds mColdTime{ 0 };
+};
+
+/// A record and what this process concluded from it.
+struct KnownUpstream
+{
+  UpstreamRecord mRecord;
+  Instant mColdUntil;
+  /// Set while the registration is missing and may only have lapsed.
+  bool mIsMissing = false;
+  Instant mMissingSince;
+};
+
+/// What a change to the directory calls for.
+enum class DirectoryChange
+{
+  None,
+  Added,
+  /// It leaves, or is gone: its generations should go elsewhere.
+  Leaving,
+  Updated,
+};
+
+/// Not thread-safe. Time is passed in.
+class UpstreamDirectory
+{
+public:
+  /// Longest time that a registration may stay missing after the store came
+  /// back before the upstream counts as gone: the platform re-registers live
+  /// upstreams within about two seconds.
+  static constexpr Milliseconds kLapseTime{ 2000 };
+
+  static UpstreamDirectory Create() { return UpstreamDirectory{}; }
+
+  /// Takes a registration that was added or has changed.
+  DirectoryChange Put(UpstreamRecord aRecord, Instant aNow);
+  /// Takes the end of a registration.
+  DirectoryChange Remove(std::string_view aId, Instant aNow);
+  /// Ends all registrations that a full list did not hold.
+  std::vector<std::string> RetainOnly(const std::set<std::string>& aIds,
+                                      Instant aNow);
+
+  /// The store answers again after an outage: what is missing may have lapsed.
+  void OnStoreBack(Instant aNow) { mLapsesUntil = aNow + kLapseTime; }
+  /// Forgets what has been missing for too long. Returns the ids.
+  std::vector<std::string> DropLapsed(Instant aNow);
+
+  void SetDrained(std::set<std::string> aDataCentres)
+  {
+    mDrained = std::move(aDataCentres);
+  }
+  void SetDrained(const std::string& aDataCentre, bool aIsDrained);
+  bool IsDrained(const std::string& aDataCentre) const
+  {
+    return mDrained.count(aDataCentre) != 0;
+  }
+
+  const KnownUpstream* Find(std::string_view aId) const;
+  /// All that may get new work, of one service.
+  std::vector<const KnownUpstream*> Serving(std::string_view aService) const;
+  std::size_t Size() const { return mUpstreams.size(); }
+
+private:
+  UpstreamDirectory() = default;
+
+  std::map<std::string, KnownUpstream, std::less<>> mUpstreams;
+  std::set<std::string> mDrained;
+  Instant mLapsesUntil;
+};
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_GATEWAY_UPSTREAM_DIRECTORY_HPP
--- /dev/null
+++ b/src/cactusgw/gateway/upstream_health.cpp
@@ -0,0 +1,55 @@
+#include "cactusgw/gateway/upstream_health.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cactusgw {
+
+namespace {
+
+/// A success outweighs this part of what was held against the upstream.
+constexpr double kKeptAfterSuccess = 0.7;
+
+} // namespace
+
+void
+UpstreamHealth::OnFailure(std::string_view aUpstream,
+                          double aWeight,
+                          Instant aNow)
+{
+  const double badness = Badness(aUpstream, aNow) + aWeight;
+  mRecords[std::string{ aUpstream }] =
+    Record{ std::min(badness, kMaxBadness), aNow };
+}
+
+void
+UpstreamHealth::OnSuccess(std::string_view aUpstream, Instant aNow)
+{
+  const auto it = mRecords.find(aUpstream);
+  if (it != mRecords.end()) {
+    it->second = Record{ Badness(aUpstream, aNow) * kKeptAfterSuccess, aNow };
+  }
+}
+
+void
+UpstreamHealth::Forget(std::string_view aUpstream)
+{
+  const auto it = mRecords.find(aUpstream);
+  if (it != mRecords.end()) {
+    mRecords.erase(it);
+  }
+}
+
+double
+UpstreamHealth::Badness(std::string_view aUpstream, Instant aNow) const
+{
+  const auto it = mRecords.find(aUpstream);
+  if (it == mRecords.end()) {
+    return 0;
+  }
+  const std::chrono::duration<double> age = aNow - it->second.mAt;
+  const std::chrono::duration<double> halfLife = kHalfLife;
+  return it->second.mBadness * std::exp2(-age / halfLife);
+}
+
+} // namespace cactusgw
--- a/src/cactusgw/net/http_client.cpp
+++ b/src/cactusgw/net/http_client.cpp
@@ -5,37 +5,30 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
-#include <array>
 #include <utility>
 
 namespace cactusgw {
 
 namespace {
 
-constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 /// Data unacknowledged for this long means that the peer is gone.
 constexpr Milliseconds kDeadPeerTime{ 10'000 };
 
-Failure
-BrokenAnswer(const beast::error_code& aError)
+Instant
+After(Milliseconds aTime)
 {
-  const bool silent = aError == beast::error::timeout;
-  return MayHaveRun(silent ? FailureCode::UpstreamSilent
-                           : FailureCode::UpstreamBroke,
-                    aError.message());
+  return std::chrono::steady_clock::now() + aTime;
 }
 
 } // namespace
 
-HttpExchangeClient::HttpExchangeClient(const net::any_io_executor& aExecutor,
-                                       HttpCallTimes aTimes)
-  : mStream(aExecutor)
+HttpExchangeClient::HttpExchangeClient(
+  std::unique_ptr<HttpConnection> aConnection,
+  HttpCallTimes aTimes)
+  : mConnection(std::move(aConnection))
   , mTimes(aTimes)
 {
-  mParser.body_limit(boost::none);
 }
 
 Task<Result<std::unique_ptr<HttpExchangeClient>>>
@@ -43,91 +36,38 @@
                          HttpRequest aRequest,
                          HttpCallTimes aTimes)
 {
-  const net::any_io_executor executor = co_await net::this_coro::executor;
-  std::unique_ptr<HttpExchangeClient> client{ new HttpExchangeClient{
-    executor, aTimes } };
-  const Result<void> connected = co_await client->Connect(aAddress);
+  Result<std::unique_ptr<HttpConnection>> connected =
+    co_await HttpConnection::Connect(aAddress, aTimes.mConnect);
   if (!connected) {
     co_return connected.error();
   }
   aRequest.set(http::field::host, aAddress);
   aRequest.prepare_payload();
-  const Result<void> sent = co_await client->SendAndReadHeader(aRequest);
+  const Result<void> sent =
+    co_await connected.value()->Exchange(aRequest, After(aTimes.mHeader));
   if (!sent) {
     co_return sent.error();
   }
-  co_return std::move(client);
-}
-
-Task<Result<void>>
-HttpExchangeClient::Connect(std::string_view aAddress)
-{
-  const Result<net::ip::tcp::endpoint> endpoint = ParseEndpoint(aAddress);
-  if (!endpoint) {
-    co_return endpoint.error();
-  }
-  beast::error_code ec;
-  mStream.expires_after(mTimes.mConnect);
-  co_await mStream.async_connect(endpoint.value(),
-                                 net::redirect_error(net::use_awaitable, ec));
-  if (ec) {
-    co_return NotRun(FailureCode::UpstreamUnreachable, ec.message());
-  }
-  SetDeadPeerTimeout(mStream.socket(), kDeadPeerTime);
-  co_return boost::outcome_v2::success();
-}
-
-Task<Result<void>>
-HttpExchangeClient::SendAndReadHeader(HttpRequest& aRequest)
-{
-  beast::error_code ec;
-  mStream.expires_after(mTimes.mHeader);
-  co_await http::async_write(
-    mStream, aRequest, net::redirect_error(net::use_awaitable, ec));
-  if (!ec) {
-    co_await http::async_read_header(
-      mStream, mBuffer, mParser, net::redirect_error(net::use_awaitable, ec));
-  }
-  if (ec) {
-    co_return BrokenAnswer(ec);
-  }
-  co_return boost::outcome_v2::success();
+  co_return std::unique_ptr<HttpExchangeClient>{ new HttpExchangeClient{
+    std::move(connected.value()), aTimes } };
 }
 
 unsigned
 HttpExchangeClient::Status() const
 {
-  return mParser.get().result_int();
+  return mConnection->Status();
 }
 
 std::string
 HttpExchangeClient::Header(std::string_view aName) const
 {
-  const beast::string_view value =
-    mParser.get()[beast::string_view{ aName.data(), aName.size() }];
-  return std::string{ value };
+  return std::string{ mConnection->Header(aName) };
 }
 
 Task<Result<std::string>>
 HttpExchangeClient::ReadSome()
 {
-  std::array<char, kReadBytes> buf;
-  while (!mParser.is_done()) {
-    mParser.get().body().data = buf.data();
-    mParser.get().body().size = buf.size();
-    beast::error_code ec;
-    mStream.expires_after(mTimes.mSilence);
-    co_await http::async_read_some(
-      mStream, mBuffer, mParser, net::redirect_error(net::use_awaitable, ec));
-    if (ec && ec != http::error::need_buffer) {
-      co_return BrokenAnswer(ec);
-    }
-    const std::size_t n = buf.size() - mParser.get().body().size;
-    if (n > 0) {
-      co_return std::string{ buf.data(), n };
-    }
-  }
-  co_return std::string{};
+  co_return co_await mConnection->ReadSome(After(mTimes.mSilence));
 }
 
 Task<Result<std::string>>
@@ -152,7 +92,7 @@
 void
 HttpExchangeClient::Close()
 {
-  mStream.close();
+  mConnection->Close();
 }
 
 Task<bool>
--- a/src/cactusgw/net/http_client.hpp
+++ b/src/cactusgw/net/http_client.hpp
@@ -4,13 +4,9 @@
 /// HTTP requests whose errors carry a verdict on whether the request may have
 /// run on the other side.
 
+#include "cactusgw/net/http_connection.hpp"
 #include "cactusgw/net/http_types.hpp"
 
-#include <boost/asio/any_io_executor.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
-
 #include <memory>
 #include <string>
 #include <string_view>
@@ -48,15 +44,11 @@
   void Close();
 
 private:
-  HttpExchangeClient(const net::any_io_executor& aExecutor,
+  HttpExchangeClient(std::unique_ptr<HttpConnection> aConnection,
                      HttpCallTimes aTimes);
-  Task<Result<void>> Connect(std::string_view aAddress);
-  Task<Result<void>> SendAndReadHeader(HttpRequest& aRequest);
 
-  TcpStream mStream;
+  std::unique_ptr<HttpConnection> mConnection;
   HttpCallTimes mTimes;
-  beast::flat_buffer mBuffer;
-  http::response_parser<http::buffer_body> mParser;
 };
 
 /// Connects and waits until the other side closes the connection.
--- /dev/null
+++ b/src/cactusgw/net/http_connection.cpp
@@ -0,0 +1,205 @@
+#include "cactusgw/net/http_connection.hpp"
+
+#include "cactusgw/net/address.hpp"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+#include <charconv>
+#include <utility>
+#include <variant>
+
+namespace cactusgw {
+
+namespace {
+
+constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
+constexpr std::uint32_t kMaxAnswerHeaderBytes = 64 * 1024;
+/// Data unacknowledged for this long means that the peer is gone.
+constexpr Milliseconds kDeadPeerTime{ 10'000 };
+
+Failure
+BrokenAnswer(const beast::error_code& aError)
+{
+  const bool silent = aError == beast::error::timeout;
+  return MayHaveRun(silent ? FailureCode::UpstreamSilent
+                           : FailureCode::UpstreamBroke,
+                    aError.message());
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(const net::any_io_executor& aExecutor)
+  : mStream(aExecutor)
+{
+}
+
+Task<Result<std::unique_ptr<HttpConnection>>>
+HttpConnection::Connect(std::string_view aAddress, Milliseconds aTime)
+{
+  const Result<net::ip::tcp::endpoint> endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    co_return endpoint.error();
+  }
+  std::unique_ptr<HttpConnection> connection{ new HttpConnection{
+    co_await net::this_coro::executor } };
+  beast::error_code ec;
+  connection->mStream.expires_after(aTime);
+  co_await connection->mStream.async_connect(
+    endpoint.value(), net::redirect_error(net::use_awaitable, ec));
+  if (ec) {
+    co_return NotRun(FailureCode::UpstreamUnreachable, ec.message());
+  }
+  SetDeadPeerTimeout(connection->mStream.socket(), kDeadPeerTime);
+  co_return std::move(connection);
+}
+
+Task<Result<void>>
+HttpConnection::Exchange(HttpRequest& aRequest, Instant aUntil)
+{
+  using namespace net::experimental::awaitable_operators;
+  mIsHead = aRequest.method() == http::verb::head;
+  StartAnswer();
+  beast::error_code writeError;
+  mStream.expires_at(aUntil);
+  // An answer may come before the other side has taken the whole request.
+  const std::variant<std::size_t, beast::error_code> first = co_await (
+    http::async_write(
+      mStream, aRequest, net::redirect_error(net::use_awaitable, writeError)) ||
+    ReadHeader(aUntil));
+  mWasSentWhole = first.index() == 0 && !writeError;
+  const beast::error_code ec =
+    first.index() == 1 ? std::get<1>(first) : co_await ReadHeader(aUntil);
+  if (ec) {
+    co_return BrokenAnswer(ec);
+  }
+  co_return boost::outcome_v2::success();
+}
+
+void
+HttpConnection::StartAnswer()
+{
+  mParser.emplace();
+  mParser->body_limit(boost::none);
+  mParser->header_limit(kMaxAnswerHeaderBytes);
+  mParser->skip(mIsHead);
+}
+
+Task<beast::error_code>
+HttpConnection::ReadHeader(Instant aUntil)
+{
+  beast::error_code ec;
+  mStream.expires_at(aUntil);
+  co_await http::async_read_header(
+    mStream, mBuffer, *mParser, net::redirect_error(net::use_awaitable, ec));
+  co_return ec;
+}
+
+Task<Result<void>>
+HttpConnection::SkipAnswer(Instant aUntil)
+{
+  while (!mParser->is_done()) {
+    const Result<std::string> piece = co_await ReadSome(aUntil);
+    if (!piece) {
+      co_return piece.error();
+    }
+  }
+  StartAnswer();
+  const beast::error_code ec = co_await ReadHeader(aUntil);
+  if (ec) {
+    co_return BrokenAnswer(ec);
+  }
+  co_return boost::outcome_v2::success();
+}
+
+unsigned
+HttpConnection::Status() const
+{
+  return mParser->get().result_int();
+}
+
+std::string_view
+HttpConnection::Header(std::string_view aName) const
+{
+  const beast::string_view value =
+    mParser->get()[beast::string_view{ aName.data(), aName.size() }];
+  return { value.data(), value.size() };
+}
+
+const http::fields&
+HttpConnection::Fields() const
+{
+  return mParser->get().base();
+}
+
+Task<Result<std::string>>
+HttpConnection::ReadSome(Instant aUntil)
+{
+  std::array<char, kReadBytes> buf;
+  while (!mParser->is_done()) {
+    mParser->get().body().data = buf.data();
+    mParser->get().body().size = buf.size();
+    beast::error_code ec;
+    mStream.expires_at(aUntil);
+    co_await http::async_read_some(
+      mStream, mBuffer, *mParser, net::redirect_error(net::use_awaitable, ec));
+    const std::size_t n = buf.size() - mParser->get().body().size;
+    if (n > 0) {
+      co_return std::string{ buf.data(), n };
+    }
+    if (ec && ec != http::error::need_buffer) {
+      co_return BrokenAnswer(ec);
+    }
+  }
+  co_return std::string{};
+}
+
+bool
+HttpConnection::IsReusable() const
+{
+  return mWasSentWhole && mParser && mParser->is_done() &&
+         mParser->keep_alive() && !mParser->need_eof() && mBuffer.size() == 0;
+}
+
+bool
+HttpConnection::IsQuiet()
+{
+  char c = 0;
+  beast::error_code ec;
+  net::ip::tcp::socket& socket = mStream.socket();
+  socket.non_blocking(true, ec);
+  socket.receive(net::buffer(&c, 1), net::ip::tcp::socket::message_peek, ec);
+  return ec == net::error::would_block || ec == net::error::try_again;
+}
+
+std::optional<Milliseconds>
+HttpConnection::IdleTime() const
+{
+  constexpr std::string_view kName = "timeout=";
+  const std::string_view value = Header("Keep-Alive");
+  const std::size_t at = value.find(kName);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view digits = value.substr(at + kName.size());
+  int seconds = 0;
+  const std::from_chars_result read =
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (read.ec != std::errc{}) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds{ seconds };
+}
+
+void
+HttpConnection::Close()
+{
+  mStream.close();
+}
+
+} // namespace cactusgw
--- a/src/cactusgw/net/http_server.cpp
+++ b/src/cactusgw/net/http_server.cpp
@@ -19,6 +19,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <array>
 #include <utility>
 #include <variant>
 
@@ -77,6 +78,32 @@
   co_return first.index() == 1 ? ReadOutcome::Late : Classify(readError);
 }
 
+/// Waits until there is something to read, without reading it.
+Task<std::size_t>
+WaitReadable(TcpStream& aStream, beast::error_code& aError)
+{
+  co_await aStream.socket().async_wait(
+    tcp::socket::wait_read, net::redirect_error(net::use_awaitable, aError));
+  co_return 0;
+}
+
+/// Closes the sending side and reads on for a while. A connection closed with
+/// unread input is reset, which may take the answer with it.
+Task<void>
+DiscardInput(TcpStream& aStream)
+{
+  constexpr Milliseconds kLongest{ 1000 };
+  constexpr std::size_t kReadBytes = 4096;
+  beast::error_code ec;
+  aStream.socket().shutdown(tcp::socket::shutdown_send, ec);
+  std::array<char, kReadBytes> buf;
+  aStream.expires_after(kLongest);
+  while (!ec) {
+    co_await aStream.async_read_some(
+      net::buffer(buf), net::redirect_error(net::use_awaitable, ec));
+  }
+}
+
 Task<ReadOutcome>
 ReadHeader(TcpStream& aStream,
            beast::flat_buffer& aBuffer,
@@ -142,10 +169,12 @@
 
 HttpExchange::HttpExchange(TcpStream& aStream,
                            HttpRequest aRequest,
-                           HttpServerLimits aLimits)
+                           HttpServerLimits aLimits,
+                           const bool& aIsDraining)
   : mStream(aStream)
   , mRequest(std::move(aRequest))
   , mLimits(aLimits)
+  , mIsDraining(aIsDraining)
   , mKeepAlive(mRequest.keep_alive())
 {
 }
@@ -182,6 +211,7 @@
 HttpExchange::Send(HttpResponse aResponse)
 {
   mBegun = true;
+  mKeepAlive = mKeepAlive && !mIsDraining;
   aResponse.version(mRequest.version());
   aResponse.keep_alive(mKeepAlive);
   aResponse.prepare_payload();
@@ -202,6 +232,7 @@
 HttpExchange::Begin(HttpResponse aHeader)
 {
   mBegun = true;
+  mKeepAlive = mKeepAlive && !mIsDraining;
   http::response<http::empty_body> header{ std::move(aHeader.base()) };
   header.version(mRequest.version());
   header.keep_alive(mKeepAlive);
@@ -310,6 +341,9 @@
   mStopping = true;
   beast::error_code ec;
   mAcceptor.close(ec);
+  for (TcpStream* const stream : mIdle) {
+    stream->cancel();
+  }
 }
 
 Task<void>
@@ -350,6 +384,24 @@
   stream.socket().shutdown(tcp::socket::shutdown_send, ec);
 }
 
+Task<bool>
+HttpServer::WaitForRequest(TcpStream& aStream,
+                           const beast::flat_buffer& aBuffer,
+                           Milliseconds aTime)
+{
+  if (aBuffer.size() > 0) {
+    co_return true;
+  }
+  if (mStopping) {
+    co_return false;
+  }
+  mIdle.insert(&aStream);
+  const ReadOutcome outcome = co_await ReadWithin(
+    aTime, [&](beast::error_code& ec) { return WaitReadable(aStream, ec); });
+  mIdle.erase(&aStream);
+  co_return outcome == ReadOutcome::Done;
+}
+
 Task<bool>
 HttpServer::ServeOne(TcpStream& aStream, beast::flat_buffer& aBuffer)
 {
@@ -358,10 +410,12 @@
   parser.header_limit(limits.mMaxHeaderBytes);
   parser.body_limit(limits.mMaxBodyBytes);
   aStream.expires_never();
+  if (!co_await WaitForRequest(aStream, aBuffer, limits.mIdleTime)) {
+    co_return false;
+  }
   ReadOutcome outcome =
     co_await ReadHeader(aStream, aBuffer, parser, limits.mReadHeaderTime);
-  const bool isIdle = outcome == ReadOutcome::Late && !parser.got_some();
-  if (outcome == ReadOutcome::Closed || isIdle) {
+  if (outcome == ReadOutcome::Closed) {
     co_return false;
   }
   if (outcome == ReadOutcome::Done) {
@@ -371,7 +425,7 @@
     co_await Refuse(aStream, StatusOf(outcome));
     co_return false;
   }
-  HttpExchange exchange{ aStream, parser.release(), limits };
+  HttpExchange exchange{ aStream, parser.release(), limits, mDraining };
   ++mOpenExchanges;
   co_await mHandler(exchange);
   --mOpenExchanges;
@@ -391,6 +445,9 @@
   aStream.expires_after(Milliseconds{ 1000 });
   co_await http::async_write(
     aStream, response, net::redirect_error(net::use_awaitable, ec));
+  if (!ec) {
+    co_await DiscardInput(aStream);
+  }
 }
 
 } // namespace cactusgw
--- a/src/cactusgw/net/http_server.hpp
+++ b/src/cactusgw/net/http_server.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -23,7 +24,10 @@
 {
   std::uint32_t mMaxHeaderBytes = 16 * 1024;
   std::uint32_t mMaxBodyBytes = 1024 * 1024;
+  /// From the first byte of a request to the end of its header.
   Milliseconds mReadHeaderTime{ 10'000 };
+  /// Longest time a kept connection may wait for its next request.
+  Milliseconds mIdleTime{ 10'000 };
   Milliseconds mReadBodyTime{ 20'000 };
   /// Longest time a write may wait for a caller that does not read.
   Milliseconds mWriteTime{ 30'000 };
@@ -33,9 +37,11 @@
 class HttpExchange
 {
 public:
+  /// @param aIsDraining read when an answer is written; outlives the exchange
   HttpExchange(TcpStream& aStream,
                HttpRequest aRequest,
-               HttpServerLimits aLimits);
+               HttpServerLimits aLimits,
+               const bool& aIsDraining);
 
   const HttpRequest& Request() const { return mRequest; }
   std::string Header(std::string_view aName) const;
@@ -71,6 +77,7 @@
   HttpRequest mRequest;
   HttpServerLimits mLimits;
   bool mBegun = false;
+  const bool& mIsDraining;
   bool mKeepAlive = true;
   std::shared_ptr<net::cancellation_signal> mWatch;
 };
@@ -89,7 +96,9 @@
                                                     HttpLimitsSource aLimits,
                                                     HttpHandler aHandler);
 
-  /// Stops accepting. Open exchanges go on; idle connections are closed.
+  /// Goes on serving, but ends each connection with its next answer.
+  void Drain() { mDraining = true; }
+  /// Stops accepting and closes idle connections. Open exchanges go on.
   void StopAccepting();
   std::size_t OpenExchanges() const { return mOpenExchanges; }
   std::size_t OpenConnections() const { return mOpenConnections; }
@@ -101,13 +110,18 @@
   Task<void> AcceptLoop();
   Task<void> Serve(net::ip::tcp::socket aSocket);
   Task<bool> ServeOne(TcpStream& aStream, beast::flat_buffer& aBuffer);
+  Task<bool> WaitForRequest(TcpStream& aStream,
+                            const beast::flat_buffer& aBuffer,
+                            Milliseconds aTime);
   Task<void> Refuse(TcpStream& aStream, http::status aStatus);
 
   net::io_context& mContext;
   net::ip::tcp::acceptor mAcceptor;
   HttpLimitsSource mLimits;
   HttpHandler mHandler;
+  bool mDraining = false;
   bool mStopping = false;
+  std::set<TcpStream*> mIdle;
   std::size_t mOpenExchanges = 0;
   std::size_t mOpenConnections = 0;
 };
--- a/src/cactusgw/net/operator_port.cpp
+++ b/src/cactusgw/net/operator_port.cpp
@@ -37,6 +37,9 @@
 bool
 IsOperator(const HttpExchange& aExchange, std::string_view aToken)
 {
+  if (aToken.empty()) {
+    return true;
+  }
   const std::string expected = "Bearer " + std::string{ aToken };
   const std::string given = aExchange.Header("Authorization");
   return given.size() == expected.size() &&
--- a/src/cactusgw/net/operator_port.hpp
+++ b/src/cactusgw/net/operator_port.hpp
@@ -21,7 +21,8 @@
   std::function<std::string()> mStatus;
 };
 
-/// Whether the request carries the operators' token.
+/// Whether the request carries the operators' token. An empty token, which
+/// only the gateway's settings imply, lets everybody in.
 bool IsOperator(const HttpExchange& aExchange, std::string_view aToken);
 
 /// Serves /healthz and /readyz to all; /metrics, /events and /status to those
--- a/src/cactusgw/net/problem.cpp
+++ b/src/cactusgw/net/problem.cpp
@@ -57,6 +57,7 @@
     case FailureCode::Drained:
     case FailureCode::Quarantined:
     case FailureCode::StoreUnavailable:
+    case FailureCode::HistoryGone:
     case FailureCode::UpstreamUnreachable:
     case FailureCode::UpstreamRefused:
       return http::status::service_unavailable;
--- a/src/cactusgw/telemetry/log.cpp
+++ b/src/cactusgw/telemetry/log.cpp
@@ -33,6 +33,10 @@
 {
   constexpr bool kLogToStdErr = true;
   constexpr bool kFlushEachLine = true;
+  if (aOutput == "stdout") {
+    return log4cplus::SharedAppenderPtr{ new log4cplus::ConsoleAppender(
+      !kLogToStdErr, kFlushEachLine) };
+  }
   if (aOutput == "stderr") {
     return log4cplus::SharedAppenderPtr{ new log4cplus::ConsoleAppender(
       kLogToStdErr, kFlushEachLine) };
