Generations move off leaving upstreams before they are gone

A run's memory is copied while it goes on, the run stops, what is new is copied, and the call continues the stream at the target behind the last whole event.

Conclusion: what is left is pauses, as copies of several gateways queue behind each other on one link.

--- a/src/cactusgw/config/process_settings.cpp
+++ b/src/cactusgw/config/process_settings.cpp
@@ -83,6 +83,7 @@
     bounds.mRetryRatio = aMember.NumberOr("retryRatio", kRatioRange, 0.1);
     bounds.mRetryExtra = static_cast<std::uint32_t>(
       aMember.IntegerOr("retryExtra", kCountRange, 10));
+    bounds.mRetryWindow = TimeOr(aMember, "retryWindowMs", 10'000);
     bounds.mColdFactor = aMember.NumberOr("coldFactor", kRatioRange, 1);
     bounds.mColdExtra = static_cast<std::uint32_t>(
       aMember.IntegerOr("coldExtra", kCountRange, 0));
--- a/src/cactusgw/config/process_settings.hpp
+++ b/src/cactusgw/config/process_settings.hpp
@@ -71,6 +71,7 @@
   /// one window, by all gateways together.
   double mRetryRatio = 0;
   std::uint32_t mRetryExtra = 0;
+  Milliseconds mRetryWindow{ 10'000 };
   /// What a cold upstream bears beyond its declared rate: a factor and a
   /// number of requests a second, for all gateways together.
   double mColdFactor = 1;
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -33,19 +33,23 @@
 
 Gateway::Gateway(boost::asio::io_context& aContext,
                  GatewaySettings aSettings,
-                 HeaderNames aNames)
+                 HeaderNames aNames,
+                 GenerationControl aControl)
   : mContext(aContext)
   , mState(std::move(aSettings), std::move(aNames))
+  , mMover(aContext, mState, std::move(aControl))
 {
+  mState.mMover = &mMover;
 }
 
 Result<std::unique_ptr<Gateway>>
 Gateway::Start(boost::asio::io_context& aContext,
                GatewaySettings aSettings,
-               HeaderNames aNames)
+               HeaderNames aNames,
+               GenerationControl aControl)
 {
   std::unique_ptr<Gateway> gateway{ new Gateway{
-    aContext, std::move(aSettings), std::move(aNames) } };
+    aContext, std::move(aSettings), std::move(aNames), std::move(aControl) } };
   const Result<void> listening = gateway->Listen();
   if (!listening) {
     return listening.error();
@@ -195,6 +199,7 @@
       break;
     case DirectoryChange::Leaving:
       mState.mPool.Forget(aId);
+      mMover.OnLeaving(aId);
       mState.mLog.Write("upstream-leaving", { { "upstream", aId } }, Now());
       break;
     case DirectoryChange::None:
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 /// themselves in the platform's store.
 
 #include "cactusgw/gateway/gateway_state.hpp"
+#include "cactusgw/gateway/generation_mover.hpp"
 #include "cactusgw/interfaces/registry_source.hpp"
 #include "cactusgw/net/http_server.hpp"
 
@@ -26,7 +27,8 @@
   static Result<std::unique_ptr<Gateway>> Start(
     boost::asio::io_context& aContext,
     GatewaySettings aSettings,
-    HeaderNames aNames);
+    HeaderNames aNames,
+    GenerationControl aControl);
 
   /// Turns unready at once, goes on accepting until the balancer has noticed,
   /// finishes what is in progress, and then calls the function.
@@ -47,7 +49,8 @@
 private:
   Gateway(boost::asio::io_context& aContext,
           GatewaySettings aSettings,
-          HeaderNames aNames);
+          HeaderNames aNames,
+          GenerationControl aControl);
   Result<void> Listen();
   HttpServerLimits CallerBounds() const;
   Task<void> ServeCaller(HttpExchange& aExchange);
@@ -61,6 +64,7 @@
 
   boost::asio::io_context& mContext;
   GatewayState mState;
+  GenerationMover mMover;
   std::unique_ptr<HttpServer> mServer;
   std::unique_ptr<HttpServer> mReadyServer;
   std::unique_ptr<HttpServer> mMetricsServer;
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -1,6 +1,7 @@
 #include "cactusgw/gateway/gateway_call.hpp"
 
 #include "cactusgw/core/hash.hpp"
+#include "cactusgw/gateway/generation_mover.hpp"
 #include "cactusgw/gateway/message_headers.hpp"
 #include "cactusgw/net/problem.hpp"
 
@@ -105,7 +106,16 @@
 {
 }
 
-GatewayCall::~GatewayCall() = default;
+GatewayCall::~GatewayCall()
+{
+  if (!mRun) {
+    return;
+  }
+  if (mRun->State() == RunState::Stopped) {
+    mState.mMover->Free(mRun->Next());
+  }
+  mRun->SetState(RunState::Ended);
+}
 
 Task<void>
 GatewayCall::Run()
@@ -120,7 +130,9 @@
   ChooseService();
   mForwarded = ForwardedRequest(mExchange.Request(), mState.mNames);
   mExchange.WatchCaller([this] { OnCallerLeft(); });
-  mState.RetriesTo(mService->mName).Deposit();
+  if (mService != nullptr) {
+    mState.RetriesTo(mService->mName).OnRequest(mStart);
+  }
   co_await Forward();
 }
 
@@ -222,8 +234,12 @@
 Task<void>
 GatewayCall::Forward()
 {
+  std::optional<std::string> moved;
   while (true) {
-    Result<std::string> upstream = co_await Choose();
+    Result<std::string> upstream{ moved.value_or("") };
+    if (!moved) {
+      upstream = co_await Choose();
+    }
     if (mCallerLeft) {
       break;
     }
@@ -236,6 +252,10 @@
     if (sent || mCallerLeft) {
       break;
     }
+    moved = TakeMoved();
+    if (moved) {
+      continue;
+    }
     OnSendFailed(sent.error());
     if (!MayTryAgain(sent.error())) {
       co_await Refuse(sent.error());
@@ -253,10 +273,26 @@
   }
 }
 
+std::optional<std::string>
+GatewayCall::TakeMoved()
+{
+  mContinued.reset();
+  if (!mRun || mRun->State() != RunState::Stopped) {
+    return std::nullopt;
+  }
+  mContinued = mRun->Next();
+  mRun.reset();
+  mState.mMetrics.mContinued.Add();
+  return mContinued->mUpstream;
+}
+
 const Candidate*
 GatewayCall::FindRoom(std::vector<Candidate>& aCandidates) const
 {
-  aCandidates = mState.Candidates(*mService, mRegions, mTried, Now());
+  const CandidateFilter filter{ mRegions,
+                                mTried,
+                                mState.mSettings.mPlace.mDataCentre };
+  aCandidates = mState.Candidates(*mService, filter, Now());
   return ChooseUpstream(aCandidates, *mService, mNeed);
 }
 
@@ -326,34 +362,17 @@
   if (known == nullptr) {
     co_return NotRun(FailureCode::UpstreamUnreachable, "the upstream is gone");
   }
-  const UpstreamRecord upstream = known->mRecord;
-  mUpstream = upstream.mId;
-  mTried.push_back(upstream.mId);
-  const UpstreamUse use{ 1, mNeed.mTotal, mNeed.mPrompt };
+  const KnownUpstream upstream = *known;
+  mUpstream = aUpstream;
+  mTried.push_back(aUpstream);
+  const UpstreamUse use{ 1, mNeed.mTotal, mContinued ? 0 : mNeed.mPrompt };
   mState.mLoads.Add(mUpstream, use);
-  Result<void> result = co_await Connect(upstream);
+  Result<void> result = co_await Connect(upstream.mRecord);
   if (result && mCallerLeft) {
     result = NotRun(FailureCode::CallerLeft, "the caller left");
   }
   if (result) {
-    const Instant now = Now();
-    const Instant until = AttemptEnd(now);
-    mState.OnSent(*known, now);
-    ++mSends;
-    mState.mLog.Write(
-      "sent",
-      { { "request", mRequestId },
-        { "route", mRoute->mName },
-        { "configVersion",
-          static_cast<std::int64_t>(mTable->Config().mVersion) },
-        { "upstream", mUpstream },
-        { "attempt", static_cast<std::int64_t>(mSends) },
-        { "afterMs", Elapsed().count() } },
-      now);
-    result = co_await ReadAnswerHeader(MakeRequest(upstream), until);
-    if (result) {
-      result = co_await PassOn(until);
-    }
+    result = co_await SendAndPassOn(upstream);
   }
   if (mConnection) {
     if (result || result.error().mVerdict == Verdict::NotRun) {
@@ -361,11 +380,70 @@
     }
     mConnection.reset();
   }
+  if (mRun && mRun->State() != RunState::Stopped) {
+    mRun->SetState(RunState::Ended);
+    mRun.reset();
+  }
   mState.mLoads.Subtract(mUpstream, use);
   mState.mLine.WakeFirst();
   co_return result;
 }
 
+Task<Result<void>>
+GatewayCall::SendAndPassOn(const KnownUpstream& aUpstream)
+{
+  const Instant now = Now();
+  const Instant until = AttemptEnd(now);
+  mState.OnSent(aUpstream, now);
+  ++mSends;
+  mState.mLog.Write(
+    "sent",
+    { { "request", mRequestId },
+      { "route", mRoute->mName },
+      { "configVersion", static_cast<std::int64_t>(mTable->Config().mVersion) },
+      { "upstream", mUpstream },
+      { "attempt", static_cast<std::int64_t>(mSends) },
+      { "continues", mContinued ? mContinued->mHandle : "nothing" },
+      { "afterMs", Elapsed().count() } },
+    now);
+  const Result<void> header =
+    co_await ReadAnswerHeader(MakeRequest(aUpstream.mRecord), until);
+  if (!header) {
+    co_return header;
+  }
+  co_await BeginRun(aUpstream.mRecord);
+  co_return co_await PassOn(until);
+}
+
+Task<void>
+GatewayCall::BeginRun(const UpstreamRecord& aUpstream)
+{
+  const bool canMove = IsStream(mRoute->mKind) && mService->mEngine &&
+                       mService->mEngine->mCanMove &&
+                       mState.mMover != nullptr &&
+                       IsSuccess(mConnection->Status());
+  if (!canMove) {
+    co_return;
+  }
+  const net::any_io_executor executor = co_await net::this_coro::executor;
+  RunIdentity identity{
+    mRequestId,         mService->mName,       mRegions, aUpstream.mId,
+    aUpstream.mAddress, aUpstream.mDataCentre, mNeed
+  };
+  mRun = std::make_shared<MovableRun>(executor, std::move(identity));
+  mState.mMover->Add(mRun);
+}
+
+Task<bool>
+GatewayCall::WasStopped()
+{
+  if (!mRun) {
+    co_return false;
+  }
+  co_await mRun->WaitWhileStopping(mEnd);
+  co_return mRun->State() == RunState::Stopped;
+}
+
 Task<Result<void>>
 GatewayCall::Connect(const UpstreamRecord& aUpstream)
 {
@@ -399,6 +477,10 @@
   if (!mLastEventId.empty()) {
     request.set(names.mLastEventId, mLastEventId);
   }
+  if (mContinued) {
+    request.set(names.mMovedFrom,
+                mContinued->mSource + "/" + mContinued->mHandle);
+  }
   return request;
 }
 
@@ -528,10 +610,16 @@
   EventSplitter splitter;
   while (true) {
     Result<std::string> piece = co_await mConnection->ReadSome(aUntil);
+    const bool isEnd = !piece || piece.value().empty();
+    // A stopped generation's stream ends too, and may seem to end well.
+    if (isEnd && !mCallerLeft && co_await WasStopped()) {
+      co_return MayHaveRun(FailureCode::UpstreamBroke,
+                           "the generation was moved");
+    }
     if (!piece) {
       co_return piece.error();
     }
-    if (piece.value().empty()) {
+    if (isEnd) {
       break;
     }
     const std::string events = splitter.Feed(piece.value());
@@ -543,6 +631,9 @@
       co_return passed;
     }
     mLastEventId = splitter.LastId();
+    if (mRun) {
+      mRun->OnBegun();
+    }
   }
   const Result<void> rest = co_await PassEvents(splitter.Rest());
   if (!rest) {
@@ -625,7 +716,7 @@
   if (aFailure.mCode == FailureCode::UpstreamUnreachable) {
     return true;
   }
-  if (!mState.RetriesTo(mService->mName).TryWithdraw()) {
+  if (!mState.RetriesTo(mService->mName).TryTake(mState.mGateways, Now())) {
     mState.mLog.Write(
       "repeat-denied",
       { { "request", mRequestId }, { "service", mService->mName } },
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -5,6 +5,7 @@
 
 #include "cactusgw/gateway/event_splitter.hpp"
 #include "cactusgw/gateway/gateway_state.hpp"
+#include "cactusgw/gateway/movable_run.hpp"
 #include "cactusgw/net/http_server.hpp"
 
 #include <memory>
@@ -35,6 +36,11 @@
   void ReadNeed();
   void ChooseService();
   Task<void> Forward();
+  /// Where the run goes on that the last send began, if it was moved.
+  std::optional<std::string> TakeMoved();
+  Task<Result<void>> SendAndPassOn(const KnownUpstream& aUpstream);
+  Task<void> BeginRun(const UpstreamRecord& aUpstream);
+  Task<bool> WasStopped();
   /// The id of an upstream that has room, after waiting for one if need be.
   Task<Result<std::string>> Choose();
   Task<Result<std::string>> WaitForUpstream();
@@ -88,6 +94,10 @@
   std::string mUpstream;
   std::unique_ptr<HttpConnection> mConnection;
   WaitingLine::Place* mPlace = nullptr;
+  /// The generation at the current upstream, if it can be moved.
+  std::shared_ptr<MovableRun> mRun;
+  /// Set while a moved generation is being continued.
+  std::optional<Continuation> mContinued;
   bool mCallerLeft = false;
   /// Of the last event that was passed on.
   std::string mLastEventId;
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -38,13 +38,14 @@
 }
 
 Distance
-GatewayState::DistanceTo(const std::string& aDataCentre) const
+GatewayState::DistanceBetween(std::string_view aFrom,
+                              std::string_view aTo) const
 {
-  if (aDataCentre == mSettings.mPlace.mDataCentre) {
+  if (aFrom == aTo) {
     return Distance::SameDataCentre;
   }
-  const auto there = mSettings.mRegions.find(aDataCentre);
-  const auto here = mSettings.mRegions.find(mSettings.mPlace.mDataCentre);
+  const auto there = mSettings.mRegions.find(aTo);
+  const auto here = mSettings.mRegions.find(aFrom);
   const bool same = there != mSettings.mRegions.end() &&
                     here != mSettings.mRegions.end() &&
                     there->second == here->second;
@@ -71,8 +72,7 @@
 
 std::vector<Candidate>
 GatewayState::Candidates(const GatewayService& aService,
-                         std::span<const std::string> aRegions,
-                         std::span<const std::string> aExcluded,
+                         const CandidateFilter& aFilter,
                          Instant aNow) const
 {
   std::vector<Candidate> candidates;
@@ -80,37 +80,34 @@
     const UpstreamRecord& record = known->mRecord;
     const auto region = mSettings.mRegions.find(record.mDataCentre);
     const bool isAllowed =
-      aRegions.empty() ||
-      (region != mSettings.mRegions.end() && Holds(aRegions, region->second));
+      aFilter.mRegions.empty() || (region != mSettings.mRegions.end() &&
+                                   Holds(aFilter.mRegions, region->second));
     const bool isLimited =
       aService.mColdPerSecond > 0 && IsCold(*known, aNow) &&
       !mColdGate.Allows(record.mId, ColdShare(aService), aNow);
-    if (isAllowed && !isLimited && !Holds(aExcluded, record.mId)) {
-      candidates.push_back({ known,
-                             mLoads.Total(record.mId, aNow),
-                             DistanceTo(record.mDataCentre),
-                             mHealth.Badness(record.mId, aNow) });
+    if (isAllowed && !isLimited && !Holds(aFilter.mExcluded, record.mId)) {
+      candidates.push_back(
+        { known,
+          mLoads.Total(record.mId, aNow),
+          DistanceBetween(aFilter.mFromDataCentre, record.mDataCentre),
+          mHealth.Badness(record.mId, aNow) });
     }
   }
   return candidates;
 }
 
-RetryBudget&
+SharedRetryBudget&
 GatewayState::RetriesTo(const std::string& aService)
 {
   const auto it = mRetryBudgets.find(aService);
   if (it != mRetryBudgets.end()) {
     return it->second;
   }
-  constexpr double kHundred = 100.0;
   const GatewayBounds& bounds = mSettings.mBounds;
-  const double percent = kUsedPart * bounds.mRetryRatio * kHundred;
-  const double burst =
-    kUsedPart * bounds.mRetryExtra / static_cast<double>(mGateways);
-  return mRetryBudgets
-    .emplace(aService,
-             RetryBudget::Create(static_cast<std::uint32_t>(percent),
-                                 static_cast<std::uint32_t>(burst)))
+  const RetryBound bound{ kUsedPart * bounds.mRetryRatio,
+                          kUsedPart * bounds.mRetryExtra,
+                          bounds.mRetryWindow };
+  return mRetryBudgets.emplace(aService, SharedRetryBudget::Create(bound))
     .first->second;
 }
 
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -4,13 +4,13 @@
 /// What all calls of a gateway share.
 
 #include "cactusgw/config/process_settings.hpp"
-#include "cactusgw/core/retry_budget.hpp"
 #include "cactusgw/gateway/cold_gate.hpp"
 #include "cactusgw/gateway/decision_log.hpp"
 #include "cactusgw/gateway/gateway_metrics.hpp"
 #include "cactusgw/gateway/header_names.hpp"
 #include "cactusgw/gateway/load_table.hpp"
 #include "cactusgw/gateway/routing_table.hpp"
+#include "cactusgw/gateway/shared_retry_budget.hpp"
 #include "cactusgw/gateway/store_freshness.hpp"
 #include "cactusgw/gateway/upstream_choice.hpp"
 #include "cactusgw/gateway/upstream_directory.hpp"
@@ -26,6 +26,19 @@
 
 namespace cactusgw {
 
+class GenerationMover;
+
+/// Which upstreams a request or a moved generation may go to.
+struct CandidateFilter
+{
+  /// Regions that are open to it; empty means all.
+  std::span<const std::string> mRegions;
+  /// Upstreams that it must not go to.
+  std::span<const std::string> mExcluded;
+  /// Where distances are measured from.
+  std::string_view mFromDataCentre;
+};
+
 /// Not thread-safe; one instance per process.
 class GatewayState
 {
@@ -36,15 +49,13 @@
 
   GatewayState(GatewaySettings aSettings, HeaderNames aNames);
 
-  /// Upstreams of the service that the request may be sent to now, without
-  /// those excluded.
+  /// Upstreams of the service that may get work now.
   std::vector<Candidate> Candidates(const GatewayService& aService,
-                                    std::span<const std::string> aRegions,
-                                    std::span<const std::string> aExcluded,
+                                    const CandidateFilter& aFilter,
                                     Instant aNow) const;
 
   /// This gateway's part of the repeats to a service.
-  RetryBudget& RetriesTo(const std::string& aService);
+  SharedRetryBudget& RetriesTo(const std::string& aService);
 
   /// Counts a send, also against the bound of a cold upstream.
   void OnSent(const KnownUpstream& aUpstream, Instant aNow);
@@ -52,7 +63,7 @@
   /// Forgets all that was learned about an upstream that is gone.
   void Forget(const std::string& aUpstream);
 
-  Distance DistanceTo(const std::string& aDataCentre) const;
+  Distance DistanceBetween(std::string_view aFrom, std::string_view aTo) const;
 
   GatewaySettings mSettings;
   HeaderNames mNames;
@@ -67,6 +78,8 @@
   ColdGate mColdGate;
   UpstreamPool mPool;
   WaitingLine mLine;
+  /// Set by the owner before the first call.
+  GenerationMover* mMover = nullptr;
   StoreFreshness mFreshness;
   std::uint32_t mGateways = kMinGateways;
   GatewayMetrics mMetrics;
@@ -76,7 +89,7 @@
   bool IsCold(const KnownUpstream& aUpstream, Instant aNow) const;
   std::uint32_t ColdShare(const GatewayService& aService) const;
 
-  std::map<std::string, RetryBudget> mRetryBudgets;
+  std::map<std::string, SharedRetryBudget> mRetryBudgets;
 };
 
 } // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/gateway/generation_mover.cpp
@@ -0,0 +1,223 @@
+#include "cactusgw/gateway/generation_mover.hpp"
+
+#include "cactusgw/gateway/gateway_state.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <array>
+#include <deque>
+#include <utility>
+
+namespace cactusgw {
+
+namespace {
+
+/// Pause before a run is looked at again that has not begun or is being
+/// copied by an earlier order.
+constexpr Milliseconds kTryAgain{ 30 };
+
+Instant
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+GenerationMover::GenerationMover(net::io_context& aContext,
+                                 GatewayState& aState,
+                                 GenerationControl aControl)
+  : mContext(aContext)
+  , mState(aState)
+  , mControl(std::move(aControl))
+{
+}
+
+void
+GenerationMover::Add(const std::shared_ptr<MovableRun>& aRun)
+{
+  std::vector<std::weak_ptr<MovableRun>>& runs =
+    mRuns[aRun->Identity().mUpstream];
+  std::erase_if(runs, [](const std::weak_ptr<MovableRun>& aOther) {
+    return aOther.expired();
+  });
+  runs.push_back(aRun);
+  const KnownUpstream* const known =
+    mState.mDirectory.Find(aRun->Identity().mUpstream);
+  if (known == nullptr || known->mRecord.mIsLeaving) {
+    OnLeaving(aRun->Identity().mUpstream);
+  }
+}
+
+GenerationMover::Runs
+GenerationMover::Take(const std::string& aUpstream)
+{
+  Runs runs;
+  const auto it = mRuns.find(aUpstream);
+  if (it == mRuns.end()) {
+    return runs;
+  }
+  for (const std::weak_ptr<MovableRun>& weak : it->second) {
+    std::shared_ptr<MovableRun> run = weak.lock();
+    if (run && run->State() == RunState::Running) {
+      runs.push_back(std::move(run));
+    }
+  }
+  mRuns.erase(it);
+  return runs;
+}
+
+void
+GenerationMover::OnLeaving(const std::string& aUpstream)
+{
+  Runs runs = Take(aUpstream);
+  if (!runs.empty()) {
+    net::co_spawn(mContext, MoveAll(std::move(runs)), net::detached);
+  }
+}
+
+Task<void>
+GenerationMover::MoveAll(Runs aRuns)
+{
+  std::deque<std::shared_ptr<MovableRun>> waiting{ aRuns.begin(), aRuns.end() };
+  aRuns.clear();
+  while (!waiting.empty()) {
+    const std::shared_ptr<MovableRun> run = std::move(waiting.front());
+    waiting.pop_front();
+    if (run->State() != RunState::Running) {
+      continue;
+    }
+    // One after the other: copies share the source's link, and a copy behind
+    // others would lengthen the pause of its stream.
+    if (!co_await Move(run)) {
+      waiting.push_back(run);
+      net::steady_timer timer{ mContext };
+      timer.expires_after(kTryAgain);
+      beast::error_code ec;
+      co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    }
+  }
+}
+
+const KnownUpstream*
+GenerationMover::ChooseTarget(const RunIdentity& aRun) const
+{
+  if (!mState.mTable) {
+    return nullptr;
+  }
+  const GatewayService* const service =
+    mState.mTable->FindService(aRun.mService);
+  if (service == nullptr) {
+    return nullptr;
+  }
+  const std::array<std::string, 1> excluded{ aRun.mUpstream };
+  const CandidateFilter filter{ aRun.mRegions, excluded, aRun.mDataCentre };
+  std::vector<Candidate> candidates =
+    mState.Candidates(*service, filter, Now());
+  // A copy to another region takes minutes, and others wait behind it.
+  std::erase_if(candidates, [](const Candidate& aCandidate) {
+    return aCandidate.mDistance == Distance::OtherRegion;
+  });
+  const Candidate* const chosen =
+    ChooseUpstream(candidates, *service, aRun.mNeed);
+  return chosen == nullptr ? nullptr : chosen->mUpstream;
+}
+
+Task<bool>
+GenerationMover::Move(const std::shared_ptr<MovableRun>& aRun)
+{
+  const RunIdentity& identity = aRun->Identity();
+  const KnownUpstream* const found =
+    aRun->HasBegun() ? ChooseTarget(identity) : nullptr;
+  if (found == nullptr) {
+    co_return false;
+  }
+  const KnownUpstream target = *found;
+  const std::string& targetId = target.mRecord.mId;
+  const Instant begun = Now();
+  const UpstreamUse use{ 1, identity.mNeed.mTotal, 0 };
+  mState.mMetrics.mMovesStarted.Add();
+  mState.mLoads.Add(targetId, use);
+  Log("move-started", identity, targetId, begun);
+  CopyOrder order{
+    identity.mAddress, identity.mRequestId, target.mRecord.mAddress, false
+  };
+  const CopyReply copied = co_await mControl.mCopy(std::move(order));
+  const bool isGone = aRun->State() != RunState::Running;
+  if (copied.mOutcome == CopyOutcome::Copied && isGone) {
+    Free({ targetId, identity.mAddress, copied.mHandle });
+  }
+  if (copied.mOutcome == CopyOutcome::Copied && !isGone) {
+    co_await StopAndCopy(aRun, target);
+    Log("move-ended", identity, targetId, begun);
+  } else {
+    Log("move-not-begun", identity, targetId, begun);
+  }
+  mState.mLoads.Subtract(targetId, use);
+  co_return isGone || copied.mOutcome == CopyOutcome::Copied ||
+    copied.mOutcome == CopyOutcome::Unknown;
+}
+
+Task<void>
+GenerationMover::StopAndCopy(const std::shared_ptr<MovableRun>& aRun,
+                             const KnownUpstream& aTarget)
+{
+  const RunIdentity& identity = aRun->Identity();
+  aRun->SetState(RunState::Stopping);
+  CopyOrder order{
+    identity.mAddress, identity.mRequestId, aTarget.mRecord.mAddress, true
+  };
+  const CopyReply stopped = co_await mControl.mCopy(std::move(order));
+  const bool isStopped =
+    !stopped.mHandle.empty() && (stopped.mOutcome == CopyOutcome::Copied ||
+                                 stopped.mOutcome == CopyOutcome::NoRoom);
+  if (!isStopped) {
+    mState.mMetrics.mMovesFailed.Add();
+    if (aRun->State() == RunState::Stopping) {
+      aRun->SetState(RunState::Running);
+    }
+    co_return;
+  }
+  mState.mMetrics.mMovesDone.Add();
+  const bool isCopied = stopped.mOutcome == CopyOutcome::Copied;
+  Continuation next{ isCopied ? aTarget.mRecord.mId : identity.mUpstream,
+                     identity.mAddress,
+                     stopped.mHandle };
+  if (aRun->State() == RunState::Stopping) {
+    aRun->SetStopped(std::move(next));
+  } else {
+    Free(next);
+  }
+}
+
+void
+GenerationMover::Free(const Continuation& aContinuation)
+{
+  net::co_spawn(mContext,
+                mControl.mFree(aContinuation.mSource, aContinuation.mHandle),
+                net::detached);
+}
+
+void
+GenerationMover::Log(std::string_view aEvent,
+                     const RunIdentity& aRun,
+                     std::string_view aTarget,
+                     Instant aBegun) const
+{
+  const Instant now = Now();
+  mState.mLog.Write(
+    aEvent,
+    { { "request", aRun.mRequestId },
+      { "from", aRun.mUpstream },
+      { "to", aTarget },
+      { "tokens", static_cast<std::int64_t>(aRun.mNeed.mTotal) },
+      { "tookMs",
+        std::chrono::duration_cast<Milliseconds>(now - aBegun).count() } },
+    now);
+}
+
+} // namespace cactusgw
