Gateways share their use of upstreams, and moves take turns

Each gateway registers itself in the store and sends its use to the others, at most each 50 ms within a region and each second beyond. Moves from one upstream go gateway by gateway, in the order of their names.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace cactusgw {
@@ -16,7 +17,7 @@
 namespace {
 
 /// How often time-bound conclusions are looked at again.
-constexpr Milliseconds kTickTime{ 100 };
+constexpr Milliseconds kTickTime{ 25 };
 /// Records of upstreams lag: for this long after their data centre was taken
 /// back they count as cold. Covers a registration interval and its delay.
 constexpr Milliseconds kTakenBackTime{ 3000 };
@@ -34,10 +35,12 @@
 Gateway::Gateway(boost::asio::io_context& aContext,
                  GatewaySettings aSettings,
                  HeaderNames aNames,
-                 GenerationControl aControl)
+                 GenerationControl aControl,
+                 PeerRegistration aRegistration)
   : mContext(aContext)
   , mState(std::move(aSettings), std::move(aNames))
   , mMover(aContext, mState, std::move(aControl))
+  , mRegistration(std::move(aRegistration))
 {
   mState.mMover = &mMover;
 }
@@ -46,15 +49,20 @@
 Gateway::Start(boost::asio::io_context& aContext,
                GatewaySettings aSettings,
                HeaderNames aNames,
-               GenerationControl aControl)
+               GenerationControl aControl,
+               PeerRegistration aRegistration)
 {
-  std::unique_ptr<Gateway> gateway{ new Gateway{
-    aContext, std::move(aSettings), std::move(aNames), std::move(aControl) } };
+  std::unique_ptr<Gateway> gateway{ new Gateway{ aContext,
+                                                 std::move(aSettings),
+                                                 std::move(aNames),
+                                                 std::move(aControl),
+                                                 std::move(aRegistration) } };
   const Result<void> listening = gateway->Listen();
   if (!listening) {
     return listening.error();
   }
   Gateway* const self = gateway.get();
+  net::co_spawn(aContext, gateway->Register(), net::detached);
   RunEvery(
     aContext, [] { return kTickTime; }, [self] { return self->Tick(); });
   const GatewaySettings& settings = gateway->mState.mSettings;
@@ -100,6 +108,12 @@
     return metrics.error();
   }
   mMetricsServer = std::move(metrics.value());
+  Result<std::unique_ptr<PeerExchange>> peers =
+    PeerExchange::Listen(mContext, mState);
+  if (!peers) {
+    return peers.error();
+  }
+  mPeers = std::move(peers.value());
   return boost::outcome_v2::success();
 }
 
@@ -130,7 +144,7 @@
   OperatorPages pages;
   pages.mReady = IsReady();
   pages.mMetrics = [this] { return WriteMetrics(); };
-  pages.mEvents = [] { return std::string{}; };
+  pages.mEvents = [this] { return mState.mRecorder.WriteJsonLines(); };
   pages.mStatus = [] { return std::string{ "{}" }; };
   co_await ServeOperatorPage(aExchange, "", std::move(pages));
 }
@@ -158,6 +172,7 @@
     OnDirectoryChange(DirectoryChange::Leaving, id);
   }
   mState.mPool.CloseExpired(now);
+  mPeers->Send(now);
   mState.mLine.WakeFirst();
   return true;
 }
@@ -273,6 +288,58 @@
     "data-centre-taken-back", { { "dataCentre", aDataCentre } }, now);
 }
 
+Task<void>
+Gateway::Register()
+{
+  constexpr Milliseconds kTryAgain{ 500 };
+  const GatewaySettings& settings = mState.mSettings;
+  const GatewayPeer self{ settings.mPlace.mVm,
+                          settings.mPeerListen,
+                          settings.mPlace.mDataCentre };
+  net::steady_timer timer{ mContext };
+  while (!mStopping) {
+    const Result<void> done = co_await mRegistration.mRegister(self);
+    if (done) {
+      mState.mLog.WriteAlways("registered", { { "vm", self.mName } });
+      co_return;
+    }
+    mState.mLog.Write(
+      "registration-failed", { { "reason", done.error().mDetail } }, Now());
+    timer.expires_after(kTryAgain);
+    co_await timer.async_wait(net::use_awaitable);
+  }
+}
+
+void
+Gateway::OnPeers(std::vector<GatewayPeer> aPeers)
+{
+  for (const GatewayPeer& peer : aPeers) {
+    mPeers->SetPeer(peer);
+  }
+  CountGateways();
+}
+
+void
+Gateway::OnPeerChanges(std::vector<Change<GatewayPeer>> aChanges)
+{
+  for (const Change<GatewayPeer>& change : aChanges) {
+    if (change.mValue) {
+      mPeers->SetPeer(*change.mValue);
+    } else {
+      mPeers->RemovePeer(change.mName);
+    }
+  }
+  CountGateways();
+}
+
+void
+Gateway::CountGateways()
+{
+  const std::uint32_t known =
+    static_cast<std::uint32_t>(mPeers->PeerCount()) + 1;
+  mState.mGateways = std::max(GatewayState::kMinGateways, known);
+}
+
 void
 Gateway::OnStoreLost(std::string_view aWhat, const Failure& aFailure)
 {
@@ -316,9 +383,13 @@
     timer.expires_after(kPause);
     co_await timer.async_wait(net::use_awaitable);
   }
+  const Result<void> withdrawn =
+    co_await mRegistration.mWithdraw(mState.mSettings.mPlace.mVm);
   mState.mLog.WriteAlways(
     "stopped",
-    { { "cutRequests", static_cast<std::int64_t>(mServer->OpenExchanges()) } });
+    { { "cutRequests", static_cast<std::int64_t>(mServer->OpenExchanges()) },
+      { "registration",
+        withdrawn ? std::string{ "withdrawn" } : withdrawn.error().mDetail } });
   aOnStopped();
 }
 
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -6,6 +6,7 @@
 
 #include "cactusgw/gateway/gateway_state.hpp"
 #include "cactusgw/gateway/generation_mover.hpp"
+#include "cactusgw/gateway/peer_exchange.hpp"
 #include "cactusgw/interfaces/registry_source.hpp"
 #include "cactusgw/net/http_server.hpp"
 
@@ -28,7 +29,8 @@
     boost::asio::io_context& aContext,
     GatewaySettings aSettings,
     HeaderNames aNames,
-    GenerationControl aControl);
+    GenerationControl aControl,
+    PeerRegistration aRegistration);
 
   /// Turns unready at once, goes on accepting until the balancer has noticed,
   /// finishes what is in progress, and then calls the function.
@@ -41,6 +43,8 @@
   void OnUpstreamChanges(std::vector<Change<UpstreamRecord>> aChanges);
   void OnDrained(std::set<std::string> aDataCentres);
   void OnDrainedChange(const std::string& aDataCentre, bool aIsDrained);
+  void OnPeers(std::vector<GatewayPeer> aPeers);
+  void OnPeerChanges(std::vector<Change<GatewayPeer>> aChanges);
   void OnStoreLost(std::string_view aWhat, const Failure& aFailure);
   void OnStoreBack(std::string_view aWhat);
 
@@ -50,13 +54,16 @@
   Gateway(boost::asio::io_context& aContext,
           GatewaySettings aSettings,
           HeaderNames aNames,
-          GenerationControl aControl);
+          GenerationControl aControl,
+          PeerRegistration aRegistration);
   Result<void> Listen();
   HttpServerLimits CallerBounds() const;
   Task<void> ServeCaller(HttpExchange& aExchange);
   Task<void> ServeOperator(HttpExchange& aExchange);
   Task<void> FinishInProgress(std::function<void()> aOnStopped);
   bool Tick();
+  Task<void> Register();
+  void CountGateways();
   void OnDirectoryChange(DirectoryChange aChange, const std::string& aId);
   void OnTakenBack(const std::string& aDataCentre);
   bool IsReady() const;
@@ -65,6 +72,8 @@
   boost::asio::io_context& mContext;
   GatewayState mState;
   GenerationMover mMover;
+  PeerRegistration mRegistration;
+  std::unique_ptr<PeerExchange> mPeers;
   std::unique_ptr<HttpServer> mServer;
   std::unique_ptr<HttpServer> mReadyServer;
   std::unique_ptr<HttpServer> mMetricsServer;
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -365,7 +365,8 @@
   const KnownUpstream upstream = *known;
   mUpstream = aUpstream;
   mTried.push_back(aUpstream);
-  const UpstreamUse use{ 1, mNeed.mTotal, mContinued ? 0 : mNeed.mPrompt };
+  mPromptInUse = mContinued ? 0 : mNeed.mPrompt;
+  UpstreamUse use{ 1, mNeed.mTotal, mPromptInUse, 0 };
   mState.mLoads.Add(mUpstream, use);
   Result<void> result = co_await Connect(upstream.mRecord);
   if (result && mCallerLeft) {
@@ -384,6 +385,8 @@
     mRun->SetState(RunState::Ended);
     mRun.reset();
   }
+  use += std::exchange(mRunUse, {});
+  use.mPromptTokens = std::exchange(mPromptInUse, 0);
   mState.mLoads.Subtract(mUpstream, use);
   mState.mLine.WakeFirst();
   co_return result;
@@ -431,6 +434,8 @@
     aUpstream.mAddress, aUpstream.mDataCentre, mNeed
   };
   mRun = std::make_shared<MovableRun>(executor, std::move(identity));
+  mRunUse = UpstreamUse{ 0, 0, 0, 1 };
+  mState.mLoads.Add(mUpstream, mRunUse);
   mState.mMover->Add(mRun);
 }
 
@@ -631,8 +636,9 @@
       co_return passed;
     }
     mLastEventId = splitter.LastId();
-    if (mRun) {
+    if (mRun && !mRun->HasBegun()) {
       mRun->OnBegun();
+      OnPromptRead();
     }
   }
   const Result<void> rest = co_await PassEvents(splitter.Rest());
@@ -643,6 +649,14 @@
   co_return co_await mExchange.Finish();
 }
 
+void
+GatewayCall::OnPromptRead()
+{
+  const UpstreamUse prompt{ 0, 0, mPromptInUse, 0 };
+  mPromptInUse = 0;
+  mState.mLoads.Subtract(mUpstream, prompt);
+}
+
 Task<Result<void>>
 GatewayCall::PassEvents(const std::string& aEvents)
 {
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -56,6 +56,7 @@
   Task<Result<void>> PassOn(Instant aUntil);
   Task<Result<void>> PassWhole(Instant aUntil);
   Task<Result<void>> PassStream(Instant aUntil);
+  void OnPromptRead();
   Task<Result<void>> PassEvents(const std::string& aEvents);
   Task<Result<void>> PassPieces(std::string aBegin, Instant aUntil);
   Task<Result<void>> Deliver(std::string aBody);
@@ -96,6 +97,10 @@
   WaitingLine::Place* mPlace = nullptr;
   /// The generation at the current upstream, if it can be moved.
   std::shared_ptr<MovableRun> mRun;
+  /// What the run adds to the upstream's use, as long as it can be moved.
+  UpstreamUse mRunUse;
+  /// Prompt tokens counted at the upstream until the first event.
+  std::uint64_t mPromptInUse = 0;
   /// Set while a moved generation is being continued.
   std::optional<Continuation> mContinued;
   bool mCallerLeft = false;
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -33,6 +33,7 @@
   , mLine(WaitingLine::Create())
   , mFreshness(StoreFreshness::Create(std::chrono::duration_cast<Milliseconds>(
       mSettings.mBounds.mKeyFreshness * kFreshnessPart)))
+  , mRecorder(mSettings.mPlace.mVm + "/gateway")
   , mLog("gateway")
 {
 }
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -17,6 +17,7 @@
 #include "cactusgw/gateway/upstream_health.hpp"
 #include "cactusgw/gateway/upstream_pool.hpp"
 #include "cactusgw/gateway/waiting_line.hpp"
+#include "cactusgw/telemetry/recorder.hpp"
 
 #include <map>
 #include <memory>
@@ -83,6 +84,7 @@
   StoreFreshness mFreshness;
   std::uint32_t mGateways = kMinGateways;
   GatewayMetrics mMetrics;
+  EventRecorder mRecorder;
   DecisionLog mLog;
 
 private:
--- a/src/cactusgw/gateway/generation_mover.cpp
+++ b/src/cactusgw/gateway/generation_mover.cpp
@@ -19,6 +19,10 @@
 /// Pause before a run is looked at again that has not begun or is being
 /// copied by an earlier order.
 constexpr Milliseconds kTryAgain{ 30 };
+/// Longest wait for one run of a peer that comes first; a copy of usual size
+/// takes about this long between data centres.
+constexpr Milliseconds kTurnTime{ 450 };
+constexpr Milliseconds kTurnCheck{ 10 };
 
 Instant
 Now()
@@ -85,6 +89,7 @@
 {
   std::deque<std::shared_ptr<MovableRun>> waiting{ aRuns.begin(), aRuns.end() };
   aRuns.clear();
+  co_await WaitForTurn(waiting.front()->Identity().mUpstream);
   while (!waiting.empty()) {
     const std::shared_ptr<MovableRun> run = std::move(waiting.front());
     waiting.pop_front();
@@ -103,6 +108,21 @@
   }
 }
 
+Task<void>
+GenerationMover::WaitForTurn(std::string aUpstream)
+{
+  const std::string& self = mState.mSettings.mPlace.mVm;
+  const UpstreamUse first = mState.mLoads.MovableBefore(aUpstream, self, Now());
+  const Instant latest = Now() + kTurnTime * first.mMovable;
+  net::steady_timer timer{ mContext };
+  while (Now() < latest &&
+         mState.mLoads.MovableBefore(aUpstream, self, Now()).mMovable > 0) {
+    timer.expires_after(kTurnCheck);
+    beast::error_code ec;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+  }
+}
+
 const KnownUpstream*
 GenerationMover::ChooseTarget(const RunIdentity& aRun) const
 {
@@ -139,7 +159,7 @@
   const KnownUpstream target = *found;
   const std::string& targetId = target.mRecord.mId;
   const Instant begun = Now();
-  const UpstreamUse use{ 1, identity.mNeed.mTotal, 0 };
+  const UpstreamUse use{ 1, identity.mNeed.mTotal, 0, 0 };
   mState.mMetrics.mMovesStarted.Add();
   mState.mLoads.Add(targetId, use);
   Log("move-started", identity, targetId, begun);
--- a/src/cactusgw/gateway/generation_mover.hpp
+++ b/src/cactusgw/gateway/generation_mover.hpp
@@ -39,6 +39,8 @@
 
   Runs Take(const std::string& aUpstream);
   Task<void> MoveAll(Runs aRuns);
+  /// Waits for the peers whose copies from this upstream come first.
+  Task<void> WaitForTurn(std::string aUpstream);
   /// Returns false when the run should be tried again a little later.
   Task<bool> Move(const std::shared_ptr<MovableRun>& aRun);
   Task<void> StopAndCopy(const std::shared_ptr<MovableRun>& aRun,
--- a/src/cactusgw/gateway/load_table.cpp
+++ b/src/cactusgw/gateway/load_table.cpp
@@ -22,6 +22,7 @@
   mRequests += aOther.mRequests;
   mTokens += aOther.mTokens;
   mPromptTokens += aOther.mPromptTokens;
+  mMovable += aOther.mMovable;
   return *this;
 }
 
@@ -31,6 +32,7 @@
   SubtractDownToZero(mRequests, aOther.mRequests);
   SubtractDownToZero(mTokens, aOther.mTokens);
   SubtractDownToZero(mPromptTokens, aOther.mPromptTokens);
+  SubtractDownToZero(mMovable, aOther.mMovable);
   return *this;
 }
 
@@ -38,6 +40,7 @@
 LoadTable::Add(std::string_view aUpstream, const UpstreamUse& aUse)
 {
   mOwn[std::string{ aUpstream }] += aUse;
+  ++mOwnVersion;
 }
 
 void
@@ -48,6 +51,7 @@
     return;
   }
   it->second -= aUse;
+  ++mOwnVersion;
   if (it->second == UpstreamUse{}) {
     mOwn.erase(it);
   }
@@ -76,4 +80,22 @@
   return total;
 }
 
+UpstreamUse
+LoadTable::MovableBefore(std::string_view aUpstream,
+                         std::string_view aName,
+                         Instant aNow) const
+{
+  UpstreamUse total;
+  for (const auto& [name, peer] : mPeers) {
+    const auto it = peer.mUse.find(aUpstream);
+    const bool counts = name < aName && it != peer.mUse.end() &&
+                        it->second.mMovable > 0 &&
+                        aNow - peer.mHeard < kPeerValidity;
+    if (counts) {
+      total += it->second;
+    }
+  }
+  return total;
+}
+
 } // namespace cactusgw
--- a/src/cactusgw/gateway/load_table.hpp
+++ b/src/cactusgw/gateway/load_table.hpp
@@ -21,6 +21,8 @@
   std::uint64_t mTokens = 0;
   /// Prompt tokens of requests that have not produced anything yet.
   std::uint64_t mPromptTokens = 0;
+  /// Generations that could be moved to another upstream.
+  std::uint32_t mMovable = 0;
 
   UpstreamUse& operator+=(const UpstreamUse& aOther);
   UpstreamUse& operator-=(const UpstreamUse& aOther);
@@ -45,7 +47,13 @@
 
   /// Use by this gateway and by the peers heard lately.
   UpstreamUse Total(std::string_view aUpstream, Instant aNow) const;
+  /// What the peers that come before a name have there to move.
+  UpstreamUse MovableBefore(std::string_view aUpstream,
+                            std::string_view aName,
+                            Instant aNow) const;
   const UseByUpstream& Own() const { return mOwn; }
+  /// Rises with each change of this gateway's use.
+  std::uint64_t OwnVersion() const { return mOwnVersion; }
 
 private:
   struct PeerUse
@@ -57,6 +65,7 @@
   LoadTable() = default;
 
   UseByUpstream mOwn;
+  std::uint64_t mOwnVersion = 1;
   std::map<std::string, PeerUse, std::less<>> mPeers;
 };
 
--- /dev/null
+++ b/src/cactusgw/gateway/peer_exchange.cpp
@@ -0,0 +1,155 @@
+#include "cactusgw/gateway/peer_exchange.hpp"
+
+#include "cactusgw/gateway/gateway_state.hpp"
+
+#include <utility>
+
+namespace cactusgw {
+
+namespace {
+
+Instant
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+PeerExchange::PeerExchange(boost::asio::io_context& aContext,
+                           GatewayState& aState)
+  : mContext(aContext)
+  , mState(aState)
+  , mZmq(1)
+  , mCodec(aState.mSettings.mPlace.mVm,
+           static_cast<std::uint64_t>(WallClockMs()),
+           aState.mRecorder)
+{
+}
+
+Result<std::unique_ptr<PeerExchange>>
+PeerExchange::Listen(boost::asio::io_context& aContext, GatewayState& aState)
+{
+  std::unique_ptr<PeerExchange> exchange{ new PeerExchange{ aContext,
+                                                            aState } };
+  PeerExchange* const self = exchange.get();
+  Result<std::unique_ptr<MessageSocket>> listener =
+    MessageSocket::Bind(exchange->mZmq,
+                        aContext,
+                        aState.mSettings.mPeerListen,
+                        [self](std::string_view, std::string_view aPayload) {
+                          self->OnMessage(aPayload);
+                        });
+  if (!listener) {
+    return listener.error();
+  }
+  exchange->mListener = std::move(listener.value());
+  return exchange;
+}
+
+void
+PeerExchange::SetPeer(const GatewayPeer& aPeer)
+{
+  if (aPeer.mName == mState.mSettings.mPlace.mVm) {
+    return;
+  }
+  const auto known = mPeers.find(aPeer.mName);
+  if (known != mPeers.end() && known->second.mPeer.mAddress == aPeer.mAddress) {
+    return;
+  }
+  Result<std::unique_ptr<MessageSocket>> socket = MessageSocket::Connect(
+    mZmq, mContext, aPeer.mAddress, [](std::string_view, std::string_view) {});
+  if (!socket) {
+    mState.mLog.Write(
+      "peer-ignored",
+      { { "peer", aPeer.mName }, { "reason", socket.error().mDetail } },
+      Now());
+    return;
+  }
+  Link link;
+  link.mPeer = aPeer;
+  link.mSocket = std::move(socket.value());
+  mPeers[aPeer.mName] = std::move(link);
+  mState.mLog.Write("peer-known",
+                    { { "peer", aPeer.mName }, { "address", aPeer.mAddress } },
+                    Now());
+}
+
+void
+PeerExchange::RemovePeer(std::string_view aName)
+{
+  const auto it = mPeers.find(aName);
+  if (it != mPeers.end()) {
+    mPeers.erase(it);
+    mState.mLog.Write("peer-gone", { { "peer", aName } }, Now());
+  }
+}
+
+bool
+PeerExchange::IsDue(const Link& aLink, Instant aNow) const
+{
+  const Milliseconds since =
+    std::chrono::duration_cast<Milliseconds>(aNow - aLink.mSentAt);
+  const bool isFar =
+    mState.DistanceBetween(mState.mSettings.mPlace.mDataCentre,
+                           aLink.mPeer.mDataCentre) == Distance::OtherRegion;
+  const bool isNew = aLink.mSentVersion != mState.mLoads.OwnVersion();
+  if (isNew && since >= (isFar ? kFarInterval : kNearInterval)) {
+    return true;
+  }
+  return since >= kRepeatInterval && !mState.mLoads.Own().empty();
+}
+
+void
+PeerExchange::Send(Instant aNow)
+{
+  std::string payload;
+  for (auto& [name, link] : mPeers) {
+    if (!IsDue(link, aNow)) {
+      continue;
+    }
+    if (payload.empty()) {
+      payload = EncodeUse();
+    }
+    if (link.mSocket->Send(payload)) {
+      link.mSentVersion = mState.mLoads.OwnVersion();
+    }
+    link.mSentAt = aNow;
+  }
+}
+
+std::string
+PeerExchange::EncodeUse()
+{
+  wire::Envelope envelope;
+  wire::GatewayUse* const message = envelope.mutable_gateway_use();
+  for (const auto& [upstream, use] : mState.mLoads.Own()) {
+    wire::UpstreamUseEntry* const entry = message->add_entries();
+    entry->set_upstream(upstream);
+    entry->set_requests(use.mRequests);
+    entry->set_tokens(use.mTokens);
+    entry->set_prompt_tokens(use.mPromptTokens);
+    entry->set_movable(use.mMovable);
+  }
+  return mCodec.Encode(envelope);
+}
+
+void
+PeerExchange::OnMessage(std::string_view aPayload)
+{
+  const Result<wire::Envelope> envelope = mCodec.Decode(aPayload);
+  if (!envelope || !envelope.value().has_gateway_use()) {
+    return;
+  }
+  UseByUpstream uses;
+  for (const wire::UpstreamUseEntry& entry :
+       envelope.value().gateway_use().entries()) {
+    uses[entry.upstream()] = UpstreamUse{
+      entry.requests(), entry.tokens(), entry.prompt_tokens(), entry.movable()
+    };
+  }
+  mState.mLoads.SetPeer(envelope.value().sender_vm(), std::move(uses), Now());
+  mState.mLine.WakeFirst();
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/gateway/peer_exchange.hpp
@@ -0,0 +1,74 @@
+#ifndef CACTUSGW_GATEWAY_PEER_EXCHANGE_HPP
+#define CACTUSGW_GATEWAY_PEER_EXCHANGE_HPP
+
+/// Tells the other gateways what this one has in progress at each upstream,
+/// and hears the same from them. What is lost is replaced by the next message.
+
+#include "cactusgw/gateway/gateway_peer.hpp"
+#include "cactusgw/gateway/load_table.hpp"
+#include "cactusgw/messaging/envelope.hpp"
+#include "cactusgw/messaging/message_socket.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <zmq.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cactusgw {
+
+class GatewayState;
+
+/// Not thread-safe; lives on one io_context.
+class PeerExchange
+{
+public:
+  /// Time between two messages to a peer of the same region while the figures
+  /// change. Links between regions are narrow and paid for: peers there hear
+  /// as often as figures stay valid.
+  static constexpr Milliseconds kNearInterval{ 50 };
+  static constexpr Milliseconds kFarInterval{ 1000 };
+  /// Unchanged figures are repeated this often.
+  static constexpr Milliseconds kRepeatInterval{ 1000 };
+
+  /// Errors: InvalidInput when the address can't be bound.
+  static Result<std::unique_ptr<PeerExchange>> Listen(
+    boost::asio::io_context& aContext,
+    GatewayState& aState);
+
+  /// Peers as they registered. This gateway itself may be among them.
+  void SetPeer(const GatewayPeer& aPeer);
+  void RemovePeer(std::string_view aName);
+  std::size_t PeerCount() const { return mPeers.size(); }
+
+  /// Sends what is due.
+  void Send(Instant aNow);
+
+private:
+  struct Link
+  {
+    GatewayPeer mPeer;
+    std::unique_ptr<MessageSocket> mSocket;
+    Instant mSentAt;
+    std::uint64_t mSentVersion = 0;
+  };
+
+  PeerExchange(boost::asio::io_context& aContext, GatewayState& aState);
+  void OnMessage(std::string_view aPayload);
+  bool IsDue(const Link& aLink, Instant aNow) const;
+  std::string EncodeUse();
+
+  boost::asio::io_context& mContext;
+  GatewayState& mState;
+  zmq::context_t mZmq;
+  EnvelopeCodec mCodec;
+  std::unique_ptr<MessageSocket> mListener;
+  std::map<std::string, Link, std::less<>> mPeers;
+};
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_GATEWAY_PEER_EXCHANGE_HPP
