Gateways work on while the store is away, and know of leaving upstreams

Cause: keys counted as stale 2 s into an outage of the store, as an interrupted wait confirms nothing since it began; upstreams that leave during an outage were not noticed; a run whose upstream died during the last copy was lost although a copy lacked only its newest tokens; a stop withdrew the registration at its end and outlived its grace time.

While the store tells nothing, upstreams with runs are asked for their state, and gateways tell each other which upstreams leave.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -39,7 +39,12 @@
                  PeerRegistration aRegistration)
   : mContext(aContext)
   , mState(std::move(aSettings), std::move(aNames))
-  , mMover(aContext, mState, std::move(aControl))
+  , mMover(aContext,
+           mState,
+           std::move(aControl),
+           [this](const LeavingUpstream& aUpstream) {
+             OnLeavingHeard(aUpstream, "upstream");
+           })
   , mRegistration(std::move(aRegistration))
 {
   mState.mMover = &mMover;
@@ -63,6 +68,7 @@
   }
   Gateway* const self = gateway.get();
   net::co_spawn(aContext, gateway->Register(), net::detached);
+  net::co_spawn(aContext, gateway->mMover.AskWhileBlind(), net::detached);
   RunEvery(
     aContext, [] { return kTickTime; }, [self] { return self->Tick(); });
   const GatewaySettings& settings = gateway->mState.mSettings;
@@ -108,8 +114,10 @@
     return metrics.error();
   }
   mMetricsServer = std::move(metrics.value());
-  Result<std::unique_ptr<PeerExchange>> peers =
-    PeerExchange::Listen(mContext, mState);
+  Result<std::unique_ptr<PeerExchange>> peers = PeerExchange::Listen(
+    mContext, mState, [this](const LeavingUpstream& aUpstream) {
+      OnLeavingHeard(aUpstream, "peer");
+    });
   if (!peers) {
     return peers.error();
   }
@@ -203,6 +211,28 @@
   mState.mFreshness.OnConfirmed(aAsOf);
 }
 
+void
+Gateway::OnLeavingHeard(const LeavingUpstream& aUpstream,
+                        std::string_view aFrom)
+{
+  if (!mState.mDirectory.MarkLeaving(aUpstream.mId, aUpstream.mStartedMs)) {
+    return;
+  }
+  mState.mLog.Write("leaving-heard",
+                    { { "upstream", aUpstream.mId }, { "from", aFrom } },
+                    Now());
+  OnDirectoryChange(DirectoryChange::Leaving, aUpstream.mId);
+}
+
+void
+Gateway::RecordLeaving(const std::string& aId)
+{
+  const KnownUpstream* const known = mState.mDirectory.Find(aId);
+  if (known != nullptr) {
+    mState.mLeavingNews.Add({ aId, known->mRecord.mStartedMs }, Now());
+  }
+}
+
 void
 Gateway::OnDirectoryChange(DirectoryChange aChange, const std::string& aId)
 {
@@ -215,6 +245,7 @@
     case DirectoryChange::Leaving:
       mState.mPool.Forget(aId);
       mMover.OnLeaving(aId);
+      RecordLeaving(aId);
       mState.mLog.Write("upstream-leaving", { { "upstream", aId } }, Now());
       break;
     case DirectoryChange::None:
@@ -244,11 +275,26 @@
 {
   const Instant now = Now();
   for (Change<UpstreamRecord>& change : aChanges) {
-    const DirectoryChange effect =
-      change.mValue ? mState.mDirectory.Put(std::move(*change.mValue), now)
-                    : mState.mDirectory.Remove(change.mName, now);
-    OnDirectoryChange(effect, change.mName);
+    if (change.mValue) {
+      OnDirectoryChange(mState.mDirectory.Put(std::move(*change.mValue), now),
+                        change.mName);
+    } else {
+      OnRemoved(change.mName, now);
+    }
+  }
+}
+
+void
+Gateway::OnRemoved(const std::string& aId, Instant aNow)
+{
+  const KnownUpstream* const known = mState.mDirectory.Find(aId);
+  const std::int64_t startedMs =
+    known == nullptr ? 0 : known->mRecord.mStartedMs;
+  const DirectoryChange effect = mState.mDirectory.Remove(aId, aNow);
+  if (effect == DirectoryChange::Leaving) {
+    mState.mLeavingNews.Add({ aId, startedMs }, aNow);
   }
+  OnDirectoryChange(effect, aId);
 }
 
 void
@@ -310,6 +356,17 @@
   }
 }
 
+Task<void>
+Gateway::Withdraw()
+{
+  const std::string& self = mState.mSettings.mPlace.mVm;
+  const Result<void> done = co_await mRegistration.mWithdraw(self);
+  mState.mLog.WriteAlways(
+    "registration-withdrawn",
+    { { "vm", self },
+      { "outcome", done ? std::string{ "done" } : done.error().mDetail } });
+}
+
 void
 Gateway::OnPeers(std::vector<GatewayPeer> aPeers)
 {
@@ -376,6 +433,7 @@
   const Instant deadline = begun + mState.mSettings.mStopTime - kExitMargin;
   net::steady_timer timer{ mContext };
   mServer->Drain();
+  net::co_spawn(mContext, Withdraw(), net::detached);
   timer.expires_after(mState.mSettings.mUnreadyTime);
   co_await timer.async_wait(net::use_awaitable);
   mServer->StopAccepting();
@@ -383,13 +441,11 @@
     timer.expires_after(kPause);
     co_await timer.async_wait(net::use_awaitable);
   }
-  const Result<void> withdrawn =
-    co_await mRegistration.mWithdraw(mState.mSettings.mPlace.mVm);
   mState.mLog.WriteAlways(
     "stopped",
-    { { "cutRequests", static_cast<std::int64_t>(mServer->OpenExchanges()) },
-      { "registration",
-        withdrawn ? std::string{ "withdrawn" } : withdrawn.error().mDetail } });
+    {
+      { "cutRequests", static_cast<std::int64_t>(mServer->OpenExchanges()) },
+    });
   aOnStopped();
 }
 
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -47,6 +47,8 @@
   void OnPeerChanges(std::vector<Change<GatewayPeer>> aChanges);
   void OnStoreLost(std::string_view aWhat, const Failure& aFailure);
   void OnStoreBack(std::string_view aWhat);
+  /// Whether changes to upstreams are being told at present.
+  void OnUpstreamsBlind(bool aIsBlind) { mState.mIsBlind = aIsBlind; }
 
   GatewayState& State() { return mState; }
 
@@ -63,7 +65,11 @@
   Task<void> FinishInProgress(std::function<void()> aOnStopped);
   bool Tick();
   Task<void> Register();
+  Task<void> Withdraw();
+  void RecordLeaving(const std::string& aId);
+  void OnRemoved(const std::string& aId, Instant aNow);
   void CountGateways();
+  void OnLeavingHeard(const LeavingUpstream& aUpstream, std::string_view aFrom);
   void OnDirectoryChange(DirectoryChange aChange, const std::string& aId);
   void OnTakenBack(const std::string& aDataCentre);
   bool IsReady() const;
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -446,6 +446,11 @@
     co_return false;
   }
   co_await mRun->WaitWhileStopping(mEnd);
+  const KnownUpstream* const known = mState.mDirectory.Find(mUpstream);
+  const bool leaves = known == nullptr || known->mRecord.mIsLeaving;
+  if (mRun->State() == RunState::Running && leaves && mRun->Copy()) {
+    mRun->SetStopped(*mRun->Copy());
+  }
   co_return mRun->State() == RunState::Stopped;
 }
 
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -8,6 +8,7 @@
 #include "cactusgw/gateway/decision_log.hpp"
 #include "cactusgw/gateway/gateway_metrics.hpp"
 #include "cactusgw/gateway/header_names.hpp"
+#include "cactusgw/gateway/leaving_news.hpp"
 #include "cactusgw/gateway/load_table.hpp"
 #include "cactusgw/gateway/routing_table.hpp"
 #include "cactusgw/gateway/shared_retry_budget.hpp"
@@ -71,6 +72,10 @@
   /// Null before the first configuration.
   std::shared_ptr<const RoutingTable> mTable;
   UpstreamDirectory mDirectory;
+  /// Upstreams that lately turned out to leave; told to the other gateways.
+  LeavingNews mLeavingNews;
+  /// Whether the store does not tell of changes to upstreams at present.
+  bool mIsBlind = false;
   /// Data centres taken back lately, and until when their upstreams count as
   /// cold, whatever their records say.
   std::map<std::string, Instant> mTakenBackUntil;
--- a/src/cactusgw/gateway/generation_mover.cpp
+++ b/src/cactusgw/gateway/generation_mover.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <utility>
@@ -19,10 +20,16 @@
 /// Pause before a run is looked at again that has not begun or is being
 /// copied by an earlier order.
 constexpr Milliseconds kTryAgain{ 30 };
-/// Longest wait for one run of a peer that comes first; a copy of usual size
-/// takes about this long between data centres.
-constexpr Milliseconds kTurnTime{ 450 };
+/// A peer's copies may take this much longer than the link's rate says, and
+/// this long in addition for each run.
+constexpr double kTurnSlack = 1.2;
+constexpr Milliseconds kTurnExtra{ 40 };
 constexpr Milliseconds kTurnCheck{ 10 };
+/// How often upstreams are asked while the store tells nothing. Notice may be
+/// as short as 1.5 s.
+constexpr Milliseconds kAskInterval{ 400 };
+/// A copy between data centres takes the link for twice the time.
+constexpr DistanceWeights kMoveDistances{ 0.3, 1.0 };
 
 Instant
 Now()
@@ -34,10 +41,12 @@
 
 GenerationMover::GenerationMover(net::io_context& aContext,
                                  GatewayState& aState,
-                                 GenerationControl aControl)
+                                 GenerationControl aControl,
+                                 LeavingHandler aOnLeaving)
   : mContext(aContext)
   , mState(aState)
   , mControl(std::move(aControl))
+  , mOnLeaving(std::move(aOnLeaving))
 {
 }
 
@@ -89,7 +98,8 @@
 {
   std::deque<std::shared_ptr<MovableRun>> waiting{ aRuns.begin(), aRuns.end() };
   aRuns.clear();
-  co_await WaitForTurn(waiting.front()->Identity().mUpstream);
+  const RunIdentity& first = waiting.front()->Identity();
+  co_await WaitForTurn(first.mUpstream, first.mService);
   while (!waiting.empty()) {
     const std::shared_ptr<MovableRun> run = std::move(waiting.front());
     waiting.pop_front();
@@ -108,12 +118,33 @@
   }
 }
 
+Milliseconds
+GenerationMover::TurnTime(const std::string& aUpstream,
+                          const std::string& aService) const
+{
+  const GatewayService* const service =
+    mState.mTable ? mState.mTable->FindService(aService) : nullptr;
+  if (service == nullptr || !service->mEngine ||
+      service->mEngine->mLinkMbps <= 0) {
+    return Milliseconds::zero();
+  }
+  constexpr double kBitsPerByte = 8;
+  constexpr double kBitsPerMsAndMbps = 1000;
+  const UpstreamUse first =
+    mState.mLoads.MovableBefore(aUpstream, mState.mSettings.mPlace.mVm, Now());
+  const double bits =
+    static_cast<double>(first.mTokens * service->mEngine->mBytesPerToken) *
+    kBitsPerByte;
+  const double ms = bits / (service->mEngine->mLinkMbps * kBitsPerMsAndMbps);
+  return Milliseconds{ static_cast<std::int64_t>(ms * kTurnSlack) } +
+         kTurnExtra * first.mMovable;
+}
+
 Task<void>
-GenerationMover::WaitForTurn(std::string aUpstream)
+GenerationMover::WaitForTurn(std::string aUpstream, std::string aService)
 {
   const std::string& self = mState.mSettings.mPlace.mVm;
-  const UpstreamUse first = mState.mLoads.MovableBefore(aUpstream, self, Now());
-  const Instant latest = Now() + kTurnTime * first.mMovable;
+  const Instant latest = Now() + TurnTime(aUpstream, aService);
   net::steady_timer timer{ mContext };
   while (Now() < latest &&
          mState.mLoads.MovableBefore(aUpstream, self, Now()).mMovable > 0) {
@@ -123,14 +154,50 @@
   }
 }
 
+Task<void>
+GenerationMover::AskWhileBlind()
+{
+  net::steady_timer timer{ mContext };
+  while (true) {
+    timer.expires_after(kAskInterval);
+    beast::error_code ec;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    if (mState.mIsBlind) {
+      co_await AskOnce();
+    }
+  }
+}
+
+Task<void>
+GenerationMover::AskOnce()
+{
+  for (const auto& [upstream, runs] : mRuns) {
+    const bool hasRuns = std::any_of(
+      runs.begin(), runs.end(), [](const std::weak_ptr<MovableRun>& aRun) {
+        return !aRun.expired();
+      });
+    const KnownUpstream* const known = mState.mDirectory.Find(upstream);
+    if (hasRuns && known != nullptr && !known->mRecord.mIsLeaving) {
+      net::co_spawn(mContext, AskUpstream(known->mRecord), net::detached);
+    }
+  }
+  co_return;
+}
+
+Task<void>
+GenerationMover::AskUpstream(UpstreamRecord aUpstream)
+{
+  const Result<bool> leaves = co_await mControl.mIsLeaving(aUpstream.mAddress);
+  if (leaves && leaves.value()) {
+    mOnLeaving({ aUpstream.mId, aUpstream.mStartedMs });
+  }
+}
+
 const KnownUpstream*
 GenerationMover::ChooseTarget(const RunIdentity& aRun) const
 {
-  if (!mState.mTable) {
-    return nullptr;
-  }
   const GatewayService* const service =
-    mState.mTable->FindService(aRun.mService);
+    mState.mTable ? mState.mTable->FindService(aRun.mService) : nullptr;
   if (service == nullptr) {
     return nullptr;
   }
@@ -142,8 +209,12 @@
   std::erase_if(candidates, [](const Candidate& aCandidate) {
     return aCandidate.mDistance == Distance::OtherRegion;
   });
-  const Candidate* const chosen =
-    ChooseUpstream(candidates, *service, aRun.mNeed);
+  const Candidate* chosen =
+    ChooseUpstream(candidates, *service, aRun.mNeed, kMoveDistances);
+  if (chosen == nullptr) {
+    // An engine short of memory puts a run back; a lost run is worse.
+    chosen = ChooseUpstream(candidates, *service, {}, kMoveDistances);
+  }
   return chosen == nullptr ? nullptr : chosen->mUpstream;
 }
 
@@ -172,6 +243,7 @@
     Free({ targetId, identity.mAddress, copied.mHandle });
   }
   if (copied.mOutcome == CopyOutcome::Copied && !isGone) {
+    aRun->SetCopy({ targetId, identity.mAddress, copied.mHandle });
     co_await StopAndCopy(aRun, target);
     Log("move-ended", identity, targetId, begun);
   } else {
--- a/src/cactusgw/gateway/generation_mover.hpp
+++ b/src/cactusgw/gateway/generation_mover.hpp
@@ -5,11 +5,13 @@
 /// copied while it runs; then it stops, what is new is copied, and its call
 /// continues it at the target.
 
+#include "cactusgw/gateway/leaving_news.hpp"
 #include "cactusgw/gateway/movable_run.hpp"
 #include "cactusgw/interfaces/generation_control.hpp"
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,14 +25,21 @@
 class GenerationMover
 {
 public:
+  /// Called when an upstream itself says that it leaves.
+  using LeavingHandler = std::function<void(const LeavingUpstream&)>;
+
   GenerationMover(net::io_context& aContext,
                   GatewayState& aState,
-                  GenerationControl aControl);
+                  GenerationControl aControl,
+                  LeavingHandler aOnLeaving);
 
   /// A generation began at its upstream.
   void Add(const std::shared_ptr<MovableRun>& aRun);
   /// Moves the generations of an upstream that leaves.
   void OnLeaving(const std::string& aUpstream);
+  /// While the store tells nothing, asks upstreams with runs whether they
+  /// leave. Never ends.
+  Task<void> AskWhileBlind();
   /// Frees a copy that nobody will continue.
   void Free(const Continuation& aContinuation);
 
@@ -40,11 +49,16 @@
   Runs Take(const std::string& aUpstream);
   Task<void> MoveAll(Runs aRuns);
   /// Waits for the peers whose copies from this upstream come first.
-  Task<void> WaitForTurn(std::string aUpstream);
+  Task<void> WaitForTurn(std::string aUpstream, std::string aService);
   /// Returns false when the run should be tried again a little later.
   Task<bool> Move(const std::shared_ptr<MovableRun>& aRun);
   Task<void> StopAndCopy(const std::shared_ptr<MovableRun>& aRun,
                          const KnownUpstream& aTarget);
+  /// Time that the copies of peers that come first may take.
+  Milliseconds TurnTime(const std::string& aUpstream,
+                        const std::string& aService) const;
+  Task<void> AskOnce();
+  Task<void> AskUpstream(UpstreamRecord aUpstream);
   const KnownUpstream* ChooseTarget(const RunIdentity& aRun) const;
   void Log(std::string_view aEvent,
            const RunIdentity& aRun,
@@ -54,6 +68,7 @@
   net::io_context& mContext;
   GatewayState& mState;
   GenerationControl mControl;
+  LeavingHandler mOnLeaving;
   std::map<std::string, std::vector<std::weak_ptr<MovableRun>>> mRuns;
 };
 
--- a/src/cactusgw/gateway/movable_run.hpp
+++ b/src/cactusgw/gateway/movable_run.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -66,6 +67,10 @@
 
   void SetState(RunState aState);
   void SetStopped(Continuation aContinuation);
+  /// A copy that lacks the newest tokens. It serves when the upstream ends
+  /// before it could be stopped.
+  void SetCopy(Continuation aCopy) { mCopy = std::move(aCopy); }
+  const std::optional<Continuation>& Copy() const { return mCopy; }
   /// Valid once the run has stopped.
   const Continuation& Next() const { return mNext; }
 
@@ -78,6 +83,7 @@
   RunState mState = RunState::Running;
   bool mHasBegun = false;
   Continuation mNext;
+  std::optional<Continuation> mCopy;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/peer_exchange.cpp
+++ b/src/cactusgw/gateway/peer_exchange.cpp
@@ -17,9 +17,11 @@
 } // namespace
 
 PeerExchange::PeerExchange(boost::asio::io_context& aContext,
-                           GatewayState& aState)
+                           GatewayState& aState,
+                           LeavingHandler aOnLeaving)
   : mContext(aContext)
   , mState(aState)
+  , mOnLeaving(std::move(aOnLeaving))
   , mZmq(1)
   , mCodec(aState.mSettings.mPlace.mVm,
            static_cast<std::uint64_t>(WallClockMs()),
@@ -28,10 +30,12 @@
 }
 
 Result<std::unique_ptr<PeerExchange>>
-PeerExchange::Listen(boost::asio::io_context& aContext, GatewayState& aState)
+PeerExchange::Listen(boost::asio::io_context& aContext,
+                     GatewayState& aState,
+                     LeavingHandler aOnLeaving)
 {
-  std::unique_ptr<PeerExchange> exchange{ new PeerExchange{ aContext,
-                                                            aState } };
+  std::unique_ptr<PeerExchange> exchange{ new PeerExchange{
+    aContext, aState, std::move(aOnLeaving) } };
   PeerExchange* const self = exchange.get();
   Result<std::unique_ptr<MessageSocket>> listener =
     MessageSocket::Bind(exchange->mZmq,
@@ -93,11 +97,14 @@
   const bool isFar =
     mState.DistanceBetween(mState.mSettings.mPlace.mDataCentre,
                            aLink.mPeer.mDataCentre) == Distance::OtherRegion;
-  const bool isNew = aLink.mSentVersion != mState.mLoads.OwnVersion();
+  const bool isNew = aLink.mSentVersion !=
+                     mState.mLoads.OwnVersion() + mState.mLeavingNews.Version();
   if (isNew && since >= (isFar ? kFarInterval : kNearInterval)) {
     return true;
   }
-  return since >= kRepeatInterval && !mState.mLoads.Own().empty();
+  const bool hasNews =
+    !mState.mLoads.Own().empty() || !mState.mLeavingNews.Recent(aNow).empty();
+  return since >= kRepeatInterval && hasNews;
 }
 
 void
@@ -112,7 +119,8 @@
       payload = EncodeUse();
     }
     if (link.mSocket->Send(payload)) {
-      link.mSentVersion = mState.mLoads.OwnVersion();
+      link.mSentVersion =
+        mState.mLoads.OwnVersion() + mState.mLeavingNews.Version();
     }
     link.mSentAt = aNow;
   }
@@ -131,6 +139,11 @@
     entry->set_prompt_tokens(use.mPromptTokens);
     entry->set_movable(use.mMovable);
   }
+  for (const LeavingUpstream& upstream : mState.mLeavingNews.Recent(Now())) {
+    wire::LeavingUpstream* const entry = message->add_leaving();
+    entry->set_upstream(upstream.mId);
+    entry->set_started_ms(upstream.mStartedMs);
+  }
   return mCodec.Encode(envelope);
 }
 
@@ -149,6 +162,10 @@
     };
   }
   mState.mLoads.SetPeer(envelope.value().sender_vm(), std::move(uses), Now());
+  for (const wire::LeavingUpstream& entry :
+       envelope.value().gateway_use().leaving()) {
+    mOnLeaving({ entry.upstream(), entry.started_ms() });
+  }
   mState.mLine.WakeFirst();
 }
 
--- a/src/cactusgw/gateway/peer_exchange.hpp
+++ b/src/cactusgw/gateway/peer_exchange.hpp
@@ -5,6 +5,7 @@
 /// and hears the same from them. What is lost is replaced by the next message.
 
 #include "cactusgw/gateway/gateway_peer.hpp"
+#include "cactusgw/gateway/leaving_news.hpp"
 #include "cactusgw/gateway/load_table.hpp"
 #include "cactusgw/messaging/envelope.hpp"
 #include "cactusgw/messaging/message_socket.hpp"
@@ -13,6 +14,7 @@
 #include <zmq.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -34,10 +36,14 @@
   /// Unchanged figures are repeated this often.
   static constexpr Milliseconds kRepeatInterval{ 1000 };
 
+  /// Called when a peer says that an upstream leaves.
+  using LeavingHandler = std::function<void(const LeavingUpstream&)>;
+
   /// Errors: InvalidInput when the address can't be bound.
   static Result<std::unique_ptr<PeerExchange>> Listen(
     boost::asio::io_context& aContext,
-    GatewayState& aState);
+    GatewayState& aState,
+    LeavingHandler aOnLeaving);
 
   /// Peers as they registered. This gateway itself may be among them.
   void SetPeer(const GatewayPeer& aPeer);
@@ -56,13 +62,16 @@
     std::uint64_t mSentVersion = 0;
   };
 
-  PeerExchange(boost::asio::io_context& aContext, GatewayState& aState);
+  PeerExchange(boost::asio::io_context& aContext,
+               GatewayState& aState,
+               LeavingHandler aOnLeaving);
   void OnMessage(std::string_view aPayload);
   bool IsDue(const Link& aLink, Instant aNow) const;
   std::string EncodeUse();
 
   boost::asio::io_context& mContext;
   GatewayState& mState;
+  LeavingHandler mOnLeaving;
   zmq::context_t mZmq;
   EnvelopeCodec mCodec;
   std::unique_ptr<MessageSocket> mListener;
--- a/src/cactusgw/gateway/registry_follower.hpp
+++ b/src/cactusgw/gateway/registry_follower.hpp
@@ -4,31 +4,39 @@
 /// Follows a collection of the store: lists it, waits for changes, and lists
 /// it again whenever changes may have been missed.
 
+#include "cactusgw/gateway/store_contact.hpp"
 #include "cactusgw/gateway/store_freshness.hpp"
 #include "cactusgw/interfaces/registry_source.hpp"
 #include "cactusgw/net/http_types.hpp"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 #include <functional>
 #include <utility>
 
 namespace cactusgw {
 
-/// What the follower reports. All functions must be set.
+/// What is told of the store's answers. All functions must be set.
+struct ContactEvents
+{
+  std::function<void(const Failure&)> mOnLost;
+  std::function<void()> mOnBack;
+};
+
+/// What a follower reports. All functions must be set.
 template<typename Value>
-struct FollowerEvents
+struct FollowerEvents : ContactEvents
 {
   std::function<void(std::vector<Value>)> mOnListing;
   std::function<void(std::vector<Change<Value>>)> mOnChanges;
+};
+
+/// What a poller reports. All functions must be set.
+template<typename Value>
+struct ObjectEvents : ContactEvents
+{
+  std::function<void(Value)> mOnValue;
   /// Everything up to this time is known.
   std::function<void(BootTime)> mOnConfirmed;
-  std::function<void(const Failure&)> mOnLost;
-  std::function<void()> mOnBack;
 };
 
 /// Not thread-safe; lives on one io_context as long as the process.
@@ -54,76 +62,46 @@
     while (true) {
       const Result<void> done = co_await Step();
       if (done) {
-        OnAnswer();
         continue;
       }
       if (done.error().mCode == FailureCode::HistoryGone) {
         mIsListed = false;
         continue;
       }
-      co_await OnFailure(done.error());
+      co_await mContact.OnFailure(done.error(), mEvents.mOnLost);
     }
   }
 
 private:
-  /// Pauses between failed calls double from the first to the last.
-  static constexpr Milliseconds kFirstPause{ 100 };
-  static constexpr Milliseconds kLastPause{ 400 };
-
   Task<Result<void>> Step()
   {
-    const BootTime asked = BootNow();
     if (!mIsListed) {
       Result<Listing<Value>> listing = co_await mSource.List();
       if (!listing) {
         co_return listing.error();
       }
-      OnAnswer();
+      mContact.OnAnswer(mEvents.mOnBack);
       mRevision = listing.value().mRevision;
       mIsListed = true;
       mEvents.mOnListing(std::move(listing.value().mValues));
-    } else {
-      Result<Changes<Value>> changes = co_await mSource.Watch(mRevision, mWait);
-      if (!changes) {
-        co_return changes.error();
-      }
-      OnAnswer();
-      mRevision = std::max(mRevision, changes.value().mRevision);
-      mEvents.mOnChanges(std::move(changes.value().mChanges));
+      co_return boost::outcome_v2::success();
     }
-    mEvents.mOnConfirmed(asked);
-    co_return boost::outcome_v2::success();
-  }
-
-  void OnAnswer()
-  {
-    mPause = kFirstPause;
-    if (mIsLost) {
-      mIsLost = false;
-      mEvents.mOnBack();
+    Result<Changes<Value>> changes = co_await mSource.Watch(mRevision, mWait);
+    if (!changes) {
+      co_return changes.error();
     }
-  }
-
-  Task<void> OnFailure(const Failure& aFailure)
-  {
-    if (!mIsLost) {
-      mIsLost = true;
-      mEvents.mOnLost(aFailure);
-    }
-    net::steady_timer timer{ co_await net::this_coro::executor };
-    timer.expires_after(mPause);
-    mPause = std::min(kLastPause, mPause * 2);
-    beast::error_code ec;
-    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    mContact.OnAnswer(mEvents.mOnBack);
+    mRevision = std::max(mRevision, changes.value().mRevision);
+    mEvents.mOnChanges(std::move(changes.value().mChanges));
+    co_return boost::outcome_v2::success();
   }
 
   Source mSource;
   Milliseconds mWait;
   FollowerEvents<Value> mEvents;
+  StoreContact mContact;
   std::uint64_t mRevision = 0;
   bool mIsListed = false;
-  bool mIsLost = false;
-  Milliseconds mPause = kFirstPause;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/upstream_choice.cpp
+++ b/src/cactusgw/gateway/upstream_choice.cpp
@@ -15,21 +15,19 @@
 /// Weights of the score; one is a whole upstream's load.
 constexpr double kPromptWeight = 1.0;
 constexpr double kBadnessWeight = 1.0;
-constexpr double kSameRegionWeight = 0.05;
-constexpr double kOtherRegionWeight = 0.3;
 
 double
-DistanceWeight(Distance aDistance)
+DistanceCost(Distance aDistance, const DistanceWeights& aWeights)
 {
   switch (aDistance) {
     case Distance::SameDataCentre:
       return 0;
     case Distance::SameRegion:
-      return kSameRegionWeight;
+      return aWeights.mSameRegion;
     case Distance::OtherRegion:
-      return kOtherRegionWeight;
+      return aWeights.mOtherRegion;
   }
-  return kOtherRegionWeight;
+  return aWeights.mOtherRegion;
 }
 
 std::uint32_t
@@ -44,7 +42,8 @@
 double
 Score(const Candidate& aCandidate,
       const GatewayService& aService,
-      const TokenNeed& aNeed)
+      const TokenNeed& aNeed,
+      const DistanceWeights& aDistances)
 {
   const double slots = SlotsOf(aCandidate, aService);
   double load = (aCandidate.mUse.mRequests + 1) / slots;
@@ -56,7 +55,7 @@
       static_cast<double>(aCandidate.mUse.mPromptTokens) / memory;
     load = std::max(load, tokens) + kPromptWeight * prompts;
   }
-  return load + DistanceWeight(aCandidate.mDistance) +
+  return load + DistanceCost(aCandidate.mDistance, aDistances) +
          kBadnessWeight * aCandidate.mBadness;
 }
 
@@ -82,7 +81,8 @@
 const Candidate*
 ChooseUpstream(std::span<const Candidate> aCandidates,
                const GatewayService& aService,
-               const TokenNeed& aNeed)
+               const TokenNeed& aNeed,
+               const DistanceWeights& aDistances)
 {
   const Candidate* best = nullptr;
   double bestScore = 0;
@@ -90,7 +90,7 @@
     if (!Fits(candidate, aService, aNeed)) {
       continue;
     }
-    const double score = Score(candidate, aService, aNeed);
+    const double score = Score(candidate, aService, aNeed, aDistances);
     if (best == nullptr || score < bestScore) {
       best = &candidate;
       bestScore = score;
--- a/src/cactusgw/gateway/upstream_choice.hpp
+++ b/src/cactusgw/gateway/upstream_choice.hpp
@@ -44,10 +44,18 @@
           const GatewayService& aService,
           const TokenNeed& aNeed);
 
+/// What distance costs; one is a whole upstream's load.
+struct DistanceWeights
+{
+  double mSameRegion = 0.05;
+  double mOtherRegion = 0.3;
+};
+
 /// The best of the candidates that the request fits on, or null.
 const Candidate* ChooseUpstream(std::span<const Candidate> aCandidates,
                                 const GatewayService& aService,
-                                const TokenNeed& aNeed);
+                                const TokenNeed& aNeed,
+                                const DistanceWeights& aDistances = {});
 
 } // namespace cactusgw
 
--- a/src/cactusgw/gateway/upstream_directory.cpp
+++ b/src/cactusgw/gateway/upstream_directory.cpp
@@ -47,6 +47,18 @@
   return DirectoryChange::Leaving;
 }
 
+bool
+UpstreamDirectory::MarkLeaving(std::string_view aId, std::int64_t aStartedMs)
+{
+  const auto it = mUpstreams.find(aId);
+  if (it == mUpstreams.end() || it->second.mRecord.mIsLeaving ||
+      it->second.mRecord.mStartedMs != aStartedMs) {
+    return false;
+  }
+  it->second.mRecord.mIsLeaving = true;
+  return true;
+}
+
 std::vector<std::string>
 UpstreamDirectory::RetainOnly(const std::set<std::string>& aIds, Instant aNow)
 {
--- a/src/cactusgw/gateway/upstream_directory.hpp
+++ b/src/cactusgw/gateway/upstream_directory.hpp
@@ -71,6 +71,10 @@
   std::vector<std::string> RetainOnly(const std::set<std::string>& aIds,
                                       Instant aNow);
 
+  /// Takes word from elsewhere that this start of an upstream leaves.
+  /// @return whether that was news
+  bool MarkLeaving(std::string_view aId, std::int64_t aStartedMs);
+
   /// The store answers again after an outage: what is missing may have lapsed.
   void OnStoreBack(Instant aNow) { mLapsesUntil = aNow + kLapseTime; }
   /// Forgets what has been missing for too long. Returns the ids.
--- a/src/cactusgw/interfaces/generation_control.hpp
+++ b/src/cactusgw/interfaces/generation_control.hpp
@@ -51,6 +51,8 @@
 struct GenerationControl
 {
   std::function<boost::asio::awaitable<CopyReply>(CopyOrder)> mCopy;
+  /// Whether the upstream at an address says that it leaves.
+  std::function<boost::asio::awaitable<Result<bool>>(std::string)> mIsLeaving;
   /// Frees the memory of a copy, given its source and handle.
   std::function<boost::asio::awaitable<void>(std::string, std::string)> mFree;
 };
