A stream that reached its end is never continued, nor a moved one run anew

TWICE - the target refused a continuation as not run, and the call sent the request to a third upstream without the copy, although it had run at the first.

A stream whose framing says that it is whole is whole; generations whose answer only ends with its connection are not moved; a request that was moved counts as run. Two tests failed first: the first by waiting for a continuation that must not come.

--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -281,6 +281,7 @@
     return std::nullopt;
   }
   mContinued = mRun->Next();
+  mMayHaveRun = true;
   mRun.reset();
   mState.mMetrics.mContinued.Add();
   return mContinued->mUpstream;
@@ -421,10 +422,10 @@
 Task<void>
 GatewayCall::BeginRun(const UpstreamRecord& aUpstream)
 {
-  const bool canMove = IsStream(mRoute->mKind) && mService->mEngine &&
-                       mService->mEngine->mCanMove &&
-                       mState.mMover != nullptr &&
-                       IsSuccess(mConnection->Status());
+  const bool canMove =
+    IsStream(mRoute->mKind) && mService->mEngine &&
+    mService->mEngine->mCanMove && mState.mMover != nullptr &&
+    !mConnection->EndsWithConnection() && IsSuccess(mConnection->Status());
   if (!canMove) {
     co_return;
   }
@@ -620,16 +621,16 @@
   EventSplitter splitter;
   while (true) {
     Result<std::string> piece = co_await mConnection->ReadSome(aUntil);
-    const bool isEnd = !piece || piece.value().empty();
-    // A stopped generation's stream ends too, and may seem to end well.
-    if (isEnd && !mCallerLeft && co_await WasStopped()) {
-      co_return MayHaveRun(FailureCode::UpstreamBroke,
-                           "the generation was moved");
-    }
     if (!piece) {
+      // A stopped generation's stream breaks off; one that reached its end
+      // was whole, whatever the answer to the order to stop said.
+      if (!mCallerLeft && co_await WasStopped()) {
+        co_return MayHaveRun(FailureCode::UpstreamBroke,
+                             "the generation was moved");
+      }
       co_return piece.error();
     }
-    if (isEnd) {
+    if (piece.value().empty()) {
       break;
     }
     const std::string events = splitter.Feed(piece.value());
@@ -723,7 +724,7 @@
 bool
 GatewayCall::MayTryAgain(const Failure& aFailure)
 {
-  const bool isRunFree = aFailure.mVerdict == Verdict::NotRun;
+  const bool isRunFree = aFailure.mVerdict == Verdict::NotRun && !mMayHaveRun;
   const bool isAllowed =
     isRunFree || (MayRepeat(mRoute->mKind) && mRuns < mRoute->mAttempts);
   const bool isLate = Now() >= mEnd;
--- a/src/cactusgw/net/http_connection.cpp
+++ b/src/cactusgw/net/http_connection.cpp
@@ -159,6 +159,12 @@
   co_return std::string{};
 }
 
+bool
+HttpConnection::EndsWithConnection() const
+{
+  return mParser->need_eof();
+}
+
 bool
 HttpConnection::IsReusable() const
 {
--- a/src/cactusgw/net/http_connection.hpp
+++ b/src/cactusgw/net/http_connection.hpp
@@ -39,6 +39,9 @@
   /// Reads more of the body. An empty string is the regular end.
   Task<Result<std::string>> ReadSome(Instant aUntil);
 
+  /// Whether only the end of the connection ends the answer, so that a broken
+  /// one may look whole.
+  bool EndsWithConnection() const;
   /// Whether the last exchange left the connection fit for another one: both
   /// messages whole, nothing received beyond them, and not about to close.
   bool IsReusable() const;
--- /dev/null
+++ b/tests/gateway/gateway_fixture.cpp
@@ -0,0 +1,211 @@
+#include "gateway_fixture.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <exception>
+#include <utility>
+
+namespace cactusgw::test {
+
+using net::ip::tcp;
+
+namespace {
+
+constexpr Milliseconds kCallTime{ 20'000 };
+
+std::string
+FreeAddress(net::io_context& aContext)
+{
+  tcp::acceptor probe{ aContext,
+                       tcp::endpoint{ net::ip::address_v4::loopback(), 0 } };
+  return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
+
+HeaderNames
+TestNames()
+{
+  HeaderNames names;
+  names.mRequestId = "Request-Id";
+  names.mTimeLeft = "Time-Left";
+  names.mExpectedUpstream = "Expected";
+  names.mWorkspace = "Workspace";
+  names.mNotRun = "Not-Run";
+  names.mSeal = "Seal";
+  names.mTokenCounts = "Tokens";
+  names.mLengthHint = "Hint";
+  names.mLastEventId = "Last-Event-Id";
+  names.mMovedFrom = "Moved-From";
+  names.mReserved = { "Time-Left", "Expected", "Workspace", "Moved-From" };
+  return names;
+}
+
+GatewayRoute
+MakeRoute(const std::string& aPrefix,
+          RouteKind aKind,
+          const std::string& aService)
+{
+  GatewayRoute route;
+  route.mName = aPrefix;
+  route.mHost = "host.test";
+  route.mPathPrefix = aPrefix;
+  route.mKind = aKind;
+  route.mTargets = { { aService, 1 } };
+  route.mTimeout = Milliseconds{ 5000 };
+  route.mObjective = Milliseconds{ 1000 };
+  route.mAttempts = MayRepeat(aKind) ? 2 : 1;
+  return route;
+}
+
+} // namespace
+
+GatewayTest::GatewayTest()
+{
+  mSettings.mPlace = { "vm-1", "dc-a" };
+  mSettings.mRegions = { { "dc-a", "north" }, { "dc-b", "south" } };
+  mSettings.mListen = FreeAddress(mContext);
+  mSettings.mReadyListen = FreeAddress(mContext);
+  mSettings.mMetricsListen = FreeAddress(mContext);
+  mSettings.mPeerListen = FreeAddress(mContext);
+  mSettings.mBounds.mKeyFreshness = Milliseconds{ 60'000 };
+  mSettings.mBounds.mRetryExtra = 1000;
+  mSettings.mUnreadyTime = Milliseconds{ 10 };
+  mSettings.mStopTime = Milliseconds{ 5000 };
+  mControl.mCopy = [this](CopyOrder aOrder) -> Task<CopyReply> {
+    mCopies.push_back(aOrder);
+    co_return CopyReply{ CopyOutcome::Copied, "handle" };
+  };
+  mControl.mIsLeaving = [](std::string) -> Task<Result<bool>> {
+    co_return false;
+  };
+  mControl.mFree = [this](std::string, std::string aHandle) -> Task<void> {
+    mFreed.push_back(std::move(aHandle));
+    co_return;
+  };
+}
+
+GatewayConfig
+GatewayTest::StandardConfig() const
+{
+  GatewayConfig config;
+  config.mVersion = 1;
+  config.mRoutes = {
+    MakeRoute("/read/", RouteKind::Idempotent, "app"),
+    MakeRoute("/write/", RouteKind::NonIdempotent, "app"),
+    MakeRoute("/stream/", RouteKind::Stream, "engine"),
+    MakeRoute("/resumable/", RouteKind::ResumableStream, "engine"),
+  };
+  GatewayService app;
+  app.mName = "app";
+  GatewayService engine;
+  engine.mName = "engine";
+  engine.mEngine = EngineProfile{ 8, 10'000, 1000, 1000.0, true };
+  config.mServices = { app, engine };
+  config.mWorkspaces = { { "workspace", { "key" }, std::nullopt, {} } };
+  return config;
+}
+
+void
+GatewayTest::StartGateway()
+{
+  PeerRegistration registration;
+  registration.mRegister = [](GatewayPeer) -> Task<Result<void>> {
+    co_return boost::outcome_v2::success();
+  };
+  registration.mWithdraw = [](std::string) -> Task<Result<void>> {
+    co_return boost::outcome_v2::success();
+  };
+  Result<std::unique_ptr<Gateway>> gateway = Gateway::Start(
+    mContext, mSettings, TestNames(), mControl, std::move(registration));
+  ASSERT_TRUE(gateway.has_value());
+  mGateway = std::move(gateway.value());
+  mGateway->OnConfig(StandardConfig());
+  mGateway->OnConfigConfirmed(BootNow());
+  mGateway->OnUpstreams(mRecords);
+  mGateway->OnDrained({});
+}
+
+ScriptedUpstream&
+GatewayTest::AddUpstream(const std::string& aId,
+                         const std::string& aService,
+                         Script aScript)
+{
+  mUpstreams.push_back(
+    std::make_unique<ScriptedUpstream>(mContext, std::move(aScript)));
+  UpstreamRecord record;
+  record.mId = aId;
+  record.mService = aService;
+  record.mAddress = mUpstreams.back()->Address();
+  record.mDataCentre = "dc-a";
+  record.mSlots = 4;
+  mRecords.push_back(record);
+  return *mUpstreams.back();
+}
+
+void
+GatewayTest::Leave(const std::string& aId)
+{
+  for (const UpstreamRecord& record : mRecords) {
+    if (record.mId == aId) {
+      UpstreamRecord leaving = record;
+      leaving.mIsLeaving = true;
+      mGateway->OnUpstreamChanges({ { aId, leaving } });
+    }
+  }
+}
+
+void
+GatewayTest::Run(std::function<Task<void>()> aTest)
+{
+  bool done = false;
+  net::co_spawn(mContext, aTest(), [&](const std::exception_ptr& aError) {
+    done = true;
+    EXPECT_FALSE(aError);
+  });
+  while (!done) {
+    mContext.run_one();
+  }
+}
+
+HttpRequest
+GatewayTest::MakeRequest(http::verb aVerb, const std::string& aTarget) const
+{
+  HttpRequest request{ aVerb, aTarget, 11 };
+  request.set(http::field::host, "host.test");
+  request.set(http::field::authorization, "Bearer key");
+  request.set("Request-Id", "r-1");
+  request.set("Tokens", "100,50");
+  request.prepare_payload();
+  return request;
+}
+
+Task<GatewayTest::CallerAnswer>
+GatewayTest::Call(HttpRequest aRequest)
+{
+  CallerAnswer answer;
+  Result<std::unique_ptr<HttpConnection>> connected =
+    co_await HttpConnection::Connect(CallerAddress(), kCallTime);
+  if (!connected) {
+    co_return answer;
+  }
+  HttpConnection& connection = *connected.value();
+  const Instant until = std::chrono::steady_clock::now() + kCallTime;
+  const Result<void> sent = co_await connection.Exchange(aRequest, until);
+  if (!sent) {
+    co_return answer;
+  }
+  answer.mStatus = connection.Status();
+  answer.mRetryAfter = connection.Header("Retry-After");
+  answer.mSeal = connection.Header("Seal");
+  while (true) {
+    const Result<std::string> piece = co_await connection.ReadSome(until);
+    if (!piece || piece.value().empty()) {
+      answer.mIsWhole = piece.has_value();
+      break;
+    }
+    answer.mBody += piece.value();
+  }
+  co_return answer;
+}
+
+} // namespace cactusgw::test
--- /dev/null
+++ b/tests/gateway/moved_generation_test.cpp
@@ -0,0 +1,180 @@
+#include "gateway_fixture.hpp"
+
+#include "cactusgw/gateway/store_contact.hpp"
+
+#include <gmock/gmock.h>
+
+namespace cactusgw::test {
+
+namespace {
+
+using ::testing::ElementsAre;
+
+std::string
+Event(int aId)
+{
+  return "id: " + std::to_string(aId) + "\ndata: t\n\n";
+}
+
+/// Waits until a condition holds that the event loop is about to bring about.
+Task<void>
+Until(std::function<bool()> aCondition)
+{
+  while (!aCondition()) {
+    co_await Sleep(Milliseconds{ 1 });
+  }
+}
+
+} // namespace
+
+class MovedGenerationTest : public GatewayTest
+{
+protected:
+  /// A source that passes two events on, is told to leave, and then does what
+  /// the test says once it was told to stop.
+  void AddSource(Script aAfterStop)
+  {
+    AddUpstream(
+      "a-source", "engine", [this, aAfterStop](ScriptedExchange& aExchange)
+        -> Task<void> {
+        co_await aExchange.BeginChunks(kSealed);
+        co_await aExchange.Chunk(Event(1) + Event(2));
+        Leave("a-source");
+        co_await Until(
+          [this] { return !mCopies.empty() && mCopies.back().mStops; });
+        co_await aAfterStop(aExchange);
+      });
+  }
+
+  static Task<void> BreakOff(ScriptedExchange& aExchange)
+  {
+    aExchange.Close();
+    co_return;
+  }
+};
+
+TEST_F(MovedGenerationTest, AStreamGoesOnBehindItsLastWholeEvent)
+{
+  AddSource([](ScriptedExchange& aExchange) -> Task<void> {
+    co_await aExchange.Chunk(Event(3) + "id: 4\nda");
+    aExchange.Close();
+  });
+  ScriptedUpstream& target = AddUpstream(
+    "b-target", "engine", [](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.BeginChunks("Seal: other\r\n");
+      co_await aExchange.Chunk(Event(4));
+      co_await aExchange.EndChunks();
+    });
+  StartGateway();
+  Run([&]() -> Task<void> {
+    const CallerAnswer answer =
+      co_await Call(MakeRequest(http::verb::post, "/stream/x"));
+    EXPECT_TRUE(answer.mIsWhole);
+    EXPECT_EQ(answer.mSeal, "s");
+    EXPECT_EQ(answer.mBody, Event(1) + Event(2) + Event(3) + Event(4));
+  });
+  ASSERT_EQ(target.Requests().size(), 1U);
+  EXPECT_EQ(target.Requests()[0]["Last-Event-Id"], "3");
+  EXPECT_EQ(target.Requests()[0]["Moved-From"],
+            mUpstreams[0]->Address() + "/handle");
+}
+
+TEST_F(MovedGenerationTest, AStreamThatEndedBeforeItsStopIsNotContinued)
+{
+  AddSource([](ScriptedExchange& aExchange) -> Task<void> {
+    co_await aExchange.Chunk(Event(3));
+    co_await aExchange.EndChunks();
+  });
+  ScriptedUpstream& target = AddUpstream(
+    "b-target", "engine", [](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.BeginChunks("Seal: other\r\n");
+      co_await aExchange.Chunk(Event(3));
+      co_await aExchange.EndChunks();
+    });
+  StartGateway();
+  Run([&]() -> Task<void> {
+    const CallerAnswer answer =
+      co_await Call(MakeRequest(http::verb::post, "/stream/x"));
+    EXPECT_TRUE(answer.mIsWhole);
+    EXPECT_EQ(answer.mBody, Event(1) + Event(2) + Event(3));
+    co_await Until([this] { return !mFreed.empty(); });
+  });
+  EXPECT_TRUE(target.Requests().empty());
+  EXPECT_THAT(mFreed, ElementsAre("handle"));
+}
+
+TEST_F(MovedGenerationTest, ARefusedContinuationIsNotRunAnewElsewhere)
+{
+  AddSource(&BreakOff);
+  AddUpstream(
+    "b-target", "engine", [](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.Answer(421, "", "");
+    });
+  ScriptedUpstream& third = AddUpstream(
+    "c-third", "engine", [](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.Answer(421, "", "");
+    });
+  StartGateway();
+  Run([&]() -> Task<void> {
+    const CallerAnswer answer =
+      co_await Call(MakeRequest(http::verb::post, "/stream/x"));
+    EXPECT_FALSE(answer.mIsWhole);
+  });
+  const std::size_t toTargets =
+    mUpstreams[1]->Requests().size() + third.Requests().size();
+  EXPECT_EQ(toTargets, 1U);
+}
+
+TEST_F(MovedGenerationTest, AnUnfinishedStreamThatWasNotMovedIsCutShort)
+{
+  mControl.mCopy = [this](CopyOrder aOrder) -> Task<CopyReply> {
+    mCopies.push_back(aOrder);
+    mCopies.back().mStops = true;
+    co_return CopyReply{ CopyOutcome::NotRunning, "" };
+  };
+  AddSource(&BreakOff);
+  ScriptedUpstream& target = AddUpstream(
+    "b-target", "engine", [](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.Answer(421, "", "");
+    });
+  StartGateway();
+  Run([&]() -> Task<void> {
+    const CallerAnswer answer =
+      co_await Call(MakeRequest(http::verb::post, "/stream/x"));
+    EXPECT_FALSE(answer.mIsWhole);
+    EXPECT_EQ(answer.mBody, Event(1) + Event(2));
+  });
+  EXPECT_TRUE(target.Requests().empty());
+}
+
+TEST_F(MovedGenerationTest, AnOlderCopyServesWhenTheSourceDiesBeforeItStops)
+{
+  mControl.mCopy = [this](CopyOrder aOrder) -> Task<CopyReply> {
+    mCopies.push_back(aOrder);
+    const CopyOutcome outcome =
+      aOrder.mStops ? CopyOutcome::Unknown : CopyOutcome::Copied;
+    co_return CopyReply{ outcome, aOrder.mStops ? "" : "older" };
+  };
+  AddSource([](ScriptedExchange& aExchange) -> Task<void> {
+    aExchange.Close(true);
+    co_return;
+  });
+  ScriptedUpstream& target = AddUpstream(
+    "b-target", "engine", [](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.BeginChunks(kSealed);
+      co_await aExchange.Chunk(Event(3));
+      co_await aExchange.EndChunks();
+    });
+  StartGateway();
+  Run([&]() -> Task<void> {
+    const CallerAnswer answer =
+      co_await Call(MakeRequest(http::verb::post, "/stream/x"));
+    EXPECT_TRUE(answer.mIsWhole);
+    EXPECT_EQ(answer.mBody, Event(1) + Event(2) + Event(3));
+  });
+  ASSERT_EQ(target.Requests().size(), 1U);
+  EXPECT_EQ(target.Requests()[0]["Moved-From"],
+            mUpstreams[0]->Address() + "/older");
+}
+
+} // namespace cactusgw::test
