--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -413,6 +413,19 @@
   mState.mLog.WriteAlways("store-back", { { "collection", aWhat } });
 }
 
+void
+Gateway::Reload(const SettingsResult<GatewaySettings>& aSettings)
+{
+  if (!aSettings) {
+    mState.mLog.WriteAlways("reload-refused",
+                            { { "faults", ToString(aSettings.error()) } });
+    return;
+  }
+  mState.Reload(aSettings.value());
+  mState.mLog.WriteAlways("reloaded",
+                          { { "vm", mState.mSettings.mPlace.mVm } });
+}
+
 void
 Gateway::Stop(std::function<void()> aOnStopped)
 {
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -36,6 +36,10 @@
   /// finishes what is in progress, and then calls the function.
   void Stop(std::function<void()> aOnStopped);
 
+  /// Takes bounds and regions from new settings; addresses need a restart. With
+  /// faults in them the old settings stay in force.
+  void Reload(const SettingsResult<GatewaySettings>& aSettings);
+
   // What the store says, as RegistryFollower reports it.
   void OnConfig(GatewayConfig aConfig);
   void OnConfigConfirmed(BootTime aAsOf);
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -14,6 +14,13 @@
 /// rest covers the time between the check and the send.
 constexpr double kFreshnessPart = 0.9;
 
+Milliseconds
+FreshnessLimit(const GatewayBounds& aBounds)
+{
+  return std::chrono::duration_cast<Milliseconds>(aBounds.mKeyFreshness *
+                                                  kFreshnessPart);
+}
+
 bool
 Holds(std::span<const std::string> aTexts, std::string_view aText)
 {
@@ -32,13 +39,22 @@
   , mColdGate(ColdGate::Create())
   , mPool(UpstreamPool::Create())
   , mLine(WaitingLine::Create())
-  , mFreshness(StoreFreshness::Create(std::chrono::duration_cast<Milliseconds>(
-      mSettings.mBounds.mKeyFreshness * kFreshnessPart)))
+  , mFreshness(StoreFreshness::Create(FreshnessLimit(mSettings.mBounds)))
   , mRecorder(mSettings.mPlace.mVm + "/gateway")
   , mLog("gateway")
 {
 }
 
+void
+GatewayState::Reload(const GatewaySettings& aSettings)
+{
+  mSettings.mBounds = aSettings.mBounds;
+  mSettings.mRegions = aSettings.mRegions;
+  mSettings.mUnreadyTime = aSettings.mUnreadyTime;
+  mSettings.mStopTime = aSettings.mStopTime;
+  mFreshness.SetLimit(FreshnessLimit(aSettings.mBounds));
+}
+
 Distance
 GatewayState::DistanceBetween(std::string_view aFrom,
                               std::string_view aTo) const
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -51,6 +51,9 @@
 
   GatewayState(GatewaySettings aSettings, HeaderNames aNames);
 
+  /// Takes over bounds, regions and stop times.
+  void Reload(const GatewaySettings& aSettings);
+
   /// Upstreams of the service that may get work now.
   std::vector<Candidate> Candidates(const GatewayService& aService,
                                     const CandidateFilter& aFilter,
--- a/src/cactusgw/gateway/store_freshness.hpp
+++ b/src/cactusgw/gateway/store_freshness.hpp
@@ -25,6 +25,8 @@
     return StoreFreshness{ aLimit };
   }
 
+  void SetLimit(Milliseconds aLimit) { mLimit = aLimit; }
+
   /// All changes up to this time are known.
   void OnConfirmed(BootTime aAsOf);
 
--- a/src/cactusgw/programs/daemon_main.hpp
+++ b/src/cactusgw/programs/daemon_main.hpp
@@ -20,6 +20,29 @@
 
 namespace cactusgw {
 
+/// A daemon that takes new settings while it runs. Reload gets the settings,
+/// or the faults in the file, and then keeps what it has.
+template<typename Daemon, typename Settings>
+concept Reloadable = requires(Daemon& aDaemon,
+                              const SettingsResult<Settings>& aSettings)
+{
+  aDaemon.Reload(aSettings);
+};
+
+/// Reads and checks the file. A file that can't be read is a fault too.
+template<typename Settings>
+SettingsResult<Settings>
+ReadSettingsFile(SettingsResult<Settings> (*aRead)(std::string_view,
+                                                   std::string_view),
+                 const std::string& aPath)
+{
+  const std::optional<std::string> text = ReadWholeFile(aPath);
+  if (!text) {
+    return ConfigFaults{ { aPath, "", "can't be read" } };
+  }
+  return aRead(*text, aPath);
+}
+
 /// Reads the settings, starts the daemon and runs it until a signal stops it.
 ///
 /// @tparam Daemon has a static Start(context, settings) and a Stop(function)
@@ -52,12 +75,7 @@
     std::fprintf(stderr, "%s: needs --settings FILE\n", aName);
     return kExitUsage;
   }
-  const std::optional<std::string> text = ReadWholeFile(path);
-  if (!text) {
-    std::fprintf(stderr, "%s: can't be read\n", path.c_str());
-    return kExitBadSettings;
-  }
-  const SettingsResult<Settings> settings = aRead(*text, path);
+  const SettingsResult<Settings> settings = ReadSettingsFile(aRead, path);
   if (!settings) {
     std::fprintf(stderr, "%s", ToString(settings.error()).c_str());
     return kExitBadSettings;
@@ -76,6 +94,10 @@
   }
   StopOnSignals(context,
                 [&] { daemon.value()->Stop([&context] { context.stop(); }); });
+  if constexpr (Reloadable<Daemon, Settings>) {
+    ReloadOnSignal(
+      context, [&] { daemon.value()->Reload(ReadSettingsFile(aRead, path)); });
+  }
   context.run();
   return kExitOk;
 }
--- a/src/cactusgw/programs/event_loop.cpp
+++ b/src/cactusgw/programs/event_loop.cpp
@@ -33,6 +33,19 @@
   }
 }
 
+net::awaitable<void>
+WaitForReloads(std::function<void()> aOnReload)
+{
+  net::signal_set signals{ co_await net::this_coro::executor, SIGHUP };
+  boost::system::error_code ec;
+  while (!ec) {
+    co_await signals.async_wait(net::redirect_error(net::use_awaitable, ec));
+    if (!ec) {
+      aOnReload();
+    }
+  }
+}
+
 net::awaitable<void>
 Repeat(std::function<Milliseconds()> aInterval, std::function<bool()> aFunction)
 {
@@ -54,6 +67,12 @@
   net::co_spawn(aContext, WaitForSignals(std::move(aOnStop)), net::detached);
 }
 
+void
+ReloadOnSignal(net::io_context& aContext, std::function<void()> aOnReload)
+{
+  net::co_spawn(aContext, WaitForReloads(std::move(aOnReload)), net::detached);
+}
+
 void
 RunEvery(net::io_context& aContext,
          std::function<Milliseconds()> aInterval,
--- a/src/cactusgw/programs/event_loop.hpp
+++ b/src/cactusgw/programs/event_loop.hpp
@@ -16,6 +16,11 @@
 void StopOnSignals(boost::asio::io_context& aContext,
                    std::function<void()> aOnStop);
 
+/// Calls the function at each SIGHUP. Without this call a SIGHUP ends the
+/// process.
+void ReloadOnSignal(boost::asio::io_context& aContext,
+                    std::function<void()> aOnReload);
+
 /// Calls the function repeatedly until it returns false. The time between two
 /// calls is asked for anew each time.
 void RunEvery(boost::asio::io_context& aContext,
--- a/tests/gateway/moved_generation_test.cpp
+++ b/tests/gateway/moved_generation_test.cpp
@@ -1,6 +1,5 @@
-#include "gateway_fixture.hpp"
-
 #include "cactusgw/gateway/store_contact.hpp"
+#include "gateway_fixture.hpp"
 
 #include <gmock/gmock.h>
 
@@ -34,16 +33,17 @@
   /// the test says once it was told to stop.
   void AddSource(Script aAfterStop)
   {
-    AddUpstream(
-      "a-source", "engine", [this, aAfterStop](ScriptedExchange& aExchange)
-        -> Task<void> {
-        co_await aExchange.BeginChunks(kSealed);
-        co_await aExchange.Chunk(Event(1) + Event(2));
-        Leave("a-source");
-        co_await Until(
-          [this] { return !mCopies.empty() && mCopies.back().mStops; });
-        co_await aAfterStop(aExchange);
-      });
+    AddUpstream("a-source",
+                "engine",
+                [this, aAfterStop](ScriptedExchange& aExchange) -> Task<void> {
+                  co_await aExchange.BeginChunks(kSealed);
+                  co_await aExchange.Chunk(Event(1) + Event(2));
+                  Leave("a-source");
+                  co_await Until([this] {
+                    return !mCopies.empty() && mCopies.back().mStops;
+                  });
+                  co_await aAfterStop(aExchange);
+                });
   }
 
   static Task<void> BreakOff(ScriptedExchange& aExchange)
--- a/tests/standins/scripted_upstream.cpp
+++ b/tests/standins/scripted_upstream.cpp
@@ -30,9 +30,8 @@
 ScriptedExchange::Write(std::string aBytes)
 {
   beast::error_code ec;
-  co_await net::async_write(mSocket,
-                            net::buffer(aBytes),
-                            net::redirect_error(net::use_awaitable, ec));
+  co_await net::async_write(
+    mSocket, net::buffer(aBytes), net::redirect_error(net::use_awaitable, ec));
 }
 
 Task<void>
