--- /dev/null
+++ b/tests/gateway/gateway_core_test.cpp
@@ -0,0 +1,274 @@
+#include "cactusgw/gateway/cold_gate.hpp"
+#include "cactusgw/gateway/event_splitter.hpp"
+#include "cactusgw/gateway/leaving_news.hpp"
+#include "cactusgw/gateway/load_table.hpp"
+#include "cactusgw/gateway/message_headers.hpp"
+#include "cactusgw/gateway/routing_table.hpp"
+#include "cactusgw/gateway/shared_retry_budget.hpp"
+#include "cactusgw/gateway/store_freshness.hpp"
+#include "cactusgw/gateway/upstream_choice.hpp"
+#include "cactusgw/gateway/upstream_directory.hpp"
+#include "cactusgw/gateway/upstream_health.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace cactusgw::test {
+
+namespace {
+
+using ::testing::ElementsAre;
+using ::testing::IsEmpty;
+
+Instant
+At(int aMs)
+{
+  return Instant{} + std::chrono::hours{ 1 } + Milliseconds{ aMs };
+}
+
+UpstreamRecord
+Record(const std::string& aId, bool aIsLeaving = false)
+{
+  UpstreamRecord record;
+  record.mId = aId;
+  record.mService = "s";
+  record.mDataCentre = "dc";
+  record.mStartedMs = 7;
+  record.mSlots = 4;
+  record.mIsLeaving = aIsLeaving;
+  return record;
+}
+
+} // namespace
+
+TEST(RoutingTableTest, TheLongestPrefixOfTheHostWins)
+{
+  GatewayConfig config;
+  for (const char* const prefix : { "/", "/a/", "/a/b/" }) {
+    GatewayRoute route;
+    route.mName = prefix;
+    route.mHost = "Host.Test";
+    route.mPathPrefix = prefix;
+    config.mRoutes.push_back(route);
+  }
+  const RoutingTable table = RoutingTable::Create(std::move(config));
+  EXPECT_EQ(table.FindRoute("host.test:80", "/a/b/c")->mName, "/a/b/");
+  EXPECT_EQ(table.FindRoute("host.test", "/a/bc")->mName, "/a/");
+  EXPECT_EQ(table.FindRoute("host.test", "/x")->mName, "/");
+  EXPECT_EQ(table.FindRoute("other.test", "/a/b/"), nullptr);
+}
+
+TEST(UpstreamDirectoryTest, AnUpstreamIsGoneAtOnceWhileTheStoreIsThere)
+{
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  directory.Put(Record("u"), At(0));
+  EXPECT_EQ(directory.Remove("u", At(1)), DirectoryChange::Leaving);
+  EXPECT_THAT(directory.Serving("s"), IsEmpty());
+}
+
+TEST(UpstreamDirectoryTest, ALapsedRegistrationCountsForTwoSecondsOnly)
+{
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  directory.Put(Record("u"), At(0));
+  directory.OnStoreBack(At(1000));
+  EXPECT_EQ(directory.Remove("u", At(1100)), DirectoryChange::Updated);
+  EXPECT_EQ(directory.Serving("s").size(), 1U);
+  EXPECT_THAT(directory.DropLapsed(At(2900)), IsEmpty());
+  EXPECT_THAT(directory.DropLapsed(At(3000)), ElementsAre("u"));
+  EXPECT_THAT(directory.Serving("s"), IsEmpty());
+}
+
+TEST(UpstreamDirectoryTest, ARegistrationThatReturnsInTimeIsKept)
+{
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  directory.Put(Record("u"), At(0));
+  directory.OnStoreBack(At(1000));
+  EXPECT_THAT(directory.RetainOnly({}, At(1100)), IsEmpty());
+  directory.Put(Record("u"), At(1500));
+  EXPECT_THAT(directory.DropLapsed(At(9000)), IsEmpty());
+  EXPECT_EQ(directory.Serving("s").size(), 1U);
+}
+
+TEST(UpstreamDirectoryTest, WordOfLeavingConcernsOneStartOnly)
+{
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  directory.Put(Record("u"), At(0));
+  EXPECT_FALSE(directory.MarkLeaving("u", 6));
+  EXPECT_TRUE(directory.MarkLeaving("u", 7));
+  EXPECT_FALSE(directory.MarkLeaving("u", 7));
+  EXPECT_THAT(directory.Serving("s"), IsEmpty());
+}
+
+TEST(UpstreamDirectoryTest, ADrainedDataCentreServesNothing)
+{
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  directory.Put(Record("u"), At(0));
+  directory.SetDrained({ "dc" });
+  EXPECT_THAT(directory.Serving("s"), IsEmpty());
+  directory.SetDrained({});
+  EXPECT_EQ(directory.Serving("s").size(), 1U);
+}
+
+TEST(LoadTableTest, PeersCountUntilTheirFiguresAreOld)
+{
+  LoadTable loads = LoadTable::Create();
+  loads.Add("u", { 1, 100, 40, 1 });
+  loads.SetPeer("p", { { "u", { 2, 200, 0, 1 } } }, At(0));
+  EXPECT_EQ(loads.Total("u", At(10)), (UpstreamUse{ 3, 300, 40, 2 }));
+  const int late = static_cast<int>(LoadTable::kPeerValidity.count());
+  EXPECT_EQ(loads.Total("u", At(late)), (UpstreamUse{ 1, 100, 40, 1 }));
+  loads.Subtract("u", { 1, 100, 40, 1 });
+  EXPECT_TRUE(loads.Own().empty());
+}
+
+TEST(LoadTableTest, OnlyPeersWithSmallerNamesComeFirst)
+{
+  LoadTable loads = LoadTable::Create();
+  loads.SetPeer("a", { { "u", { 1, 100, 0, 1 } } }, At(0));
+  loads.SetPeer("z", { { "u", { 1, 500, 0, 1 } } }, At(0));
+  loads.SetPeer("b", { { "u", { 1, 900, 0, 0 } } }, At(0));
+  EXPECT_EQ(loads.MovableBefore("u", "m", At(1)).mTokens, 100U);
+}
+
+/// The bound of a cold upstream holds in every second, whatever the arrivals,
+/// when each gateway keeps its share.
+TEST(ColdGateTest, SharesTogetherKeepTheBoundInEverySecond)
+{
+  constexpr std::uint32_t kShare = 3;
+  constexpr std::size_t kGateways = 8;
+  constexpr std::uint32_t kSeed = 4711;
+  std::mt19937 random{ kSeed };
+  std::vector<ColdGate> gates(kGateways, ColdGate::Create());
+  std::vector<int> sent;
+  for (int ms = 0; ms < 10'000; ++ms) {
+    ColdGate& gate = gates[random() % kGateways];
+    if (gate.Allows("u", kShare, At(ms))) {
+      gate.OnSent("u", At(ms));
+      sent.push_back(ms);
+    }
+  }
+  for (std::size_t first = 0; first < sent.size(); ++first) {
+    const std::ptrdiff_t inSecond =
+      std::count_if(sent.begin(), sent.end(), [&](int aMs) {
+        return aMs >= sent[first] && aMs < sent[first] + 1000;
+      });
+    ASSERT_LE(inSecond, static_cast<std::ptrdiff_t>(kShare * kGateways));
+  }
+}
+
+TEST(SharedRetryBudgetTest, NeverExceedsItsPartInAnyWindow)
+{
+  constexpr std::uint32_t kSeed = 99;
+  constexpr std::uint32_t kGateways = 8;
+  std::mt19937 random{ kSeed };
+  const RetryBound bound{ 0.2, 40, Milliseconds{ 1000 } };
+  SharedRetryBudget budget = SharedRetryBudget::Create(bound);
+  std::vector<int> requests;
+  std::vector<int> repeats;
+  for (int ms = 0; ms < 8000; ++ms) {
+    if (random() % 10 == 0) {
+      budget.OnRequest(At(ms));
+      requests.push_back(ms);
+    }
+    if (random() % 3 == 0 && budget.TryTake(kGateways, At(ms))) {
+      repeats.push_back(ms);
+    }
+  }
+  const auto in = [](const std::vector<int>& aTimes, int aFrom) {
+    return static_cast<double>(
+      std::count_if(aTimes.begin(), aTimes.end(), [&](int aMs) {
+        return aMs > aFrom && aMs <= aFrom + 1000;
+      }));
+  };
+  for (int from = 0; from < 7000; from += 10) {
+    const double most = std::max(in(requests, from), in(requests, from - 500));
+    ASSERT_LE(in(repeats, from), 0.2 * most + 40.0 / kGateways + 4);
+  }
+  EXPECT_FALSE(repeats.empty());
+}
+
+TEST(EventSplitterTest, ReturnsWholeEventsHoweverTheBytesAreCut)
+{
+  const std::string stream =
+    "id: 1\ndata: a\n\nid:2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\nid: 4\nda";
+  for (std::size_t step = 1; step < stream.size(); ++step) {
+    EventSplitter splitter;
+    std::string whole;
+    for (std::size_t at = 0; at < stream.size(); at += step) {
+      whole += splitter.Feed(stream.substr(at, step));
+    }
+    EXPECT_EQ(whole + splitter.Rest(), stream);
+    EXPECT_EQ(splitter.Rest(), "id: 4\nda");
+    EXPECT_EQ(splitter.LastId(), "3");
+    EXPECT_EQ(splitter.Events(), 3U);
+  }
+}
+
+TEST(StoreFreshnessTest, AgeCountsFromWhatWasConfirmed)
+{
+  using std::chrono::seconds;
+  StoreFreshness freshness = StoreFreshness::Create(Milliseconds{ 4500 });
+  EXPECT_FALSE(freshness.IsFresh(seconds{ 1 }));
+  freshness.OnConfirmed(seconds{ 10 });
+  freshness.OnConfirmed(seconds{ 9 });
+  EXPECT_TRUE(freshness.IsFresh(seconds{ 14 }));
+  EXPECT_FALSE(freshness.IsFresh(seconds{ 15 }));
+}
+
+TEST(UpstreamChoiceTest, TheLeastUsedUpstreamWithRoomIsChosen)
+{
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  for (const char* const id : { "a", "b", "c" }) {
+    directory.Put(Record(id), At(0));
+  }
+  GatewayService service;
+  service.mEngine = EngineProfile{ 4, 1000, 0, 0, true };
+  const std::vector<Candidate> candidates{
+    { directory.Find("a"), { 1, 800, 0, 0 }, Distance::SameDataCentre, 0 },
+    { directory.Find("b"), { 1, 300, 0, 0 }, Distance::SameDataCentre, 0 },
+    { directory.Find("c"), { 4, 100, 0, 0 }, Distance::SameDataCentre, 0 },
+  };
+  const Candidate* const chosen =
+    ChooseUpstream(candidates, service, { 100, 200 });
+  ASSERT_NE(chosen, nullptr);
+  EXPECT_EQ(chosen->mUpstream->mRecord.mId, "b");
+  EXPECT_EQ(ChooseUpstream(candidates, service, { 700, 700 }), nullptr);
+}
+
+TEST(UpstreamChoiceTest, AFailingUpstreamIsAvoidedUntilItsFailuresFade)
+{
+  UpstreamHealth health = UpstreamHealth::Create();
+  health.OnFailure("u", 1, At(0));
+  EXPECT_DOUBLE_EQ(health.Badness("u", At(0)), 1);
+  EXPECT_NEAR(health.Badness(
+                "u", At(static_cast<int>(UpstreamHealth::kHalfLife.count()))),
+              0.5,
+              1e-9);
+  health.OnSuccess("u", At(0));
+  EXPECT_LT(health.Badness("u", At(0)), 1);
+}
+
+TEST(LeavingNewsTest, IsToldForAWhileAndOnceForEachUpstream)
+{
+  LeavingNews news = LeavingNews::Create();
+  news.Add({ "u", 1 }, At(0));
+  news.Add({ "u", 1 }, At(1000));
+  EXPECT_EQ(news.Recent(At(1001)).size(), 1U);
+  EXPECT_THAT(news.Recent(At(6000)), IsEmpty());
+}
+
+TEST(MessageHeadersTest, NumbersAreReadStrictly)
+{
+  EXPECT_EQ(ParseNumber("12"), 12U);
+  for (const char* const bad : { "", "-1", "1.5", "12x", " 1" }) {
+    EXPECT_FALSE(ParseNumber(bad).has_value()) << bad;
+  }
+  EXPECT_EQ(ParseTokenCounts("1460,80")->mMaxOutput, 80U);
+  EXPECT_FALSE(ParseTokenCounts("1460").has_value());
+  EXPECT_EQ(BearerKey("bearer k"), "k");
+  EXPECT_EQ(BearerKey("Basic k"), "");
+}
+
+} // namespace cactusgw::test
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -120,7 +120,7 @@
   ASSERT_TRUE(gateway.has_value());
   mGateway = std::move(gateway.value());
   mGateway->OnConfig(StandardConfig());
-  mGateway->OnConfigConfirmed(BootNow());
+  mGateway->OnConfigConfirmed(BootNow() - mConfigAge);
   mGateway->OnUpstreams(mRecords);
   mGateway->OnDrained({});
 }
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -56,6 +56,8 @@
   net::io_context mContext{ 1 };
   GatewaySettings mSettings;
   GenerationControl mControl;
+  /// Age of the configuration when the gateway starts.
+  Milliseconds mConfigAge{ 0 };
   std::unique_ptr<Gateway> mGateway;
   std::vector<std::unique_ptr<ScriptedUpstream>> mUpstreams;
   std::vector<CopyOrder> mCopies;
--- a/tests/gateway/moved_generation_test.cpp
+++ b/tests/gateway/moved_generation_test.cpp
@@ -1,6 +1,8 @@
 #include "cactusgw/gateway/store_contact.hpp"
 #include "gateway_fixture.hpp"
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <gmock/gmock.h>
 
 namespace cactusgw::test {
@@ -20,7 +22,7 @@
 Until(std::function<bool()> aCondition)
 {
   while (!aCondition()) {
-    co_await Sleep(Milliseconds{ 1 });
+    co_await net::post(net::use_awaitable);
   }
 }
 
