--- a/src/cactusgw/gateway/generation_mover.cpp
+++ b/src/cactusgw/gateway/generation_mover.cpp
@@ -233,7 +233,7 @@
   const UpstreamUse use{ 1, identity.mNeed.mTotal, 0, 0 };
   mState.mMetrics.mMovesStarted.Add();
   mState.mLoads.Add(targetId, use);
-  Log("move-started", identity, targetId, begun);
+  Log("move-started", identity, targetId, "none", begun);
   CopyOrder order{
     identity.mAddress, identity.mRequestId, target.mRecord.mAddress, false
   };
@@ -244,17 +244,17 @@
   }
   if (copied.mOutcome == CopyOutcome::Copied && !isGone) {
     aRun->SetCopy({ targetId, identity.mAddress, copied.mHandle });
-    co_await StopAndCopy(aRun, target);
-    Log("move-ended", identity, targetId, begun);
+    const CopyOutcome outcome = co_await StopAndCopy(aRun, target);
+    Log("move-ended", identity, targetId, ToString(outcome), begun);
   } else {
-    Log("move-not-begun", identity, targetId, begun);
+    Log("move-not-begun", identity, targetId, ToString(copied.mOutcome), begun);
   }
   mState.mLoads.Subtract(targetId, use);
   co_return isGone || copied.mOutcome == CopyOutcome::Copied ||
     copied.mOutcome == CopyOutcome::Unknown;
 }
 
-Task<void>
+Task<CopyOutcome>
 GenerationMover::StopAndCopy(const std::shared_ptr<MovableRun>& aRun,
                              const KnownUpstream& aTarget)
 {
@@ -272,7 +272,7 @@
     if (aRun->State() == RunState::Stopping) {
       aRun->SetState(RunState::Running);
     }
-    co_return;
+    co_return stopped.mOutcome;
   }
   mState.mMetrics.mMovesDone.Add();
   const bool isCopied = stopped.mOutcome == CopyOutcome::Copied;
@@ -284,6 +284,7 @@
   } else {
     Free(next);
   }
+  co_return stopped.mOutcome;
 }
 
 void
@@ -298,6 +299,7 @@
 GenerationMover::Log(std::string_view aEvent,
                      const RunIdentity& aRun,
                      std::string_view aTarget,
+                     std::string_view aOutcome,
                      Instant aBegun) const
 {
   const Instant now = Now();
@@ -306,6 +308,7 @@
     { { "request", aRun.mRequestId },
       { "from", aRun.mUpstream },
       { "to", aTarget },
+      { "outcome", aOutcome },
       { "tokens", static_cast<std::int64_t>(aRun.mNeed.mTotal) },
       { "tookMs",
         std::chrono::duration_cast<Milliseconds>(now - aBegun).count() } },
--- a/src/cactusgw/gateway/generation_mover.hpp
+++ b/src/cactusgw/gateway/generation_mover.hpp
@@ -52,8 +52,8 @@
   Task<void> WaitForTurn(std::string aUpstream, std::string aService);
   /// Returns false when the run should be tried again a little later.
   Task<bool> Move(const std::shared_ptr<MovableRun>& aRun);
-  Task<void> StopAndCopy(const std::shared_ptr<MovableRun>& aRun,
-                         const KnownUpstream& aTarget);
+  Task<CopyOutcome> StopAndCopy(const std::shared_ptr<MovableRun>& aRun,
+                                const KnownUpstream& aTarget);
   /// Time that the copies of peers that come first may take.
   Milliseconds TurnTime(const std::string& aUpstream,
                         const std::string& aService) const;
@@ -63,6 +63,7 @@
   void Log(std::string_view aEvent,
            const RunIdentity& aRun,
            std::string_view aTarget,
+           std::string_view aOutcome,
            Instant aBegun) const;
 
   net::io_context& mContext;
--- a/src/cactusgw/gateway/peer_exchange.cpp
+++ b/src/cactusgw/gateway/peer_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "cactusgw/gateway/gateway_state.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace cactusgw {
@@ -89,17 +90,26 @@
   }
 }
 
+Milliseconds
+PeerExchange::IntervalTo(const GatewayPeer& aPeer) const
+{
+  constexpr std::int64_t kMsPerSecond = 1000;
+  const bool isFar =
+    mState.DistanceBetween(mState.mSettings.mPlace.mDataCentre,
+                           aPeer.mDataCentre) == Distance::OtherRegion;
+  const std::int64_t peers = static_cast<std::int64_t>(mPeers.size());
+  const Milliseconds bound{ peers * kMsPerSecond / kMessagesPerSecond };
+  return std::max(isFar ? kFarInterval : kNearInterval, bound);
+}
+
 bool
 PeerExchange::IsDue(const Link& aLink, Instant aNow) const
 {
   const Milliseconds since =
     std::chrono::duration_cast<Milliseconds>(aNow - aLink.mSentAt);
-  const bool isFar =
-    mState.DistanceBetween(mState.mSettings.mPlace.mDataCentre,
-                           aLink.mPeer.mDataCentre) == Distance::OtherRegion;
   const bool isNew = aLink.mSentVersion !=
                      mState.mLoads.OwnVersion() + mState.mLeavingNews.Version();
-  if (isNew && since >= (isFar ? kFarInterval : kNearInterval)) {
+  if (isNew && since >= IntervalTo(aLink.mPeer)) {
     return true;
   }
   const bool hasNews =
--- a/src/cactusgw/gateway/peer_exchange.hpp
+++ b/src/cactusgw/gateway/peer_exchange.hpp
@@ -33,6 +33,9 @@
   /// as often as figures stay valid.
   static constexpr Milliseconds kNearInterval{ 50 };
   static constexpr Milliseconds kFarInterval{ 1000 };
+  /// Messages a second that this gateway sends at most, whatever the number of
+  /// peers: with more of them each hears less often.
+  static constexpr std::int64_t kMessagesPerSecond = 100;
   /// Unchanged figures are repeated this often.
   static constexpr Milliseconds kRepeatInterval{ 1000 };
 
@@ -66,6 +69,7 @@
                GatewayState& aState,
                LeavingHandler aOnLeaving);
   void OnMessage(std::string_view aPayload);
+  Milliseconds IntervalTo(const GatewayPeer& aPeer) const;
   bool IsDue(const Link& aLink, Instant aNow) const;
   std::string EncodeUse();
 
--- a/src/cactusgw/interfaces/generation_control.hpp
+++ b/src/cactusgw/interfaces/generation_control.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace cactusgw {
 
@@ -40,6 +41,9 @@
   Unknown,
 };
 
+/// A stable lower-case identifier, for logs.
+std::string_view ToString(CopyOutcome aOutcome);
+
 struct CopyReply
 {
   CopyOutcome mOutcome = CopyOutcome::Unknown;
--- a/src/cactusgw/programs/daemon_main.hpp
+++ b/src/cactusgw/programs/daemon_main.hpp
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <cstdio>
+#include <cstdlib>
 #include <memory>
 #include <optional>
 #include <string>
@@ -86,20 +87,24 @@
   }
   StartLogging(settings.value().mLog);
   boost::asio::io_context context{ 1 };
-  Result<std::unique_ptr<Daemon>> daemon =
-    Daemon::Start(context, settings.value());
-  if (!daemon) {
-    std::fprintf(stderr, "%s: %s\n", aName, daemon.error().mDetail.c_str());
-    return kExitCannotListen;
-  }
+  // A signal may come at any moment; it is acted on once the daemon runs.
+  Result<std::unique_ptr<Daemon>> daemon = std::unique_ptr<Daemon>{};
   StopOnSignals(context,
                 [&] { daemon.value()->Stop([&context] { context.stop(); }); });
   if constexpr (Reloadable<Daemon, Settings>) {
     ReloadOnSignal(
       context, [&] { daemon.value()->Reload(ReadSettingsFile(aRead, path)); });
   }
+  daemon = Daemon::Start(context, settings.value());
+  if (!daemon) {
+    std::fprintf(stderr, "%s: %s\n", aName, daemon.error().mDetail.c_str());
+    return kExitCannotListen;
+  }
   context.run();
-  return kExitOk;
+  // Calls in progress refer to the daemon and the daemon to its sockets: the
+  // process ends without taking them apart, which could wait for peers.
+  std::fflush(nullptr);
+  std::_Exit(kExitOk);
 }
 
 } // namespace cactusgw
--- a/src/cactusgw/programs/event_loop.cpp
+++ b/src/cactusgw/programs/event_loop.cpp
@@ -9,6 +9,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <memory>
 #include <utility>
 
 namespace cactusgw {
@@ -17,29 +18,29 @@
 
 namespace {
 
+using SharedSignals = std::shared_ptr<net::signal_set>;
+
 net::awaitable<void>
-WaitForSignals(std::function<void()> aOnStop)
+WaitForSignals(SharedSignals aSignals, std::function<void()> aOnStop)
 {
-  net::signal_set signals{ co_await net::this_coro::executor, SIGTERM, SIGINT };
   boost::system::error_code ec;
-  co_await signals.async_wait(net::redirect_error(net::use_awaitable, ec));
+  co_await aSignals->async_wait(net::redirect_error(net::use_awaitable, ec));
   if (ec) {
     co_return;
   }
   aOnStop();
-  co_await signals.async_wait(net::redirect_error(net::use_awaitable, ec));
+  co_await aSignals->async_wait(net::redirect_error(net::use_awaitable, ec));
   if (!ec) {
     std::_Exit(EXIT_FAILURE);
   }
 }
 
 net::awaitable<void>
-WaitForReloads(std::function<void()> aOnReload)
+WaitForReloads(SharedSignals aSignals, std::function<void()> aOnReload)
 {
-  net::signal_set signals{ co_await net::this_coro::executor, SIGHUP };
   boost::system::error_code ec;
   while (!ec) {
-    co_await signals.async_wait(net::redirect_error(net::use_awaitable, ec));
+    co_await aSignals->async_wait(net::redirect_error(net::use_awaitable, ec));
     if (!ec) {
       aOnReload();
     }
@@ -64,13 +65,20 @@
 void
 StopOnSignals(net::io_context& aContext, std::function<void()> aOnStop)
 {
-  net::co_spawn(aContext, WaitForSignals(std::move(aOnStop)), net::detached);
+  // Signals are caught from here on, not only once the loop runs.
+  const SharedSignals signals =
+    std::make_shared<net::signal_set>(aContext, SIGTERM, SIGINT);
+  net::co_spawn(
+    aContext, WaitForSignals(signals, std::move(aOnStop)), net::detached);
 }
 
 void
 ReloadOnSignal(net::io_context& aContext, std::function<void()> aOnReload)
 {
-  net::co_spawn(aContext, WaitForReloads(std::move(aOnReload)), net::detached);
+  const SharedSignals signals =
+    std::make_shared<net::signal_set>(aContext, SIGHUP);
+  net::co_spawn(
+    aContext, WaitForReloads(signals, std::move(aOnReload)), net::detached);
 }
 
 void
--- a/src/cactusgw/telemetry/log.hpp
+++ b/src/cactusgw/telemetry/log.hpp
@@ -1,7 +1,7 @@
 #ifndef CACTUSGW_TELEMETRY_LOG_HPP
 #define CACTUSGW_TELEMETRY_LOG_HPP
 
-/// Logging: short sentences with a fixed prefix for each part.
+/// Log lines, each marked with the part that wrote it.
 
 #include "cactusgw/config/process_settings.hpp"
 
--- a/tools/check_format.sh
+++ b/tools/check_format.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 
 mapfile -t files < <(git ls-files --cached --others --exclude-standard \
-  'src/*.cpp' 'src/*.hpp' 'tests/*.cpp' 'tests/*.hpp' 'examples/*.cpp' \
+  'src/*.cpp' 'src/*.hpp' 'platform/*.cpp' 'platform/*.hpp' 'tests/*.cpp' 'tests/*.hpp' 'examples/*.cpp' \
   'benchmarks/*.cpp' ':!:src/cactusgw/wire/*')
 if [ "${1:-}" = "--fix" ]; then
   clang-format -i "${files[@]}"
--- a/tools/check_lint.sh
+++ b/tools/check_lint.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 
 mapfile -t files < <(git ls-files --cached --others --exclude-standard \
-  'src/*.cpp' 'tests/*.cpp' ':!:src/cactusgw/net/internal/asio_library.cpp')
+  'src/*.cpp' 'platform/*.cpp' 'tests/*.cpp' ':!:src/cactusgw/net/internal/asio_library.cpp')
 log="$(mktemp)"
 trap 'rm -f "$log"' EXIT
 # The linter's compiler has coroutines, but not the macro that says so.
