--- /dev/null
+++ b/src/cactusgw/gateway/answer_relay.cpp
@@ -0,0 +1,211 @@
+#include "cactusgw/gateway/answer_relay.hpp"
+
+#include "cactusgw/gateway/event_splitter.hpp"
+#include "cactusgw/gateway/message_headers.hpp"
+#include "cactusgw/net/steady_now.hpp"
+
+#include <utility>
+
+namespace cactusgw {
+
+namespace {
+
+/// An answer up to this size is passed on only once it is whole, so that a
+/// broken one can be replaced.
+constexpr std::size_t kWholeAnswerBytes = std::size_t{ 256 } * 1024;
+
+/// Statuses that tell a caller that its request never runs.
+bool
+PromisesNotRun(unsigned aStatus)
+{
+  switch (static_cast<http::status>(aStatus)) {
+    case http::status::request_timeout:
+    case http::status::misdirected_request:
+    case http::status::too_many_requests:
+    case http::status::service_unavailable:
+      return true;
+    default:
+      return false;
+  }
+}
+
+} // namespace
+
+bool
+IsSuccess(unsigned aStatus)
+{
+  return http::to_status_class(aStatus) == http::status_class::successful;
+}
+
+bool
+IsServerError(unsigned aStatus)
+{
+  return http::to_status_class(aStatus) == http::status_class::server_error;
+}
+
+Result<void>
+CheckAnswer(const HttpConnection& aConnection, const HeaderNames& aNames)
+{
+  const unsigned status = aConnection.Status();
+  const bool isMisdirected =
+    status == static_cast<unsigned>(http::status::misdirected_request);
+  if (isMisdirected || !aConnection.Header(aNames.mNotRun).empty()) {
+    return NotRun(FailureCode::UpstreamRefused,
+                  "the upstream refused with status " + std::to_string(status));
+  }
+  if (!aConnection.Header("Content-Encoding").empty()) {
+    return MayHaveRun(FailureCode::UpstreamBroke, "the answer is encoded");
+  }
+  if (IsSuccess(status) && aConnection.Header(aNames.mSeal).empty()) {
+    return MayHaveRun(FailureCode::UpstreamBroke,
+                      "the answer is not the upstream's");
+  }
+  return boost::outcome_v2::success();
+}
+
+AnswerRelay::AnswerRelay(HttpExchange& aExchange,
+                         HttpConnection& aConnection,
+                         GatewayMetrics& aMetrics,
+                         StreamProgress& aProgress,
+                         RelayEvents aEvents)
+  : mExchange(aExchange)
+  , mConnection(aConnection)
+  , mMetrics(aMetrics)
+  , mProgress(aProgress)
+  , mEvents(std::move(aEvents))
+{
+}
+
+Task<Result<void>>
+AnswerRelay::Pass(RelayRules aRules, Instant aUntil)
+{
+  if (IsSuccess(mConnection.Status()) && IsStream(aRules.mKind)) {
+    co_return co_await PassStream(aUntil);
+  }
+  co_return co_await PassWhole(aRules, aUntil);
+}
+
+Task<Result<void>>
+AnswerRelay::PassWhole(RelayRules aRules, Instant aUntil)
+{
+  std::string body;
+  while (true) {
+    Result<std::string> piece = co_await mConnection.ReadSome(aUntil);
+    if (!piece) {
+      co_return piece.error();
+    }
+    if (piece.value().empty()) {
+      break;
+    }
+    body += piece.value();
+    if (body.size() > kWholeAnswerBytes) {
+      co_return co_await PassPieces(std::move(body), aUntil);
+    }
+  }
+  const Result<void> usable = CheckWhole(aRules);
+  if (!usable) {
+    co_return usable;
+  }
+  HttpResponse response =
+    ForwardedHeader(mConnection.Status(), mConnection.Fields());
+  response.body() = std::move(body);
+  mEvents.mOnWhole();
+  co_return co_await mExchange.Send(std::move(response));
+}
+
+Result<void>
+AnswerRelay::CheckWhole(RelayRules aRules) const
+{
+  const unsigned status = mConnection.Status();
+  if (IsServerError(status) && aRules.mReplacesFailures) {
+    return MayHaveRun(FailureCode::UpstreamBroke,
+                      "the upstream failed with status " +
+                        std::to_string(status));
+  }
+  if (PromisesNotRun(status) && !MayRepeat(aRules.mKind)) {
+    return MayHaveRun(FailureCode::UpstreamBroke,
+                      "the upstream's status " + std::to_string(status) +
+                        " does not say that the request did not run");
+  }
+  return boost::outcome_v2::success();
+}
+
+Task<Result<void>>
+AnswerRelay::PassPieces(std::string aBegin, Instant aUntil)
+{
+  Result<void> passed = co_await mExchange.Begin(
+    ForwardedHeader(mConnection.Status(), mConnection.Fields()));
+  std::string piece = std::move(aBegin);
+  while (passed && !piece.empty()) {
+    passed = co_await mExchange.Write(piece);
+    Result<std::string> next = co_await mConnection.ReadSome(aUntil);
+    if (!next) {
+      co_return next.error();
+    }
+    piece = std::move(next.value());
+  }
+  if (passed) {
+    mEvents.mOnWhole();
+    passed = co_await mExchange.Finish();
+  }
+  co_return passed;
+}
+
+Task<Result<void>>
+AnswerRelay::PassStream(Instant aUntil)
+{
+  EventSplitter splitter;
+  while (true) {
+    Result<std::string> piece = co_await mConnection.ReadSome(aUntil);
+    if (!piece) {
+      // A stopped generation's stream breaks off; one that reached its end
+      // was whole, whatever the answer to the order to stop said.
+      if (co_await mEvents.mWasStopped()) {
+        co_return MayHaveRun(FailureCode::UpstreamBroke,
+                             "the generation was moved");
+      }
+      co_return piece.error();
+    }
+    if (piece.value().empty()) {
+      break;
+    }
+    std::string events = splitter.Feed(piece.value());
+    if (events.empty()) {
+      continue;
+    }
+    const Result<void> passed = co_await PassEvents(std::move(events));
+    if (!passed) {
+      co_return passed;
+    }
+    mProgress.mLastEventId = splitter.LastId();
+    mEvents.mOnFirstEvent();
+  }
+  const Result<void> rest = co_await PassEvents(splitter.Rest());
+  if (!rest) {
+    co_return rest;
+  }
+  mEvents.mOnWhole();
+  co_return co_await mExchange.Finish();
+}
+
+Task<Result<void>>
+AnswerRelay::PassEvents(std::string aEvents)
+{
+  const Instant now = SteadyNow();
+  if (!mExchange.HasBegun()) {
+    const Result<void> begun = co_await mExchange.Begin(
+      ForwardedHeader(mConnection.Status(), mConnection.Fields()));
+    if (!begun) {
+      co_return begun;
+    }
+  } else if (mProgress.mLastEventAt != Instant{}) {
+    mMetrics.mEventGap.Record(now - mProgress.mLastEventAt);
+  }
+  mProgress.mLastEventAt = now;
+  if (aEvents.empty()) {
+    co_return boost::outcome_v2::success();
+  }
+  co_return co_await mExchange.Write(aEvents);
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/gateway/call_admission.hpp
@@ -0,0 +1,44 @@
+#ifndef CACTUSGW_GATEWAY_CALL_ADMISSION_HPP
+#define CACTUSGW_GATEWAY_CALL_ADMISSION_HPP
+
+/// What the configuration says of a caller's request: where it may go, for
+/// whom, how urgent it is, and how long it may take.
+
+#include "cactusgw/gateway/gateway_state.hpp"
+#include "cactusgw/net/http_server.hpp"
+
+#include <string>
+#include <vector>
+
+namespace cactusgw {
+
+/// Pointers stay valid as long as the routing table.
+struct AdmittedRequest
+{
+  const GatewayRoute* mRoute = nullptr;
+  /// Null on routes that need no key.
+  const Workspace* mWorkspace = nullptr;
+  /// Null when the configuration does not hold the route's service.
+  const GatewayService* mService = nullptr;
+  /// Regions that are open to it; empty means all.
+  std::vector<std::string> mRegions;
+  /// Zero is the most urgent.
+  std::uint32_t mRank = 0;
+  TokenNeed mNeed;
+  /// When the caller must have its final answer.
+  Instant mEnd;
+  /// When the caller stops waiting.
+  Instant mCallerEnd;
+};
+
+/// Errors: NotRun with StoreUnavailable, NotFound, InvalidInput, Unauthorized
+/// or UpstreamUnreachable.
+/// @param aTable null before the first configuration
+Result<AdmittedRequest> AdmitRequest(const GatewayState& aState,
+                                     const RoutingTable* aTable,
+                                     const HttpExchange& aExchange,
+                                     Instant aStart);
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_GATEWAY_CALL_ADMISSION_HPP
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "cactusgw/gateway/gateway_call.hpp"
 #include "cactusgw/net/operator_port.hpp"
+#include "cactusgw/net/steady_now.hpp"
 #include "cactusgw/programs/event_loop.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,12 +25,6 @@
 /// Kept from the stop time for the process's own end.
 constexpr Milliseconds kExitMargin{ 500 };
 
-Instant
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 Gateway::Gateway(boost::asio::io_context& aContext,
@@ -175,7 +170,7 @@
 bool
 Gateway::Tick()
 {
-  const Instant now = Now();
+  const Instant now = SteadyNow();
   for (const std::string& id : mState.mDirectory.DropLapsed(now)) {
     OnDirectoryChange(DirectoryChange::Leaving, id);
   }
@@ -198,7 +193,7 @@
     { { "version", static_cast<std::int64_t>(aConfig.mVersion) },
       { "before", static_cast<std::int64_t>(known) },
       { "routes", static_cast<std::int64_t>(aConfig.mRoutes.size()) } },
-    Now());
+    SteadyNow());
   mState.mMetrics.mConfigVersion.Set(static_cast<double>(aConfig.mVersion));
   mState.mTable = std::make_shared<const RoutingTable>(
     RoutingTable::Create(std::move(aConfig)));
@@ -220,7 +215,7 @@
   }
   mState.mLog.Write("leaving-heard",
                     { { "upstream", aUpstream.mId }, { "from", aFrom } },
-                    Now());
+                    SteadyNow());
   OnDirectoryChange(DirectoryChange::Leaving, aUpstream.mId);
 }
 
@@ -229,7 +224,7 @@
 {
   const KnownUpstream* const known = mState.mDirectory.Find(aId);
   if (known != nullptr) {
-    mState.mLeavingNews.Add({ aId, known->mRecord.mStartedMs }, Now());
+    mState.mLeavingNews.Add({ aId, known->mRecord.mStartedMs }, SteadyNow());
   }
 }
 
@@ -239,14 +234,15 @@
   switch (aChange) {
     case DirectoryChange::Added:
       mState.Forget(aId);
-      mState.mLog.Write("upstream-added", { { "upstream", aId } }, Now());
+      mState.mLog.Write("upstream-added", { { "upstream", aId } }, SteadyNow());
       mState.mLine.WakeFirst();
       break;
     case DirectoryChange::Leaving:
       mState.mPool.Forget(aId);
       mMover.OnLeaving(aId);
       RecordLeaving(aId);
-      mState.mLog.Write("upstream-leaving", { { "upstream", aId } }, Now());
+      mState.mLog.Write(
+        "upstream-leaving", { { "upstream", aId } }, SteadyNow());
       break;
     case DirectoryChange::None:
     case DirectoryChange::Updated:
@@ -257,7 +253,7 @@
 void
 Gateway::OnUpstreams(std::vector<UpstreamRecord> aRecords)
 {
-  const Instant now = Now();
+  const Instant now = SteadyNow();
   mHasUpstreams = true;
   std::set<std::string> ids;
   for (UpstreamRecord& record : aRecords) {
@@ -273,7 +269,7 @@
 void
 Gateway::OnUpstreamChanges(std::vector<Change<UpstreamRecord>> aChanges)
 {
-  const Instant now = Now();
+  const Instant now = SteadyNow();
   for (Change<UpstreamRecord>& change : aChanges) {
     if (change.mValue) {
       OnDirectoryChange(mState.mDirectory.Put(std::move(*change.mValue), now),
@@ -318,7 +314,7 @@
   if (aIsDrained) {
     drained.insert(aDataCentre);
     mState.mLog.Write(
-      "data-centre-drained", { { "dataCentre", aDataCentre } }, Now());
+      "data-centre-drained", { { "dataCentre", aDataCentre } }, SteadyNow());
   } else {
     drained.erase(aDataCentre);
   }
@@ -328,7 +324,7 @@
 void
 Gateway::OnTakenBack(const std::string& aDataCentre)
 {
-  const Instant now = Now();
+  const Instant now = SteadyNow();
   mState.mTakenBackUntil[aDataCentre] = now + kTakenBackTime;
   mState.mLog.Write(
     "data-centre-taken-back", { { "dataCentre", aDataCentre } }, now);
@@ -349,8 +345,9 @@
       mState.mLog.WriteAlways("registered", { { "vm", self.mName } });
       co_return;
     }
-    mState.mLog.Write(
-      "registration-failed", { { "reason", done.error().mDetail } }, Now());
+    mState.mLog.Write("registration-failed",
+                      { { "reason", done.error().mDetail } },
+                      SteadyNow());
     timer.expires_after(kTryAgain);
     co_await timer.async_wait(net::use_awaitable);
   }
@@ -368,7 +365,7 @@
 }
 
 void
-Gateway::OnPeers(std::vector<GatewayPeer> aPeers)
+Gateway::OnPeers(const std::vector<GatewayPeer>& aPeers)
 {
   for (const GatewayPeer& peer : aPeers) {
     mPeers->SetPeer(peer);
@@ -377,7 +374,7 @@
 }
 
 void
-Gateway::OnPeerChanges(std::vector<Change<GatewayPeer>> aChanges)
+Gateway::OnPeerChanges(const std::vector<Change<GatewayPeer>>& aChanges)
 {
   for (const Change<GatewayPeer>& change : aChanges) {
     if (change.mValue) {
@@ -409,7 +406,7 @@
 void
 Gateway::OnStoreBack(std::string_view aWhat)
 {
-  mState.mDirectory.OnStoreBack(Now());
+  mState.mDirectory.OnStoreBack(SteadyNow());
   mState.mLog.WriteAlways("store-back", { { "collection", aWhat } });
 }
 
@@ -442,7 +439,7 @@
 Gateway::FinishInProgress(std::function<void()> aOnStopped)
 {
   constexpr Milliseconds kPause{ 20 };
-  const Instant begun = Now();
+  const Instant begun = SteadyNow();
   const Instant deadline = begun + mState.mSettings.mStopTime - kExitMargin;
   net::steady_timer timer{ mContext };
   mServer->Drain();
@@ -450,7 +447,7 @@
   timer.expires_after(mState.mSettings.mUnreadyTime);
   co_await timer.async_wait(net::use_awaitable);
   mServer->StopAccepting();
-  while (mServer->OpenExchanges() > 0 && Now() < deadline) {
+  while (mServer->OpenExchanges() > 0 && SteadyNow() < deadline) {
     timer.expires_after(kPause);
     co_await timer.async_wait(net::use_awaitable);
   }
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -47,8 +47,8 @@
   void OnUpstreamChanges(std::vector<Change<UpstreamRecord>> aChanges);
   void OnDrained(std::set<std::string> aDataCentres);
   void OnDrainedChange(const std::string& aDataCentre, bool aIsDrained);
-  void OnPeers(std::vector<GatewayPeer> aPeers);
-  void OnPeerChanges(std::vector<Change<GatewayPeer>> aChanges);
+  void OnPeers(const std::vector<GatewayPeer>& aPeers);
+  void OnPeerChanges(const std::vector<Change<GatewayPeer>>& aChanges);
   void OnStoreLost(std::string_view aWhat, const Failure& aFailure);
   void OnStoreBack(std::string_view aWhat);
   /// Whether changes to upstreams are being told at present.
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -3,7 +3,8 @@
 
 /// One caller's request, from its reception to its final answer.
 
-#include "cactusgw/gateway/event_splitter.hpp"
+#include "cactusgw/gateway/answer_relay.hpp"
+#include "cactusgw/gateway/call_admission.hpp"
 #include "cactusgw/gateway/gateway_state.hpp"
 #include "cactusgw/gateway/movable_run.hpp"
 #include "cactusgw/net/http_server.hpp"
@@ -30,11 +31,6 @@
   Task<void> Run();
 
 private:
-  /// Finds route, workspace and times. Errors: NotRun.
-  Result<void> Admit();
-  Result<void> AdmitKey();
-  void ReadNeed();
-  void ChooseService();
   Task<void> Forward();
   /// Where the run goes on that the last send began, if it was moved.
   std::optional<std::string> TakeMoved();
@@ -52,14 +48,7 @@
   Task<Result<void>> Connect(const UpstreamRecord& aUpstream);
   HttpRequest MakeRequest(const UpstreamRecord& aUpstream) const;
   Task<Result<void>> ReadAnswerHeader(HttpRequest aRequest, Instant aUntil);
-  Result<void> CheckAnswer() const;
-  Task<Result<void>> PassOn(Instant aUntil);
-  Task<Result<void>> PassWhole(Instant aUntil);
-  Task<Result<void>> PassStream(Instant aUntil);
-  void OnPromptRead();
-  Task<Result<void>> PassEvents(const std::string& aEvents);
-  Task<Result<void>> PassPieces(std::string aBegin, Instant aUntil);
-  Task<Result<void>> Deliver(std::string aBody);
+  void OnFirstEvent();
   void OnCompleted();
 
   void OnSendFailed(const Failure& aFailure);
@@ -72,19 +61,10 @@
   GatewayState& mState;
   HttpExchange& mExchange;
   Instant mStart;
-  /// When the caller must have its final answer.
-  Instant mEnd;
-  /// When the caller stops waiting.
-  Instant mCallerEnd;
   std::string mRequestId;
   /// Keeps the version that the call began with.
   std::shared_ptr<const RoutingTable> mTable;
-  const GatewayRoute* mRoute = nullptr;
-  const Workspace* mWorkspace = nullptr;
-  const GatewayService* mService = nullptr;
-  std::vector<std::string> mRegions;
-  std::uint32_t mRank = 0;
-  TokenNeed mNeed;
+  AdmittedRequest mAdmitted;
   HttpRequest mForwarded;
 
   std::vector<std::string> mTried;
@@ -104,9 +84,7 @@
   /// Set while a moved generation is being continued.
   std::optional<Continuation> mContinued;
   bool mCallerLeft = false;
-  /// Of the last event that was passed on.
-  std::string mLastEventId;
-  Instant mLastEventAt;
+  StreamProgress mProgress;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/generation_mover.cpp
+++ b/src/cactusgw/gateway/generation_mover.cpp
@@ -1,6 +1,7 @@
 #include "cactusgw/gateway/generation_mover.hpp"
 
 #include "cactusgw/gateway/gateway_state.hpp"
+#include "cactusgw/net/steady_now.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -31,12 +32,6 @@
 /// A copy between data centres takes the link for twice the time.
 constexpr DistanceWeights kMoveDistances{ 0.3, 1.0 };
 
-Instant
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 GenerationMover::GenerationMover(net::io_context& aContext,
@@ -130,8 +125,8 @@
   }
   constexpr double kBitsPerByte = 8;
   constexpr double kBitsPerMsAndMbps = 1000;
-  const UpstreamUse first =
-    mState.mLoads.MovableBefore(aUpstream, mState.mSettings.mPlace.mVm, Now());
+  const UpstreamUse first = mState.mLoads.MovableBefore(
+    aUpstream, mState.mSettings.mPlace.mVm, SteadyNow());
   const double bits =
     static_cast<double>(first.mTokens * service->mEngine->mBytesPerToken) *
     kBitsPerByte;
@@ -144,10 +139,11 @@
 GenerationMover::WaitForTurn(std::string aUpstream, std::string aService)
 {
   const std::string& self = mState.mSettings.mPlace.mVm;
-  const Instant latest = Now() + TurnTime(aUpstream, aService);
+  const Instant latest = SteadyNow() + TurnTime(aUpstream, aService);
   net::steady_timer timer{ mContext };
-  while (Now() < latest &&
-         mState.mLoads.MovableBefore(aUpstream, self, Now()).mMovable > 0) {
+  while (SteadyNow() < latest &&
+         mState.mLoads.MovableBefore(aUpstream, self, SteadyNow()).mMovable >
+           0) {
     timer.expires_after(kTurnCheck);
     beast::error_code ec;
     co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
@@ -204,7 +200,7 @@
   const std::array<std::string, 1> excluded{ aRun.mUpstream };
   const CandidateFilter filter{ aRun.mRegions, excluded, aRun.mDataCentre };
   std::vector<Candidate> candidates =
-    mState.Candidates(*service, filter, Now());
+    mState.Candidates(*service, filter, SteadyNow());
   // A copy to another region takes minutes, and others wait behind it.
   std::erase_if(candidates, [](const Candidate& aCandidate) {
     return aCandidate.mDistance == Distance::OtherRegion;
@@ -229,7 +225,7 @@
   }
   const KnownUpstream target = *found;
   const std::string& targetId = target.mRecord.mId;
-  const Instant begun = Now();
+  const Instant begun = SteadyNow();
   const UpstreamUse use{ 1, identity.mNeed.mTotal, 0, 0 };
   mState.mMetrics.mMovesStarted.Add();
   mState.mLoads.Add(targetId, use);
@@ -302,7 +298,7 @@
                      std::string_view aOutcome,
                      Instant aBegun) const
 {
-  const Instant now = Now();
+  const Instant now = SteadyNow();
   mState.mLog.Write(
     aEvent,
     { { "request", aRun.mRequestId },
--- a/src/cactusgw/gateway/peer_exchange.cpp
+++ b/src/cactusgw/gateway/peer_exchange.cpp
@@ -1,22 +1,13 @@
 #include "cactusgw/gateway/peer_exchange.hpp"
 
 #include "cactusgw/gateway/gateway_state.hpp"
+#include "cactusgw/net/steady_now.hpp"
 
 #include <algorithm>
 #include <utility>
 
 namespace cactusgw {
 
-namespace {
-
-Instant
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
-} // namespace
-
 PeerExchange::PeerExchange(boost::asio::io_context& aContext,
                            GatewayState& aState,
                            LeavingHandler aOnLeaving)
@@ -68,7 +59,7 @@
     mState.mLog.Write(
       "peer-ignored",
       { { "peer", aPeer.mName }, { "reason", socket.error().mDetail } },
-      Now());
+      SteadyNow());
     return;
   }
   Link link;
@@ -77,7 +68,7 @@
   mPeers[aPeer.mName] = std::move(link);
   mState.mLog.Write("peer-known",
                     { { "peer", aPeer.mName }, { "address", aPeer.mAddress } },
-                    Now());
+                    SteadyNow());
 }
 
 void
@@ -86,7 +77,7 @@
   const auto it = mPeers.find(aName);
   if (it != mPeers.end()) {
     mPeers.erase(it);
-    mState.mLog.Write("peer-gone", { { "peer", aName } }, Now());
+    mState.mLog.Write("peer-gone", { { "peer", aName } }, SteadyNow());
   }
 }
 
@@ -149,7 +140,8 @@
     entry->set_prompt_tokens(use.mPromptTokens);
     entry->set_movable(use.mMovable);
   }
-  for (const LeavingUpstream& upstream : mState.mLeavingNews.Recent(Now())) {
+  for (const LeavingUpstream& upstream :
+       mState.mLeavingNews.Recent(SteadyNow())) {
     wire::LeavingUpstream* const entry = message->add_leaving();
     entry->set_upstream(upstream.mId);
     entry->set_started_ms(upstream.mStartedMs);
@@ -171,7 +163,8 @@
       entry.requests(), entry.tokens(), entry.prompt_tokens(), entry.movable()
     };
   }
-  mState.mLoads.SetPeer(envelope.value().sender_vm(), std::move(uses), Now());
+  mState.mLoads.SetPeer(
+    envelope.value().sender_vm(), std::move(uses), SteadyNow());
   for (const wire::LeavingUpstream& entry :
        envelope.value().gateway_use().leaving()) {
     mOnLeaving({ entry.upstream(), entry.started_ms() });
--- a/src/cactusgw/gateway/routing_table.cpp
+++ b/src/cactusgw/gateway/routing_table.cpp
@@ -13,9 +13,10 @@
 HostName(std::string_view aHost)
 {
   std::string name{ aHost.substr(0, aHost.find(':')) };
-  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
+  std::transform(
+    name.begin(), name.end(), name.begin(), [](unsigned char aChar) {
+      return static_cast<char>(std::tolower(aChar));
+    });
   return name;
 }
 
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -155,7 +155,7 @@
 }
 
 void
-GatewayTest::Run(std::function<Task<void>()> aTest)
+GatewayTest::Run(const std::function<Task<void>()>& aTest)
 {
   bool done = false;
   net::co_spawn(mContext, aTest(), [&](const std::exception_ptr& aError) {
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -35,7 +35,7 @@
   void Leave(const std::string& aId);
 
   /// Runs a coroutine on the gateway's event loop until it ends.
-  void Run(std::function<Task<void>()> aTest);
+  void Run(const std::function<Task<void>()>& aTest);
 
   /// A caller's request with a valid key.
   HttpRequest MakeRequest(http::verb aVerb, const std::string& aTarget) const;
--- a/tests/gateway/moved_generation_test.cpp
+++ b/tests/gateway/moved_generation_test.cpp
@@ -33,7 +33,7 @@
 protected:
   /// A source that passes two events on, is told to leave, and then does what
   /// the test says once it was told to stop.
-  void AddSource(Script aAfterStop)
+  void AddSource(const Script& aAfterStop)
   {
     AddUpstream("a-source",
                 "engine",
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -122,7 +122,7 @@
 class StoreSourceTest : public ::testing::Test
 {
 protected:
-  void Run(std::function<Task<void>()> aTest)
+  void Run(const std::function<Task<void>()>& aTest)
   {
     bool done = false;
     net::co_spawn(mContext, aTest(), [&](const std::exception_ptr& aError) {
