Waiting prompts weigh three times as much in the choice of upstreams

Cause: drafts' first events came up to 2 s late behind other prompts, as a prompt waiting at an upstream weighed no more than the same memory in use.

Tried beside it and reverted: counting a copy under way like a waiting prompt at its target.

--- a/src/cactusgw/gateway/upstream_choice.cpp
+++ b/src/cactusgw/gateway/upstream_choice.cpp
@@ -13,7 +13,9 @@
 constexpr std::uint32_t kPlainRequestsPerSlot = 2;
 
 /// Weights of the score; one is a whole upstream's load.
-constexpr double kPromptWeight = 1.0;
+/// Prompts still to be read delay a request at once; memory in use only once it
+/// is full.
+constexpr double kPromptWeight = 3.0;
 constexpr double kBadnessWeight = 1.0;
 
 double
