--- a/src/cactusgw/gateway/generation_mover.cpp
+++ b/src/cactusgw/gateway/generation_mover.cpp
@@ -26,6 +26,9 @@
 constexpr double kTurnSlack = 1.2;
 constexpr Milliseconds kTurnExtra{ 40 };
 constexpr Milliseconds kTurnCheck{ 10 };
+/// Beyond this a pause of the stream is better than its end: notice may be as
+/// short as 1.5 s.
+constexpr Milliseconds kLongestTurn{ 900 };
 /// How often upstreams are asked while the store tells nothing. Notice may be
 /// as short as 1.5 s.
 constexpr Milliseconds kAskInterval{ 400 };
@@ -131,8 +134,10 @@
     static_cast<double>(first.mTokens * service->mEngine->mBytesPerToken) *
     kBitsPerByte;
   const double ms = bits / (service->mEngine->mLinkMbps * kBitsPerMsAndMbps);
-  return Milliseconds{ static_cast<std::int64_t>(ms * kTurnSlack) } +
-         kTurnExtra * first.mMovable;
+  const Milliseconds turn =
+    Milliseconds{ static_cast<std::int64_t>(ms * kTurnSlack) } +
+    kTurnExtra * first.mMovable;
+  return std::min(turn, kLongestTurn);
 }
 
 Task<void>
--- a/src/cactusgw/gateway/peer_exchange.hpp
+++ b/src/cactusgw/gateway/peer_exchange.hpp
@@ -30,9 +30,9 @@
 public:
   /// Time between two messages to a peer of the same region while the figures
   /// change. Links between regions are narrow and paid for: peers there hear
-  /// as often as figures stay valid.
+  /// less often.
   static constexpr Milliseconds kNearInterval{ 50 };
-  static constexpr Milliseconds kFarInterval{ 1000 };
+  static constexpr Milliseconds kFarInterval{ 400 };
   /// Messages a second that this gateway sends at most, whatever the number of
   /// peers: with more of them each hears less often.
   static constexpr std::int64_t kMessagesPerSecond = 100;
