--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -25,11 +25,6 @@
 constexpr Milliseconds kWayBack{ 10 };
 /// Sends of one request that upstreams may refuse without running it.
 constexpr std::uint32_t kMaxSends = 4;
-/// Part of the objective that a request may wait for room.
-constexpr double kWaitPart = 0.6;
-/// Longest time a waiting request sleeps before it looks again: others may
-/// have freed room that nobody tells of.
-constexpr Milliseconds kLookAgain{ 50 };
 /// When a refused caller may try again, unless something better is known:
 /// upstreams come and go within this time.
 constexpr Milliseconds kComeBack{ 250 };
@@ -62,6 +57,7 @@
   , mStart(SteadyNow())
   , mRequestId(aExchange.Header(aState.mNames.mRequestId))
   , mTable(aState.mTable)
+  , mSeeker(aState, mStart)
 {
 }
 
@@ -102,7 +98,7 @@
   while (true) {
     Result<std::string> upstream{ moved.value_or("") };
     if (!moved) {
-      upstream = co_await Choose();
+      upstream = co_await mSeeker.Find(mAdmitted, mTried);
     }
     if (mCallerLeft) {
       break;
@@ -151,64 +147,6 @@
   return mContinued->mUpstream;
 }
 
-const Candidate*
-GatewayCall::FindRoom(std::vector<Candidate>& aCandidates) const
-{
-  const CandidateFilter filter{ mAdmitted.mRegions,
-                                mTried,
-                                mState.mSettings.mPlace.mDataCentre };
-  aCandidates = mState.Candidates(*mAdmitted.mService, filter, SteadyNow());
-  return ChooseUpstream(aCandidates, *mAdmitted.mService, mAdmitted.mNeed);
-}
-
-Task<Result<std::string>>
-GatewayCall::Choose()
-{
-  if (mAdmitted.mService == nullptr) {
-    co_return NotRun(FailureCode::UpstreamUnreachable,
-                     "the route leads to no known service");
-  }
-  if (!mState.mLine.IsAhead(mAdmitted.mService->mName, mAdmitted.mRank)) {
-    std::vector<Candidate> candidates;
-    const Candidate* const found = FindRoom(candidates);
-    if (found != nullptr) {
-      co_return found->mUpstream->mRecord.mId;
-    }
-  }
-  co_return co_await WaitForUpstream();
-}
-
-Task<Result<std::string>>
-GatewayCall::WaitForUpstream()
-{
-  mState.mMetrics.mWaits.Add();
-  const Instant waitEnd =
-    std::min(mAdmitted.mEnd,
-             mStart + std::chrono::duration_cast<Milliseconds>(
-                        mAdmitted.mRoute->mObjective * kWaitPart));
-  WaitingLine::Place place{ mState.mLine,
-                            mAdmitted.mService->mName,
-                            mAdmitted.mRank,
-                            co_await net::this_coro::executor };
-  mPlace = &place;
-  while (!mCallerLeft && SteadyNow() < waitEnd) {
-    if (place.IsFirst()) {
-      std::vector<Candidate> candidates;
-      const Candidate* const found = FindRoom(candidates);
-      if (found != nullptr) {
-        mPlace = nullptr;
-        co_return found->mUpstream->mRecord.mId;
-      }
-    }
-    co_await place.Wait(std::min(waitEnd, SteadyNow() + kLookAgain));
-  }
-  mPlace = nullptr;
-  const std::size_t known =
-    mState.mDirectory.Serving(mAdmitted.mService->mName).size();
-  co_return NotRun(FailureCode::Busy,
-                   "none of " + std::to_string(known) + " upstreams has room");
-}
-
 Instant
 GatewayCall::AttemptEnd(Instant aNow) const
 {
@@ -520,9 +458,7 @@
   if (mConnection) {
     mConnection->Close();
   }
-  if (mPlace != nullptr) {
-    mPlace->Wake();
-  }
+  mSeeker.Cancel();
 }
 
 Milliseconds
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -7,6 +7,7 @@
 #include "cactusgw/gateway/call_admission.hpp"
 #include "cactusgw/gateway/gateway_state.hpp"
 #include "cactusgw/gateway/movable_run.hpp"
+#include "cactusgw/gateway/upstream_seeker.hpp"
 #include "cactusgw/net/http_server.hpp"
 
 #include <memory>
@@ -37,11 +38,6 @@
   Task<Result<void>> SendAndPassOn(const KnownUpstream& aUpstream);
   Task<void> BeginRun(const UpstreamRecord& aUpstream);
   Task<bool> WasStopped();
-  /// The id of an upstream that has room, after waiting for one if need be.
-  Task<Result<std::string>> Choose();
-  Task<Result<std::string>> WaitForUpstream();
-  const Candidate* FindRoom(std::vector<Candidate>& aCandidates) const;
-
   /// Sends the request to one upstream and passes the answer on. Success means
   /// that the caller has its final answer.
   Task<Result<void>> SendTo(const std::string& aUpstream);
@@ -64,6 +60,7 @@
   std::string mRequestId;
   /// Keeps the version that the call began with.
   std::shared_ptr<const RoutingTable> mTable;
+  UpstreamSeeker mSeeker;
   AdmittedRequest mAdmitted;
   HttpRequest mForwarded;
 
@@ -74,7 +71,6 @@
   bool mMayHaveRun = false;
   std::string mUpstream;
   std::unique_ptr<HttpConnection> mConnection;
-  WaitingLine::Place* mPlace = nullptr;
   /// The generation at the current upstream, if it can be moved.
   std::shared_ptr<MovableRun> mRun;
   /// What the run adds to the upstream's use, as long as it can be moved.
--- a/src/cactusgw/gateway/generation_mover.cpp
+++ b/src/cactusgw/gateway/generation_mover.cpp
@@ -164,13 +164,13 @@
     beast::error_code ec;
     co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
     if (mState.mIsBlind) {
-      co_await AskOnce();
+      AskAll();
     }
   }
 }
 
-Task<void>
-GenerationMover::AskOnce()
+void
+GenerationMover::AskAll()
 {
   for (const auto& [upstream, runs] : mRuns) {
     const bool hasRuns = std::any_of(
@@ -182,7 +182,6 @@
       net::co_spawn(mContext, AskUpstream(known->mRecord), net::detached);
     }
   }
-  co_return;
 }
 
 Task<void>
--- a/src/cactusgw/gateway/generation_mover.hpp
+++ b/src/cactusgw/gateway/generation_mover.hpp
@@ -57,7 +57,7 @@
   /// Time that the copies of peers that come first may take.
   Milliseconds TurnTime(const std::string& aUpstream,
                         const std::string& aService) const;
-  Task<void> AskOnce();
+  void AskAll();
   Task<void> AskUpstream(UpstreamRecord aUpstream);
   const KnownUpstream* ChooseTarget(const RunIdentity& aRun) const;
   void Log(std::string_view aEvent,
