One gateway of a data centre reads the store and tells the others

Cause: each gateway read the store by itself, 4.3 calls a second.

Now gateways of a data centre are in one order, largest first. Each asks the first one before it that answers; who has nobody to ask, is asked, or had no good answer for 800 ms reads itself. Answers carry their age, from spans only, so that no clock is compared and a held-up answer is old. Nothing is agreed or elected. The state is a copy of each collection with its revision (StoreMirror); the folder platform/ now decodes changes only.

Ruled out: waiting calls with a longer time (silence proves nothing, and most calls end by an event); reads that may be stale (seconds old, against a bound of 2500 ms); a lease for the reader (a write a second, and a gap at each change).

--- a/src/cactusgw/config/process_settings.cpp
+++ b/src/cactusgw/config/process_settings.cpp
@@ -171,6 +171,7 @@
 SettingsResult<GatewaySettings>
 ReadGatewaySettings(std::string_view aText, std::string_view aFile)
 {
+  constexpr NumberRange kCapacityRange{ 0, 1000 };
   return ReadSettings<GatewaySettings>(aText, aFile, [](ObjectReader& aReader) {
     GatewaySettings settings;
     settings.mPlace = ReadPlace(aReader);
@@ -183,6 +184,8 @@
     settings.mMetricsListen = aReader.Address("metricsListen");
     settings.mPeerListen = aReader.Address("peerListen");
     settings.mPlatform = aReader.Address("platform");
+    settings.mCapacity =
+      aReader.NumberOr("capacity", kCapacityRange, settings.mCapacity);
     settings.mBounds = ReadGatewayBounds(aReader);
     settings.mLog = ReadLog(aReader, "stdout");
     settings.mUnreadyTime = TimeOr(aReader, "unreadyMs", 3000);
--- a/src/cactusgw/config/process_settings.hpp
+++ b/src/cactusgw/config/process_settings.hpp
@@ -90,6 +90,8 @@
   /// Where the other gateways send what they know.
   std::string mPeerListen;
   std::string mPlatform;
+  /// What this VM can carry against others: its part of a processor.
+  double mCapacity = 1;
   GatewayBounds mBounds;
   LogSettings mLog;
   /// How long a stopping gateway still accepts, while it is unready.
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -117,6 +117,11 @@
     return peers.error();
   }
   mPeers = std::move(peers.value());
+  mRelay = std::make_unique<StoreRelay>(mState, mStore, *mPeers);
+  mPeers->SetHandler(
+    [this](std::string_view aIdentity, const wire::Envelope& aEnvelope) {
+      mRelay->OnMessage(aIdentity, aEnvelope);
+    });
   return boost::outcome_v2::success();
 }
 
@@ -176,13 +181,29 @@
   }
   mState.mPool.CloseExpired(now);
   mPeers->Send(now);
+  mRelay->Tick(now);
   mState.mLine.WakeFirst();
   return true;
 }
 
+bool
+Gateway::ShouldReadStore() const
+{
+  return mRelay->ShouldRead(SteadyNow());
+}
+
+void
+Gateway::OnConfigUnusable(const Failure& aFailure)
+{
+  mState.mFreshness.SetUsable(false);
+  mState.mLog.WriteAlways("config-unusable",
+                          { { "detail", aFailure.mDetail } });
+}
+
 void
 Gateway::OnConfig(GatewayConfig aConfig)
 {
+  mState.mFreshness.SetUsable(true);
   const std::uint64_t known =
     mState.mTable ? mState.mTable->Config().mVersion : 0;
   if (mState.mTable && aConfig.mVersion <= known) {
@@ -250,26 +271,11 @@
   }
 }
 
-void
-Gateway::OnUpstreams(std::vector<UpstreamRecord> aRecords)
-{
-  const Instant now = SteadyNow();
-  mHasUpstreams = true;
-  std::set<std::string> ids;
-  for (UpstreamRecord& record : aRecords) {
-    const std::string id = record.mId;
-    ids.insert(id);
-    OnDirectoryChange(mState.mDirectory.Put(std::move(record), now), id);
-  }
-  for (const std::string& id : mState.mDirectory.RetainOnly(ids, now)) {
-    OnDirectoryChange(DirectoryChange::Leaving, id);
-  }
-}
-
 void
 Gateway::OnUpstreamChanges(std::vector<Change<UpstreamRecord>> aChanges)
 {
   const Instant now = SteadyNow();
+  mHasUpstreams = true;
   for (Change<UpstreamRecord>& change : aChanges) {
     if (change.mValue) {
       OnDirectoryChange(mState.mDirectory.Put(std::move(*change.mValue), now),
@@ -294,33 +300,21 @@
 }
 
 void
-Gateway::OnDrained(std::set<std::string> aDataCentres)
+Gateway::OnDrainedChanges(const std::vector<Change<std::string>>& aChanges)
 {
   mHasDrained = true;
-  for (const std::string& dataCentre : mDrained) {
-    if (aDataCentres.count(dataCentre) == 0) {
-      OnTakenBack(dataCentre);
+  for (const Change<std::string>& change : aChanges) {
+    mState.mDirectory.SetDrained(change.mName, change.mValue.has_value());
+    if (change.mValue) {
+      mState.mLog.Write(
+        "data-centre-drained", { { "dataCentre", change.mName } }, SteadyNow());
+    } else {
+      OnTakenBack(change.mName);
     }
   }
-  mDrained = std::move(aDataCentres);
-  mState.mDirectory.SetDrained(mDrained);
   mState.mLine.WakeFirst();
 }
 
-void
-Gateway::OnDrainedChange(const std::string& aDataCentre, bool aIsDrained)
-{
-  std::set<std::string> drained = mDrained;
-  if (aIsDrained) {
-    drained.insert(aDataCentre);
-    mState.mLog.Write(
-      "data-centre-drained", { { "dataCentre", aDataCentre } }, SteadyNow());
-  } else {
-    drained.erase(aDataCentre);
-  }
-  OnDrained(std::move(drained));
-}
-
 void
 Gateway::OnTakenBack(const std::string& aDataCentre)
 {
@@ -337,7 +331,8 @@
   const GatewaySettings& settings = mState.mSettings;
   const GatewayPeer self{ settings.mPlace.mVm,
                           settings.mPeerListen,
-                          settings.mPlace.mDataCentre };
+                          settings.mPlace.mDataCentre,
+                          settings.mCapacity };
   net::steady_timer timer{ mContext };
   while (!mStopping) {
     const Result<void> done = co_await mRegistration.mRegister(self);
@@ -364,23 +359,16 @@
       { "outcome", done ? std::string{ "done" } : done.error().mDetail } });
 }
 
-void
-Gateway::OnPeers(const std::vector<GatewayPeer>& aPeers)
-{
-  for (const GatewayPeer& peer : aPeers) {
-    mPeers->SetPeer(peer);
-  }
-  CountGateways();
-}
-
 void
 Gateway::OnPeerChanges(const std::vector<Change<GatewayPeer>>& aChanges)
 {
   for (const Change<GatewayPeer>& change : aChanges) {
     if (change.mValue) {
       mPeers->SetPeer(*change.mValue);
+      mRelay->SetPeer(*change.mValue);
     } else {
       mPeers->RemovePeer(change.mName);
+      mRelay->RemovePeer(change.mName);
     }
   }
   CountGateways();
@@ -443,6 +431,7 @@
   const Instant deadline = begun + mState.mSettings.mStopTime - kExitMargin;
   net::steady_timer timer{ mContext };
   mServer->Drain();
+  mRelay->Stop();
   net::co_spawn(mContext, Withdraw(), net::detached);
   timer.expires_after(mState.mSettings.mUnreadyTime);
   co_await timer.async_wait(net::use_awaitable);
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -7,6 +7,8 @@
 #include "cactusgw/gateway/gateway_state.hpp"
 #include "cactusgw/gateway/generation_mover.hpp"
 #include "cactusgw/gateway/peer_exchange.hpp"
+#include "cactusgw/gateway/store_relay.hpp"
+#include "cactusgw/gateway/store_view.hpp"
 #include "cactusgw/interfaces/registry_source.hpp"
 #include "cactusgw/net/http_server.hpp"
 
@@ -40,14 +42,19 @@
   /// faults in them the old settings stay in force.
   void Reload(const SettingsResult<GatewaySettings>& aSettings);
 
-  // What the store says, as RegistryFollower reports it.
+  /// What is known of the store; its handler must call the functions below.
+  StoreView& Store() { return mStore; }
+  /// Whether this gateway has to read the store itself at present.
+  bool ShouldReadStore() const;
+
+  // What the store says. Lists of changes may be empty: the collection is
+  // known then.
   void OnConfig(GatewayConfig aConfig);
+  void OnConfigUnusable(const Failure& aFailure);
   void OnConfigConfirmed(BootTime aAsOf);
-  void OnUpstreams(std::vector<UpstreamRecord> aRecords);
   void OnUpstreamChanges(std::vector<Change<UpstreamRecord>> aChanges);
-  void OnDrained(std::set<std::string> aDataCentres);
-  void OnDrainedChange(const std::string& aDataCentre, bool aIsDrained);
-  void OnPeers(const std::vector<GatewayPeer>& aPeers);
+  /// Values are the names of drained data centres.
+  void OnDrainedChanges(const std::vector<Change<std::string>>& aChanges);
   void OnPeerChanges(const std::vector<Change<GatewayPeer>>& aChanges);
   void OnStoreLost(std::string_view aWhat, const Failure& aFailure);
   void OnStoreBack(std::string_view aWhat);
@@ -84,10 +91,11 @@
   GenerationMover mMover;
   PeerRegistration mRegistration;
   std::unique_ptr<PeerExchange> mPeers;
+  StoreView mStore;
+  std::unique_ptr<StoreRelay> mRelay;
   std::unique_ptr<HttpServer> mServer;
   std::unique_ptr<HttpServer> mReadyServer;
   std::unique_ptr<HttpServer> mMetricsServer;
-  std::set<std::string> mDrained;
   bool mHasUpstreams = false;
   bool mHasDrained = false;
   bool mStopping = false;
--- a/src/cactusgw/gateway/gateway_peer.hpp
+++ b/src/cactusgw/gateway/gateway_peer.hpp
@@ -19,6 +19,8 @@
   /// Where it listens for other gateways, as `IP:port`.
   std::string mAddress;
   std::string mDataCentre;
+  /// What its VM can carry against others: its part of a processor.
+  double mCapacity = 0;
 };
 
 /// What a gateway needs to register itself. All functions must be set.
--- a/src/cactusgw/gateway/object_poller.hpp
+++ b/src/cactusgw/gateway/object_poller.hpp
@@ -6,8 +6,8 @@
 /// knowledge stays fresh while nothing changes.
 
 #include "cactusgw/gateway/registry_follower.hpp"
+#include "cactusgw/gateway/store_freshness.hpp"
 
-#include <optional>
 #include <utility>
 
 namespace cactusgw {
@@ -15,13 +15,17 @@
 template<typename Source>
 concept ObjectSource = requires(Source& aSource)
 {
-  typename Source::Value;
-  /// The object, or nothing when it is as it was at the last read. Errors:
-  /// StoreUnavailable.
+  /// The object as a collection of one. Errors: StoreUnavailable.
   {
     aSource.Read()
-    } -> std::same_as<
-      boost::asio::awaitable<Result<std::optional<typename Source::Value>>>>;
+    } -> std::same_as<boost::asio::awaitable<Result<CollectionUpdate>>>;
+};
+
+/// What a poller reports beside. Must be set.
+struct PollerEvents : FollowerEvents
+{
+  /// Everything up to this time is known.
+  std::function<void(BootTime)> mOnConfirmed;
 };
 
 /// Not thread-safe; lives on one io_context as long as the process.
@@ -29,11 +33,7 @@
 class ObjectPoller
 {
 public:
-  using Value = typename Source::Value;
-
-  ObjectPoller(Source aSource,
-               Milliseconds aInterval,
-               ObjectEvents<Value> aEvents)
+  ObjectPoller(Source aSource, Milliseconds aInterval, PollerEvents aEvents)
     : mSource(std::move(aSource))
     , mInterval(aInterval)
     , mEvents(std::move(aEvents))
@@ -45,16 +45,17 @@
   {
     StoreContact contact;
     while (true) {
+      while (!mEvents.mShouldRead()) {
+        co_await Sleep(kIdlePause);
+      }
       const BootTime asked = BootNow();
-      Result<std::optional<Value>> value = co_await mSource.Read();
-      if (!value) {
-        co_await contact.OnFailure(value.error(), mEvents.mOnLost);
+      Result<CollectionUpdate> update = co_await mSource.Read();
+      if (!update) {
+        co_await contact.OnFailure(update.error(), mEvents.mOnLost);
         continue;
       }
       contact.OnAnswer(mEvents.mOnBack);
-      if (value.value()) {
-        mEvents.mOnValue(std::move(*value.value()));
-      }
+      mEvents.mOnUpdate(std::move(update.value()));
       mEvents.mOnConfirmed(asked);
       co_await Sleep(mInterval);
     }
@@ -63,7 +64,7 @@
 private:
   Source mSource;
   Milliseconds mInterval;
-  ObjectEvents<Value> mEvents;
+  PollerEvents mEvents;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/peer_exchange.cpp
+++ b/src/cactusgw/gateway/peer_exchange.cpp
@@ -29,13 +29,13 @@
   std::unique_ptr<PeerExchange> exchange{ new PeerExchange{
     aContext, aState, std::move(aOnLeaving) } };
   PeerExchange* const self = exchange.get();
-  Result<std::unique_ptr<MessageSocket>> listener =
-    MessageSocket::Bind(exchange->mZmq,
-                        aContext,
-                        aState.mSettings.mPeerListen,
-                        [self](std::string_view, std::string_view aPayload) {
-                          self->OnMessage(aPayload);
-                        });
+  Result<std::unique_ptr<MessageSocket>> listener = MessageSocket::Bind(
+    exchange->mZmq,
+    aContext,
+    aState.mSettings.mPeerListen,
+    [self](std::string_view aIdentity, std::string_view aPayload) {
+      self->OnMessage(aIdentity, aPayload);
+    });
   if (!listener) {
     return listener.error();
   }
@@ -54,7 +54,12 @@
     return;
   }
   Result<std::unique_ptr<MessageSocket>> socket = MessageSocket::Connect(
-    mZmq, mContext, aPeer.mAddress, [](std::string_view, std::string_view) {});
+    mZmq,
+    mContext,
+    aPeer.mAddress,
+    [this](std::string_view aIdentity, std::string_view aPayload) {
+      OnMessage(aIdentity, aPayload);
+    });
   if (!socket) {
     mState.mLog.Write(
       "peer-ignored",
@@ -150,23 +155,47 @@
 }
 
 void
-PeerExchange::OnMessage(std::string_view aPayload)
+PeerExchange::SendTo(std::string_view aPeer, wire::Envelope& aEnvelope)
+{
+  const auto it = mPeers.find(aPeer);
+  if (it != mPeers.end()) {
+    it->second.mSocket->Send(mCodec.Encode(aEnvelope));
+  }
+}
+
+void
+PeerExchange::Reply(std::string_view aIdentity, wire::Envelope& aEnvelope)
+{
+  mListener->SendTo(aIdentity, mCodec.Encode(aEnvelope));
+}
+
+void
+PeerExchange::OnMessage(std::string_view aIdentity, std::string_view aPayload)
 {
   const Result<wire::Envelope> envelope = mCodec.Decode(aPayload);
-  if (!envelope || !envelope.value().has_gateway_use()) {
-    return;
+  if (!envelope) {
+    return; // The codec has logged why.
+  }
+  if (envelope.value().has_gateway_use()) {
+    OnUse(envelope.value());
+  }
+  if (mOnMessage) {
+    mOnMessage(aIdentity, envelope.value());
   }
+}
+
+void
+PeerExchange::OnUse(const wire::Envelope& aEnvelope)
+{
   UseByUpstream uses;
   for (const wire::UpstreamUseEntry& entry :
-       envelope.value().gateway_use().entries()) {
+       aEnvelope.gateway_use().entries()) {
     uses[entry.upstream()] = UpstreamUse{
       entry.requests(), entry.tokens(), entry.prompt_tokens(), entry.movable()
     };
   }
-  mState.mLoads.SetPeer(
-    envelope.value().sender_vm(), std::move(uses), SteadyNow());
-  for (const wire::LeavingUpstream& entry :
-       envelope.value().gateway_use().leaving()) {
+  mState.mLoads.SetPeer(aEnvelope.sender_vm(), std::move(uses), SteadyNow());
+  for (const wire::LeavingUpstream& entry : aEnvelope.gateway_use().leaving()) {
     mOnLeaving({ entry.upstream(), entry.started_ms() });
   }
   mState.mLine.WakeFirst();
--- a/src/cactusgw/gateway/peer_exchange.hpp
+++ b/src/cactusgw/gateway/peer_exchange.hpp
@@ -19,6 +19,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace cactusgw {
 
@@ -42,6 +43,10 @@
   /// Called when a peer says that an upstream leaves.
   using LeavingHandler = std::function<void(const LeavingUpstream&)>;
 
+  /// Called with each message, and where an answer to it would go.
+  using MessageHandler =
+    std::function<void(std::string_view aIdentity, const wire::Envelope&)>;
+
   /// Errors: InvalidInput when the address can't be bound.
   static Result<std::unique_ptr<PeerExchange>> Listen(
     boost::asio::io_context& aContext,
@@ -56,6 +61,13 @@
   /// Sends what is due.
   void Send(Instant aNow);
 
+  /// Who takes the messages that are not of this class's own kind; must be set
+  /// before the first one.
+  void SetHandler(MessageHandler aHandler) { mOnMessage = std::move(aHandler); }
+  /// A message that can't be sent is lost.
+  void SendTo(std::string_view aPeer, wire::Envelope& aEnvelope);
+  void Reply(std::string_view aIdentity, wire::Envelope& aEnvelope);
+
 private:
   struct Link
   {
@@ -68,7 +80,8 @@
   PeerExchange(boost::asio::io_context& aContext,
                GatewayState& aState,
                LeavingHandler aOnLeaving);
-  void OnMessage(std::string_view aPayload);
+  void OnMessage(std::string_view aIdentity, std::string_view aPayload);
+  void OnUse(const wire::Envelope& aEnvelope);
   Milliseconds IntervalTo(const GatewayPeer& aPeer) const;
   bool IsDue(const Link& aLink, Instant aNow) const;
   std::string EncodeUse();
@@ -76,6 +89,7 @@
   boost::asio::io_context& mContext;
   GatewayState& mState;
   LeavingHandler mOnLeaving;
+  MessageHandler mOnMessage;
   zmq::context_t mZmq;
   EnvelopeCodec mCodec;
   std::unique_ptr<MessageSocket> mListener;
--- a/src/cactusgw/gateway/registry_follower.hpp
+++ b/src/cactusgw/gateway/registry_follower.hpp
@@ -5,51 +5,33 @@
 /// it again whenever changes may have been missed.
 
 #include "cactusgw/gateway/store_contact.hpp"
-#include "cactusgw/gateway/store_freshness.hpp"
 #include "cactusgw/interfaces/registry_source.hpp"
 #include "cactusgw/net/http_types.hpp"
 
-#include <algorithm>
 #include <functional>
 #include <utility>
 
 namespace cactusgw {
 
-/// What is told of the store's answers. All functions must be set.
-struct ContactEvents
+/// What a follower asks and reports. All functions must be set.
+struct FollowerEvents
 {
+  /// Whether to read at present, or to leave the store in peace.
+  std::function<bool()> mShouldRead;
+  /// The state that is known; zero: nothing.
+  std::function<std::uint64_t()> mRevision;
+  std::function<void(CollectionUpdate)> mOnUpdate;
   std::function<void(const Failure&)> mOnLost;
   std::function<void()> mOnBack;
 };
 
-/// What a follower reports. All functions must be set.
-template<typename Value>
-struct FollowerEvents : ContactEvents
-{
-  std::function<void(std::vector<Value>)> mOnListing;
-  std::function<void(std::vector<Change<Value>>)> mOnChanges;
-};
-
-/// What a poller reports. All functions must be set.
-template<typename Value>
-struct ObjectEvents : ContactEvents
-{
-  std::function<void(Value)> mOnValue;
-  /// Everything up to this time is known.
-  std::function<void(BootTime)> mOnConfirmed;
-};
-
 /// Not thread-safe; lives on one io_context as long as the process.
 template<RegistrySource Source>
 class RegistryFollower
 {
 public:
-  using Value = typename Source::Value;
-
   /// @param aWait longest time of one waiting call
-  RegistryFollower(Source aSource,
-                   Milliseconds aWait,
-                   FollowerEvents<Value> aEvents)
+  RegistryFollower(Source aSource, Milliseconds aWait, FollowerEvents aEvents)
     : mSource(std::move(aSource))
     , mWait(aWait)
     , mEvents(std::move(aEvents))
@@ -60,12 +42,15 @@
   Task<void> Run()
   {
     while (true) {
+      while (!mEvents.mShouldRead()) {
+        co_await Sleep(kIdlePause);
+      }
       const Result<void> done = co_await Step();
       if (done) {
         continue;
       }
       if (done.error().mCode == FailureCode::HistoryGone) {
-        mIsListed = false;
+        mLostHistory = mEvents.mRevision();
         continue;
       }
       co_await mContact.OnFailure(done.error(), mEvents.mOnLost);
@@ -75,33 +60,31 @@
 private:
   Task<Result<void>> Step()
   {
-    if (!mIsListed) {
-      Result<Listing<Value>> listing = co_await mSource.List();
-      if (!listing) {
-        co_return listing.error();
-      }
-      mContact.OnAnswer(mEvents.mOnBack);
-      mRevision = listing.value().mRevision;
-      mIsListed = true;
-      mEvents.mOnListing(std::move(listing.value().mValues));
-      co_return boost::outcome_v2::success();
+    // Changes are missing as long as nobody brought a later state.
+    const bool isListDue = mEvents.mRevision() <= mLostHistory;
+    Result<CollectionUpdate> update{ CollectionUpdate{} };
+    if (isListDue) {
+      update = co_await mSource.List();
+    } else {
+      update = co_await mSource.Watch(mEvents.mRevision(), mWait);
     }
-    Result<Changes<Value>> changes = co_await mSource.Watch(mRevision, mWait);
-    if (!changes) {
-      co_return changes.error();
+    if (!update) {
+      co_return update.error();
     }
     mContact.OnAnswer(mEvents.mOnBack);
-    mRevision = std::max(mRevision, changes.value().mRevision);
-    mEvents.mOnChanges(std::move(changes.value().mChanges));
+    mEvents.mOnUpdate(std::move(update.value()));
+    if (isListDue) {
+      mLostHistory = 0;
+    }
     co_return boost::outcome_v2::success();
   }
 
   Source mSource;
   Milliseconds mWait;
-  FollowerEvents<Value> mEvents;
+  FollowerEvents mEvents;
   StoreContact mContact;
-  std::uint64_t mRevision = 0;
-  bool mIsListed = false;
+  /// State from which no changes can be had any more.
+  std::uint64_t mLostHistory = 0;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/store_contact.hpp
+++ b/src/cactusgw/gateway/store_contact.hpp
@@ -10,6 +10,9 @@
 
 namespace cactusgw {
 
+/// How often a loop that does not read at present looks whether it should.
+inline constexpr Milliseconds kIdlePause{ 100 };
+
 /// Waits on the current executor.
 Task<void> Sleep(Milliseconds aTime);
 
--- a/src/cactusgw/gateway/store_freshness.cpp
+++ b/src/cactusgw/gateway/store_freshness.cpp
@@ -17,6 +17,9 @@
 void
 StoreFreshness::OnConfirmed(BootTime aAsOf)
 {
+  if (!mIsUsable) {
+    return;
+  }
   mAsOf = mIsKnown ? std::max(mAsOf, aAsOf) : aAsOf;
   mIsKnown = true;
 }
--- a/src/cactusgw/gateway/store_freshness.hpp
+++ b/src/cactusgw/gateway/store_freshness.hpp
@@ -29,6 +29,9 @@
 
   /// All changes up to this time are known.
   void OnConfirmed(BootTime aAsOf);
+  /// Whether the last version could be used. While it can't, knowing it keeps
+  /// nothing fresh.
+  void SetUsable(bool aIsUsable) { mIsUsable = aIsUsable; }
 
   bool IsKnown() const { return mIsKnown; }
   bool IsFresh(BootTime aNow) const;
@@ -43,6 +46,7 @@
 
   Milliseconds mLimit;
   bool mIsKnown = false;
+  bool mIsUsable = true;
   BootTime mAsOf{ 0 };
 };
 
--- /dev/null
+++ b/src/cactusgw/gateway/store_mirror.cpp
@@ -0,0 +1,96 @@
+#include "cactusgw/gateway/store_mirror.hpp"
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+
+namespace cactusgw {
+
+std::vector<StoredObject>
+StoreMirror::Apply(CollectionUpdate aUpdate)
+{
+  std::vector<StoredObject> changed;
+  if (aUpdate.mRevision < mRevision) {
+    return changed;
+  }
+  if (aUpdate.mIsWhole) {
+    changed = RemoveAllBut(aUpdate);
+    mFloor = aUpdate.mRevision; // What went before it is not known here.
+  }
+  for (StoredObject& object : aUpdate.mObjects) {
+    if (Put(object, aUpdate.mRevision)) {
+      changed.push_back(std::move(object));
+    }
+  }
+  mRevision = aUpdate.mRevision;
+  ForgetOldRemovals();
+  return changed;
+}
+
+std::vector<StoredObject>
+StoreMirror::RemoveAllBut(const CollectionUpdate& aUpdate)
+{
+  std::set<std::string_view> present;
+  for (const StoredObject& object : aUpdate.mObjects) {
+    present.insert(object.mName);
+  }
+  std::vector<StoredObject> removed;
+  for (const auto& [name, entry] : mEntries) {
+    if (entry.mDocument && present.count(name) == 0) {
+      removed.push_back({ name, entry.mRevision, std::nullopt });
+    }
+  }
+  for (const StoredObject& object : removed) {
+    Put(object, aUpdate.mRevision);
+  }
+  return removed;
+}
+
+bool
+StoreMirror::Put(const StoredObject& aObject, std::uint64_t aSince)
+{
+  const auto it = mEntries.find(aObject.mName);
+  const bool isKnown = it != mEntries.end() && it->second.mDocument;
+  if (!aObject.mDocument) {
+    // Others may know an object that came and went unnoticed here.
+    mRemovals.emplace_back(aObject.mName, aSince);
+  } else if (isKnown && aObject.mRevision <= it->second.mRevision) {
+    return false; // A list may hold later states than the changes after it.
+  }
+  mEntries[aObject.mName] =
+    Entry{ aObject.mRevision, aSince, aObject.mDocument };
+  return isKnown || aObject.mDocument;
+}
+
+void
+StoreMirror::ForgetOldRemovals()
+{
+  while (mRemovals.size() > kKeptRemovals) {
+    const auto& [name, since] = mRemovals.front();
+    const auto it = mEntries.find(name);
+    if (it != mEntries.end() && !it->second.mDocument &&
+        it->second.mSince == since) {
+      mEntries.erase(it);
+    }
+    mFloor = std::max(mFloor, since);
+    mRemovals.pop_front();
+  }
+}
+
+CollectionUpdate
+StoreMirror::Since(std::uint64_t aRevision) const
+{
+  CollectionUpdate update;
+  update.mIsWhole = aRevision == 0 || aRevision < mFloor;
+  update.mRevision = mRevision;
+  for (const auto& [name, entry] : mEntries) {
+    const bool isWanted =
+      update.mIsWhole ? entry.mDocument.has_value() : entry.mSince > aRevision;
+    if (isWanted) {
+      update.mObjects.push_back({ name, entry.mRevision, entry.mDocument });
+    }
+  }
+  return update;
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/gateway/store_view.hpp
@@ -0,0 +1,70 @@
+#ifndef CACTUSGW_GATEWAY_STORE_VIEW_HPP
+#define CACTUSGW_GATEWAY_STORE_VIEW_HPP
+
+/// What this gateway knows of the store, whether it read it itself or was told
+/// by another gateway.
+
+#include "cactusgw/gateway/store_mirror.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+namespace cactusgw {
+
+/// The collections that gateways follow. Numbers travel between gateways.
+enum class StoreCollection : std::uint8_t
+{
+  /// The configuration, which is one object.
+  Configuration = 0,
+  Upstreams = 1,
+  DrainedDataCentres = 2,
+  Gateways = 3,
+};
+
+inline constexpr std::size_t kStoreCollections = 4;
+
+/// A state of each collection, by StoreCollection.
+using StorePositions = std::array<std::uint64_t, kStoreCollections>;
+
+/// Not thread-safe.
+class StoreView
+{
+public:
+  /// Called with what changed; also, without objects, when a collection
+  /// becomes known.
+  using Handler =
+    std::function<void(StoreCollection, const std::vector<StoredObject>&)>;
+
+  StoreView() = default;
+
+  /// Must be set before the first update.
+  void SetHandler(Handler aHandler) { mHandler = std::move(aHandler); }
+
+  void Apply(StoreCollection aCollection, CollectionUpdate aUpdate);
+
+  std::uint64_t Revision(StoreCollection aCollection) const
+  {
+    return mMirrors[static_cast<std::size_t>(aCollection)].Revision();
+  }
+  StorePositions Positions() const;
+  /// Whether there is anything that somebody in this state does not know.
+  bool HasNews(const StorePositions& aKnown) const;
+  CollectionUpdate Since(StoreCollection aCollection,
+                         std::uint64_t aRevision) const;
+
+private:
+  std::array<StoreMirror, kStoreCollections> mMirrors{ StoreMirror::Create(),
+                                                       StoreMirror::Create(),
+                                                       StoreMirror::Create(),
+                                                       StoreMirror::Create() };
+  /// Revision at which each collection last changed in content.
+  StorePositions mChangedAt{};
+  Handler mHandler;
+};
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_GATEWAY_STORE_VIEW_HPP
--- a/src/cactusgw/gateway/upstream_directory.cpp
+++ b/src/cactusgw/gateway/upstream_directory.cpp
@@ -59,24 +59,6 @@
   return true;
 }
 
-std::vector<std::string>
-UpstreamDirectory::RetainOnly(const std::set<std::string>& aIds, Instant aNow)
-{
-  std::vector<std::string> absent;
-  for (const auto& [id, known] : mUpstreams) {
-    if (aIds.count(id) == 0) {
-      absent.push_back(id);
-    }
-  }
-  std::vector<std::string> gone;
-  for (const std::string& id : absent) {
-    if (Remove(id, aNow) == DirectoryChange::Leaving) {
-      gone.push_back(id);
-    }
-  }
-  return gone;
-}
-
 std::vector<std::string>
 UpstreamDirectory::DropLapsed(Instant aNow)
 {
--- a/src/cactusgw/gateway/upstream_directory.hpp
+++ b/src/cactusgw/gateway/upstream_directory.hpp
@@ -6,6 +6,7 @@
 
 #include "cactusgw/core/verdict.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -67,9 +68,6 @@
   DirectoryChange Put(UpstreamRecord aRecord, Instant aNow);
   /// Takes the end of a registration.
   DirectoryChange Remove(std::string_view aId, Instant aNow);
-  /// Ends all registrations that a full list did not hold.
-  std::vector<std::string> RetainOnly(const std::set<std::string>& aIds,
-                                      Instant aNow);
 
   /// Takes word from elsewhere that this start of an upstream leaves.
   /// @return whether that was news
@@ -77,13 +75,15 @@
 
   /// The store answers again after an outage: what is missing may have lapsed.
   void OnStoreBack(Instant aNow) { mLapsesUntil = aNow + kLapseTime; }
+  /// Until when missing registrations may only have lapsed.
+  Instant LapsesUntil() const { return mLapsesUntil; }
+  void ExtendLapse(Instant aUntil)
+  {
+    mLapsesUntil = std::max(mLapsesUntil, aUntil);
+  }
   /// Forgets what has been missing for too long. Returns the ids.
   std::vector<std::string> DropLapsed(Instant aNow);
 
-  void SetDrained(std::set<std::string> aDataCentres)
-  {
-    mDrained = std::move(aDataCentres);
-  }
   void SetDrained(const std::string& aDataCentre, bool aIsDrained);
   bool IsDrained(const std::string& aDataCentre) const
   {
--- a/src/cactusgw/interfaces/registry_source.hpp
+++ b/src/cactusgw/interfaces/registry_source.hpp
@@ -16,12 +16,24 @@
 
 namespace cactusgw {
 
-/// All objects at one revision of the store.
-template<typename Value>
-struct Listing
+/// An object as the store holds it, its content still encoded.
+struct StoredObject
+{
+  std::string mName;
+  /// Revision of its last change.
+  std::uint64_t mRevision = 0;
+  /// Nothing: the object is gone.
+  std::optional<std::string> mDocument;
+};
+
+/// Leads from one state of a collection to a later one.
+struct CollectionUpdate
 {
-  std::vector<Value> mValues;
+  /// Objects that are not named are gone.
+  bool mIsWhole = false;
+  /// All changes up to this revision of the store are contained then.
   std::uint64_t mRevision = 0;
+  std::vector<StoredObject> mObjects;
 };
 
 /// One object's new state; without a value it is gone or can't be read.
@@ -32,31 +44,20 @@
   std::optional<Value> mValue;
 };
 
-template<typename Value>
-struct Changes
-{
-  std::vector<Change<Value>> mChanges;
-  /// Where to go on.
-  std::uint64_t mRevision = 0;
-};
-
 template<typename Source>
 concept RegistrySource = requires(Source& aSource,
                                   std::uint64_t aRevision,
                                   Milliseconds aWait)
 {
-  typename Source::Value;
   /// Errors: StoreUnavailable.
   {
     aSource.List()
-    } -> std::same_as<
-      boost::asio::awaitable<Result<Listing<typename Source::Value>>>>;
+    } -> std::same_as<boost::asio::awaitable<Result<CollectionUpdate>>>;
   /// Waits for changes after a revision; none when the time is over. Errors:
   /// StoreUnavailable, HistoryGone.
   {
     aSource.Watch(aRevision, aWait)
-    } -> std::same_as<
-      boost::asio::awaitable<Result<Changes<typename Source::Value>>>>;
+    } -> std::same_as<boost::asio::awaitable<Result<CollectionUpdate>>>;
 };
 
 } // namespace cactusgw
--- a/tests/gateway/gateway_core_test.cpp
+++ b/tests/gateway/gateway_core_test.cpp
@@ -85,7 +85,7 @@
   UpstreamDirectory directory = UpstreamDirectory::Create();
   directory.Put(Record("u"), At(0));
   directory.OnStoreBack(At(1000));
-  EXPECT_THAT(directory.RetainOnly({}, At(1100)), IsEmpty());
+  EXPECT_EQ(directory.Remove("u", At(1100)), DirectoryChange::Updated);
   directory.Put(Record("u"), At(1500));
   EXPECT_THAT(directory.DropLapsed(At(9000)), IsEmpty());
   EXPECT_EQ(directory.Serving("s").size(), 1U);
@@ -105,9 +105,9 @@
 {
   UpstreamDirectory directory = UpstreamDirectory::Create();
   directory.Put(Record("u"), At(0));
-  directory.SetDrained({ "dc" });
+  directory.SetDrained("dc", true);
   EXPECT_THAT(directory.Serving("s"), IsEmpty());
-  directory.SetDrained({});
+  directory.SetDrained("dc", false);
   EXPECT_EQ(directory.Serving("s").size(), 1U);
 }
 
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -14,14 +14,6 @@
 
 constexpr Milliseconds kCallTime{ 20'000 };
 
-std::string
-FreeAddress(net::io_context& aContext)
-{
-  tcp::acceptor probe{ aContext,
-                       tcp::endpoint{ net::ip::address_v4::loopback(), 0 } };
-  return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
-}
-
 HeaderNames
 TestNames()
 {
@@ -59,6 +51,14 @@
 
 } // namespace
 
+std::string
+FreeAddress(net::io_context& aContext)
+{
+  tcp::acceptor probe{ aContext,
+                       tcp::endpoint{ net::ip::address_v4::loopback(), 0 } };
+  return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
+
 GatewayTest::GatewayTest()
 {
   mSettings.mPlace = { "vm-1", "dc-a" };
@@ -105,8 +105,8 @@
   return config;
 }
 
-void
-GatewayTest::StartGateway()
+std::unique_ptr<Gateway>
+GatewayTest::MakeGateway(const GatewaySettings& aSettings)
 {
   PeerRegistration registration;
   registration.mRegister = [](GatewayPeer) -> Task<Result<void>> {
@@ -116,13 +116,24 @@
     co_return boost::outcome_v2::success();
   };
   Result<std::unique_ptr<Gateway>> gateway = Gateway::Start(
-    mContext, mSettings, TestNames(), mControl, std::move(registration));
-  ASSERT_TRUE(gateway.has_value());
-  mGateway = std::move(gateway.value());
+    mContext, aSettings, TestNames(), mControl, std::move(registration));
+  EXPECT_TRUE(gateway.has_value());
+  return gateway ? std::move(gateway.value()) : nullptr;
+}
+
+void
+GatewayTest::StartGateway()
+{
+  mGateway = MakeGateway(mSettings);
+  ASSERT_NE(mGateway, nullptr);
   mGateway->OnConfig(StandardConfig());
   mGateway->OnConfigConfirmed(BootNow() - mConfigAge);
-  mGateway->OnUpstreams(mRecords);
-  mGateway->OnDrained({});
+  std::vector<Change<UpstreamRecord>> upstreams;
+  for (const UpstreamRecord& record : mRecords) {
+    upstreams.push_back({ record.mId, record });
+  }
+  mGateway->OnUpstreamChanges(std::move(upstreams));
+  mGateway->OnDrainedChanges({});
 }
 
 ScriptedUpstream&
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -18,6 +18,9 @@
 
 namespace cactusgw::test {
 
+/// An address on the loopback device that nobody uses.
+std::string FreeAddress(boost::asio::io_context& aContext);
+
 class GatewayTest : public ::testing::Test
 {
 protected:
@@ -25,6 +28,8 @@
 
   GatewayTest();
 
+  /// Starts a gateway that knows nothing yet; null when it can't listen.
+  std::unique_ptr<Gateway> MakeGateway(const GatewaySettings& aSettings);
   /// Starts the gateway with the standard configuration.
   void StartGateway();
   GatewayConfig StandardConfig() const;
--- /dev/null
+++ b/tests/gateway/store_sharing_test.cpp
@@ -0,0 +1,275 @@
+#include "cactusgw/gateway/relay_choice.hpp"
+#include "cactusgw/gateway/store_view.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <array>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cactusgw::test {
+
+namespace {
+
+using ::testing::IsEmpty;
+
+Instant
+At(std::int64_t aMs)
+{
+  return Instant{} + std::chrono::hours{ 1 } + Milliseconds{ aMs };
+}
+
+StoredObject
+Object(const std::string& aName, std::uint64_t aRevision)
+{
+  return { aName, aRevision, "content " + std::to_string(aRevision) };
+}
+
+StoredObject
+Gone(const std::string& aName, std::uint64_t aRevision)
+{
+  return { aName, aRevision, std::nullopt };
+}
+
+CollectionUpdate
+Whole(std::uint64_t aRevision, std::vector<StoredObject> aObjects)
+{
+  return { true, aRevision, std::move(aObjects) };
+}
+
+CollectionUpdate
+Part(std::uint64_t aRevision, std::vector<StoredObject> aObjects)
+{
+  return { false, aRevision, std::move(aObjects) };
+}
+
+GatewayPeer
+Peer(const std::string& aName, double aCapacity)
+{
+  return { aName, "10.0.0.1:1", "dc", aCapacity };
+}
+
+/// What a mirror holds, by name.
+std::map<std::string, std::string>
+Content(const StoreMirror& aMirror)
+{
+  std::map<std::string, std::string> content;
+  for (const StoredObject& object : aMirror.Since(0).mObjects) {
+    content[object.mName] = *object.mDocument;
+  }
+  return content;
+}
+
+} // namespace
+
+TEST(StoreMirrorTest, AWholeUpdateEndsWhatItDoesNotName)
+{
+  StoreMirror mirror = StoreMirror::Create();
+  mirror.Apply(Whole(10, { Object("a", 1), Object("b", 2) }));
+  const std::vector<StoredObject> changed =
+    mirror.Apply(Whole(20, { Object("b", 2), Object("c", 15) }));
+  ASSERT_EQ(changed.size(), 2U);
+  EXPECT_EQ(changed[0].mName, "a");
+  EXPECT_FALSE(changed[0].mDocument.has_value());
+  EXPECT_EQ(changed[1].mName, "c");
+}
+
+TEST(StoreMirrorTest, AnOlderStateChangesNothing)
+{
+  StoreMirror mirror = StoreMirror::Create();
+  mirror.Apply(Whole(20, { Object("a", 15) }));
+  EXPECT_THAT(mirror.Apply(Whole(10, {})), IsEmpty());
+  EXPECT_THAT(mirror.Apply(Part(12, { Gone("a", 12) })), IsEmpty());
+  EXPECT_EQ(mirror.Revision(), 20U);
+}
+
+TEST(StoreMirrorTest, AListThatRanAheadIsNotTurnedBackByTheChangesAfterIt)
+{
+  StoreMirror mirror = StoreMirror::Create();
+  mirror.Apply(Whole(10, { Object("a", 14) }));
+  EXPECT_THAT(mirror.Apply(Part(12, { Object("a", 11) })), IsEmpty());
+  EXPECT_EQ(Content(mirror).at("a"), "content 14");
+}
+
+TEST(StoreMirrorTest, RemovalsAreToldToThoseWhoKnowTheObject)
+{
+  StoreMirror mirror = StoreMirror::Create();
+  mirror.Apply(Whole(10, { Object("a", 1), Object("b", 2) }));
+  mirror.Apply(Part(11, { Gone("a", 11) }));
+  const CollectionUpdate update = mirror.Since(10);
+  EXPECT_FALSE(update.mIsWhole);
+  ASSERT_EQ(update.mObjects.size(), 1U);
+  EXPECT_FALSE(update.mObjects[0].mDocument.has_value());
+}
+
+TEST(StoreMirrorTest, WhoKnowsAStateBeforeForgottenRemovalsIsToldEverything)
+{
+  StoreMirror mirror = StoreMirror::Create();
+  mirror.Apply(Whole(1, { Object("kept", 1) }));
+  const std::uint64_t count = StoreMirror::kKeptRemovals + 1;
+  for (std::uint64_t i = 0; i < count; ++i) {
+    mirror.Apply(Part(10 + 2 * i, { Object("x", 10 + 2 * i) }));
+    mirror.Apply(Part(11 + 2 * i, { Gone("x", 11 + 2 * i) }));
+  }
+  EXPECT_TRUE(mirror.Since(5).mIsWhole);
+  EXPECT_FALSE(mirror.Since(13).mIsWhole);
+}
+
+/// Two mirrors follow one store, each now by itself and now by the other, and
+/// are always in a state that the store has been in.
+TEST(StoreMirrorTest, SharedStatesAreStatesOfTheStore)
+{
+  constexpr int kSeeds = 50;
+  constexpr int kSteps = 400;
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    std::mt19937 random{ static_cast<std::mt19937::result_type>(seed) };
+    StoreMirror store = StoreMirror::Create();
+    store.Apply(Whole(1, {}));
+    std::array<StoreMirror, 2> mirrors{ StoreMirror::Create(),
+                                        StoreMirror::Create() };
+    std::map<std::uint64_t, std::map<std::string, std::string>> history;
+    history[1] = {};
+    for (int step = 0; step < kSteps; ++step) {
+      const std::uint64_t next = store.Revision() + 1;
+      const std::string name{ static_cast<char>('a' + random() % 6) };
+      const bool isGone = random() % 3 == 0;
+      store.Apply(
+        Part(next, { isGone ? Gone(name, next) : Object(name, next) }));
+      history[next] = Content(store);
+      StoreMirror& mirror = mirrors[random() % 2];
+      const StoreMirror& other =
+        &mirror == mirrors.data() ? mirrors[1] : mirrors[0];
+      switch (random() % 3) {
+        case 0:
+          mirror.Apply(store.Since(mirror.Revision()));
+          break;
+        case 1:
+          if (other.IsKnown()) {
+            mirror.Apply(other.Since(mirror.Revision()));
+          }
+          break;
+        default:
+          break;
+      }
+      for (const StoreMirror& each : mirrors) {
+        if (each.IsKnown()) {
+          ASSERT_EQ(Content(each), history[each.Revision()])
+            << "seed " << seed << " step " << step;
+        }
+      }
+    }
+  }
+}
+
+TEST(StoreViewTest, ACollectionThatBecomesKnownIsToldEvenWhenItIsEmpty)
+{
+  StoreView view;
+  int told = 0;
+  view.SetHandler([&](StoreCollection aCollection,
+                      const std::vector<StoredObject>& aObjects) {
+    EXPECT_EQ(aCollection, StoreCollection::DrainedDataCentres);
+    EXPECT_THAT(aObjects, IsEmpty());
+    ++told;
+  });
+  view.Apply(StoreCollection::DrainedDataCentres, Whole(5, {}));
+  view.Apply(StoreCollection::DrainedDataCentres, Part(9, {}));
+  EXPECT_EQ(told, 1);
+}
+
+TEST(StoreViewTest, ALaterStateWithTheSameContentIsNoNews)
+{
+  StoreView view;
+  view.SetHandler([](StoreCollection, const std::vector<StoredObject>&) {});
+  view.Apply(StoreCollection::Upstreams, Whole(5, { Object("a", 3) }));
+  const StorePositions known = view.Positions();
+  view.Apply(StoreCollection::Upstreams, Part(9, {}));
+  EXPECT_FALSE(view.HasNews(known));
+  view.Apply(StoreCollection::Upstreams, Part(10, { Gone("a", 10) }));
+  EXPECT_TRUE(view.HasNews(known));
+}
+
+TEST(RelayChoiceTest, TheLargestGatewayOfTheDataCentreReadsForTheOthers)
+{
+  RelayChoice choice = RelayChoice::Create(Peer("b", 0.1));
+  EXPECT_TRUE(choice.ShouldRead(At(0)));
+  choice.SetPeer(Peer("a", 0.1));
+  choice.SetPeer(Peer("c", 0.5));
+  choice.SetPeer({ "d", "10.0.0.2:1", "elsewhere", 9 });
+  EXPECT_EQ(choice.Relay(At(0)), "c");
+  choice.RemovePeer("c");
+  EXPECT_EQ(choice.Relay(At(0)), "a");
+  choice.RemovePeer("a");
+  EXPECT_EQ(choice.Relay(At(0)), std::nullopt);
+}
+
+TEST(RelayChoiceTest, GatewaysNeverAskInACircle)
+{
+  const std::vector<GatewayPeer> all{ Peer("a", 1),
+                                      Peer("b", 1),
+                                      Peer("c", 2) };
+  for (const GatewayPeer& self : all) {
+    RelayChoice choice = RelayChoice::Create(self);
+    for (const GatewayPeer& peer : all) {
+      choice.SetPeer(peer);
+    }
+    const std::optional<std::string> relay = choice.Relay(At(0));
+    EXPECT_EQ(relay.value_or("none"), self.mName == "c" ? "none" : "c");
+  }
+}
+
+TEST(RelayChoiceTest, WithoutAGoodAnswerAGatewayReadsItself)
+{
+  RelayChoice choice = RelayChoice::Create(Peer("b", 1));
+  choice.SetPeer(Peer("a", 1));
+  EXPECT_TRUE(choice.ShouldRead(At(0)));
+  choice.OnAnswered("a", At(0));
+  EXPECT_FALSE(choice.ShouldRead(At(799)));
+  EXPECT_TRUE(choice.ShouldRead(At(800)));
+}
+
+TEST(RelayChoiceTest, ASilentGatewayIsPassedOverForLongerEachTime)
+{
+  RelayChoice choice = RelayChoice::Create(Peer("b", 1));
+  choice.SetPeer(Peer("a", 1));
+  choice.OnUnanswered("a", At(0));
+  EXPECT_EQ(choice.Relay(At(4999)), std::nullopt);
+  EXPECT_EQ(choice.Relay(At(5000)), "a");
+  choice.OnUnanswered("a", At(6000));
+  EXPECT_EQ(choice.Relay(At(15'999)), std::nullopt);
+  EXPECT_EQ(choice.Relay(At(16'000)), "a");
+}
+
+TEST(RelayChoiceTest, AnyWordFromASilentGatewayEndsTheDoubt)
+{
+  RelayChoice choice = RelayChoice::Create(Peer("b", 1));
+  choice.SetPeer(Peer("a", 1));
+  choice.OnUnanswered("a", At(0));
+  choice.OnHeard("a");
+  EXPECT_EQ(choice.Relay(At(1)), "a");
+}
+
+TEST(RelayChoiceTest, OneThatLostTheStoreIsPassedOverForAWhile)
+{
+  RelayChoice choice = RelayChoice::Create(Peer("b", 1));
+  choice.SetPeer(Peer("a", 1));
+  choice.OnNoContact("a", At(0));
+  choice.OnHeard("a");
+  EXPECT_EQ(choice.Relay(At(1999)), std::nullopt);
+  EXPECT_EQ(choice.Relay(At(2000)), "a");
+}
+
+TEST(RelayChoiceTest, WhoIsAskedReadsForAWhile)
+{
+  RelayChoice choice = RelayChoice::Create(Peer("b", 1));
+  choice.SetPeer(Peer("a", 1));
+  choice.OnAnswered("a", At(0));
+  choice.OnAsked(At(100));
+  EXPECT_TRUE(choice.ShouldRead(At(200)));
+  choice.OnAnswered("a", At(3000));
+  EXPECT_FALSE(choice.ShouldRead(At(3100)));
+}
+
+} // namespace cactusgw::test
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -160,11 +160,12 @@
           R"(,"storeRevision":)" + (isFirst ? "10" : "12") + "}");
     }
   };
-  StoreSource<UpstreamCollection> source{ store.Address(), mCalls };
+  StoreSource source{ "servers", store.Address(), mCalls };
   Run([&]() -> Task<void> {
-    const Result<Listing<UpstreamRecord>> listing = co_await source.List();
+    const Result<CollectionUpdate> listing = co_await source.List();
     EXPECT_TRUE(listing.has_value());
-    EXPECT_EQ(listing.value().mValues.size(), 2U);
+    EXPECT_TRUE(listing.value().mIsWhole);
+    EXPECT_EQ(listing.value().mObjects.size(), 2U);
     EXPECT_EQ(listing.value().mRevision, 10U);
   });
   EXPECT_EQ(mCalls.Value(), 2U);
@@ -185,15 +186,17 @@
              "storeRevision":533})");
     }
   };
-  StoreSource<UpstreamCollection> source{ store.Address(), mCalls };
+  StoreSource source{ "servers", store.Address(), mCalls };
   Run([&]() -> Task<void> {
-    const Result<Changes<UpstreamRecord>> changes =
+    const Result<CollectionUpdate> changes =
       co_await source.Watch(530, Milliseconds{ 10 });
     EXPECT_TRUE(changes.has_value());
     EXPECT_EQ(changes.value().mRevision, 533U);
-    EXPECT_TRUE(changes.value().mChanges[0].mValue.has_value());
-    EXPECT_FALSE(changes.value().mChanges[1].mValue.has_value());
-    EXPECT_FALSE(changes.value().mChanges[2].mValue.has_value());
+    const std::vector<StoredObject>& objects = changes.value().mObjects;
+    EXPECT_FALSE(changes.value().mIsWhole);
+    EXPECT_EQ(json::parse(objects[0].mDocument.value()), UpstreamDocument());
+    EXPECT_FALSE(objects[1].mDocument.has_value());
+    EXPECT_EQ(objects[2].mDocument, R"({"state":1})");
   });
 }
 
@@ -218,9 +221,9 @@
 TEST_P(StoreFaultTest, IsToldApart)
 {
   ScriptedUpstream store{ mContext, GetParam().mScript };
-  StoreSource<UpstreamCollection> source{ store.Address(), mCalls };
+  StoreSource source{ "servers", store.Address(), mCalls };
   Run([&]() -> Task<void> {
-    const Result<Changes<UpstreamRecord>> changes =
+    const Result<CollectionUpdate> changes =
       co_await source.Watch(1, Milliseconds{ 10 });
     EXPECT_FALSE(changes.has_value());
     EXPECT_EQ(changes.error().mCode, GetParam().mCode);
@@ -279,7 +282,7 @@
     return std::string{ aInfo.param.mName };
   });
 
-TEST_F(StoreSourceTest, AnUnchangedConfigurationIsReadButNotDecodedAgain)
+TEST_F(StoreSourceTest, TheConfigurationIsReadAsACollectionOfOne)
 {
   ScriptedUpstream store{ mContext,
                           [](ScriptedExchange& aExchange) -> Task<void> {
@@ -291,12 +294,22 @@
                           } };
   ConfigSource source{ store.Address(), mCalls };
   Run([&]() -> Task<void> {
-    const Result<std::optional<GatewayConfig>> first = co_await source.Read();
-    EXPECT_TRUE(first.has_value() && first.value().has_value());
-    const Result<std::optional<GatewayConfig>> second = co_await source.Read();
-    EXPECT_TRUE(second.has_value());
-    EXPECT_FALSE(second.value().has_value());
+    const Result<CollectionUpdate> read = co_await source.Read();
+    EXPECT_TRUE(read.has_value());
+    EXPECT_TRUE(read.value().mIsWhole);
+    EXPECT_EQ(read.value().mRevision, 5U);
+    EXPECT_EQ(read.value().mObjects[0].mDocument, R"({"version":3})");
   });
 }
 
+TEST(StoreDocumentsTest, AGatewayIsDecodedAsItRegistered)
+{
+  const GatewayPeer peer{ "vm-1", "10.0.0.1:7200", "dc", 0.25 };
+  const Result<GatewayPeer> decoded = DecodePeer("vm-1", EncodePeer(peer));
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(decoded.value().mAddress, peer.mAddress);
+  EXPECT_EQ(decoded.value().mDataCentre, peer.mDataCentre);
+  EXPECT_EQ(decoded.value().mCapacity, peer.mCapacity);
+}
+
 } // namespace cactusgw::platform::test
