Use of upstreams is added up along a tree of gateways

Cause: each gateway told each other what it has in progress, at most 100 messages a second.

Now the gateways of a data centre send their use to the one they follow for the store's word, which answers with the rest and exchanges sums with the tops of the other data centres. 25 ms between messages, 50 ms to another region. Connections are made when there is something to send. Who follows whom here goes by silence only: while the store is away nobody is in contact, and the tree must hold all the same.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -109,18 +109,21 @@
     return metrics.error();
   }
   mMetricsServer = std::move(metrics.value());
-  Result<std::unique_ptr<PeerExchange>> peers = PeerExchange::Listen(
-    mContext, mState, [this](const LeavingUpstream& aUpstream) {
-      OnLeavingHeard(aUpstream, "peer");
-    });
+  Result<std::unique_ptr<PeerExchange>> peers =
+    PeerExchange::Listen(mContext, mState);
   if (!peers) {
     return peers.error();
   }
   mPeers = std::move(peers.value());
   mRelay = std::make_unique<StoreRelay>(mState, mStore, *mPeers);
+  mUse = std::make_unique<UseExchange>(
+    mState, *mPeers, [this](const LeavingUpstream& aUpstream) {
+      OnLeavingHeard(aUpstream, "peer");
+    });
   mPeers->SetHandler(
     [this](std::string_view aIdentity, const wire::Envelope& aEnvelope) {
       mRelay->OnMessage(aIdentity, aEnvelope);
+      mUse->OnMessage(aEnvelope);
     });
   return boost::outcome_v2::success();
 }
@@ -180,8 +183,8 @@
     OnDirectoryChange(DirectoryChange::Leaving, id);
   }
   mState.mPool.CloseExpired(now);
-  mPeers->Send(now);
   mRelay->Tick(now);
+  mUse->Tick(mRelay->Above(now), now);
   mState.mLine.WakeFirst();
   return true;
 }
@@ -366,9 +369,11 @@
     if (change.mValue) {
       mPeers->SetPeer(*change.mValue);
       mRelay->SetPeer(*change.mValue);
+      mUse->SetPeer(*change.mValue);
     } else {
       mPeers->RemovePeer(change.mName);
       mRelay->RemovePeer(change.mName);
+      mUse->RemovePeer(change.mName);
     }
   }
   CountGateways();
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "cactusgw/gateway/peer_exchange.hpp"
 #include "cactusgw/gateway/store_relay.hpp"
 #include "cactusgw/gateway/store_view.hpp"
+#include "cactusgw/gateway/use_exchange.hpp"
 #include "cactusgw/interfaces/registry_source.hpp"
 #include "cactusgw/net/http_server.hpp"
 
@@ -93,6 +94,7 @@
   std::unique_ptr<PeerExchange> mPeers;
   StoreView mStore;
   std::unique_ptr<StoreRelay> mRelay;
+  std::unique_ptr<UseExchange> mUse;
   std::unique_ptr<HttpServer> mServer;
   std::unique_ptr<HttpServer> mReadyServer;
   std::unique_ptr<HttpServer> mMetricsServer;
--- a/src/cactusgw/gateway/generation_mover.cpp
+++ b/src/cactusgw/gateway/generation_mover.cpp
@@ -128,8 +128,7 @@
   }
   constexpr double kBitsPerByte = 8;
   constexpr double kBitsPerMsAndMbps = 1000;
-  const UpstreamUse first = mState.mLoads.MovableBefore(
-    aUpstream, mState.mSettings.mPlace.mVm, SteadyNow());
+  const MoveTurn first = mState.mLoads.MovedFirst(aUpstream, SteadyNow());
   const double bits =
     static_cast<double>(first.mTokens * service->mEngine->mBytesPerToken) *
     kBitsPerByte;
@@ -143,12 +142,10 @@
 Task<void>
 GenerationMover::WaitForTurn(std::string aUpstream, std::string aService)
 {
-  const std::string& self = mState.mSettings.mPlace.mVm;
   const Instant latest = SteadyNow() + TurnTime(aUpstream, aService);
   net::steady_timer timer{ mContext };
   while (SteadyNow() < latest &&
-         mState.mLoads.MovableBefore(aUpstream, self, SteadyNow()).mMovable >
-           0) {
+         mState.mLoads.MovedFirst(aUpstream, SteadyNow()).mMovable > 0) {
     timer.expires_after(kTurnCheck);
     beast::error_code ec;
     co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
--- a/src/cactusgw/gateway/load_table.cpp
+++ b/src/cactusgw/gateway/load_table.cpp
@@ -1,41 +1,9 @@
 #include "cactusgw/gateway/load_table.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace cactusgw {
 
-namespace {
-
-template<typename Number>
-void
-SubtractDownToZero(Number& aFrom, Number aWhat)
-{
-  aFrom -= std::min(aFrom, aWhat);
-}
-
-} // namespace
-
-UpstreamUse&
-UpstreamUse::operator+=(const UpstreamUse& aOther)
-{
-  mRequests += aOther.mRequests;
-  mTokens += aOther.mTokens;
-  mPromptTokens += aOther.mPromptTokens;
-  mMovable += aOther.mMovable;
-  return *this;
-}
-
-UpstreamUse&
-UpstreamUse::operator-=(const UpstreamUse& aOther)
-{
-  SubtractDownToZero(mRequests, aOther.mRequests);
-  SubtractDownToZero(mTokens, aOther.mTokens);
-  SubtractDownToZero(mPromptTokens, aOther.mPromptTokens);
-  SubtractDownToZero(mMovable, aOther.mMovable);
-  return *this;
-}
-
 void
 LoadTable::Add(std::string_view aUpstream, const UpstreamUse& aUse)
 {
@@ -58,9 +26,18 @@
 }
 
 void
-LoadTable::SetPeer(std::string_view aPeer, UseByUpstream aUse, Instant aNow)
+LoadTable::SetOthers(UseSums aOthers, Instant aHeard)
+{
+  mOthers = std::move(aOthers);
+  mHeard = aHeard;
+}
+
+const UseSum*
+LoadTable::FindOthers(std::string_view aUpstream, Instant aNow) const
 {
-  mPeers[std::string{ aPeer }] = PeerUse{ std::move(aUse), aNow };
+  const auto it = mOthers.find(aUpstream);
+  const bool isValid = it != mOthers.end() && aNow - mHeard < kValidity;
+  return isValid ? &it->second : nullptr;
 }
 
 UpstreamUse
@@ -71,31 +48,18 @@
   if (own != mOwn.end()) {
     total += own->second;
   }
-  for (const auto& [name, peer] : mPeers) {
-    const auto it = peer.mUse.find(aUpstream);
-    if (it != peer.mUse.end() && aNow - peer.mHeard < kPeerValidity) {
-      total += it->second;
-    }
+  const UseSum* const others = FindOthers(aUpstream, aNow);
+  if (others != nullptr) {
+    total += others->mUse;
   }
   return total;
 }
 
-UpstreamUse
-LoadTable::MovableBefore(std::string_view aUpstream,
-                         std::string_view aName,
-                         Instant aNow) const
+MoveTurn
+LoadTable::MovedFirst(std::string_view aUpstream, Instant aNow) const
 {
-  UpstreamUse total;
-  for (const auto& [name, peer] : mPeers) {
-    const auto it = peer.mUse.find(aUpstream);
-    const bool counts = name < aName && it != peer.mUse.end() &&
-                        it->second.mMovable > 0 &&
-                        aNow - peer.mHeard < kPeerValidity;
-    if (counts) {
-      total += it->second;
-    }
-  }
-  return total;
+  const UseSum* const others = FindOthers(aUpstream, aNow);
+  return others == nullptr ? MoveTurn{} : others->mTurn;
 }
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/load_table.hpp
+++ b/src/cactusgw/gateway/load_table.hpp
@@ -5,68 +5,43 @@
 /// others.
 
 #include "cactusgw/core/verdict.hpp"
+#include "cactusgw/gateway/upstream_use.hpp"
 
 #include <cstdint>
-#include <map>
-#include <string>
 #include <string_view>
 
 namespace cactusgw {
 
-/// Work in progress at one upstream.
-struct UpstreamUse
-{
-  std::uint32_t mRequests = 0;
-  /// Memory that the requests hold or will hold.
-  std::uint64_t mTokens = 0;
-  /// Prompt tokens of requests that have not produced anything yet.
-  std::uint64_t mPromptTokens = 0;
-  /// Generations that could be moved to another upstream.
-  std::uint32_t mMovable = 0;
-
-  UpstreamUse& operator+=(const UpstreamUse& aOther);
-  UpstreamUse& operator-=(const UpstreamUse& aOther);
-  bool operator==(const UpstreamUse&) const = default;
-};
-
-using UseByUpstream = std::map<std::string, UpstreamUse, std::less<>>;
-
 /// Not thread-safe. Time is passed in.
 class LoadTable
 {
 public:
-  /// A peer's figures count for this long after they were heard.
-  static constexpr Milliseconds kPeerValidity{ 2000 };
+  /// The others' figures count for this long after they were heard.
+  static constexpr Milliseconds kValidity{ 2000 };
 
   static LoadTable Create() { return LoadTable{}; }
 
   void Add(std::string_view aUpstream, const UpstreamUse& aUse);
   void Subtract(std::string_view aUpstream, const UpstreamUse& aUse);
-  /// Replaces all that was heard from a peer.
-  void SetPeer(std::string_view aPeer, UseByUpstream aUse, Instant aNow);
+  /// Replaces what is known of the others. @param aHeard when it was true
+  void SetOthers(UseSums aOthers, Instant aHeard);
 
-  /// Use by this gateway and by the peers heard lately.
+  /// Use by this gateway and, if heard lately, by the others.
   UpstreamUse Total(std::string_view aUpstream, Instant aNow) const;
-  /// What the peers that come before a name have there to move.
-  UpstreamUse MovableBefore(std::string_view aUpstream,
-                            std::string_view aName,
-                            Instant aNow) const;
+  /// What the gateways whose turn comes first have there to move.
+  MoveTurn MovedFirst(std::string_view aUpstream, Instant aNow) const;
   const UseByUpstream& Own() const { return mOwn; }
   /// Rises with each change of this gateway's use.
   std::uint64_t OwnVersion() const { return mOwnVersion; }
 
 private:
-  struct PeerUse
-  {
-    UseByUpstream mUse;
-    Instant mHeard;
-  };
-
   LoadTable() = default;
+  const UseSum* FindOthers(std::string_view aUpstream, Instant aNow) const;
 
   UseByUpstream mOwn;
   std::uint64_t mOwnVersion = 1;
-  std::map<std::string, PeerUse, std::less<>> mPeers;
+  UseSums mOthers;
+  Instant mHeard;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/relay_choice.cpp
+++ b/src/cactusgw/gateway/relay_choice.cpp
@@ -40,13 +40,14 @@
          std::make_tuple(-mSelf.mCapacity, std::string_view{ mSelf.mName });
 }
 
+template<typename Condition>
 std::optional<std::string>
-RelayChoice::Relay(Instant aNow) const
+RelayChoice::FirstBefore(const Condition& aIsOpen) const
 {
   const std::string* best = nullptr;
   double bestCapacity = 0;
   for (const auto& [name, peer] : mPeers) {
-    const bool isOpen = IsBeforeSelf(name, peer) && peer.mDoubtedUntil <= aNow;
+    const bool isOpen = IsBeforeSelf(name, peer) && aIsOpen(peer);
     if (isOpen && (best == nullptr || peer.mCapacity > bestCapacity)) {
       best = &name;
       bestCapacity = peer.mCapacity;
@@ -58,6 +59,21 @@
   return *best;
 }
 
+std::optional<std::string>
+RelayChoice::Above(Instant aNow) const
+{
+  return FirstBefore(
+    [&](const Peer& aPeer) { return aPeer.mSilentUntil <= aNow; });
+}
+
+std::optional<std::string>
+RelayChoice::Relay(Instant aNow) const
+{
+  return FirstBefore([&](const Peer& aPeer) {
+    return aPeer.mSilentUntil <= aNow && aPeer.mNoContactUntil <= aNow;
+  });
+}
+
 bool
 RelayChoice::ShouldRead(Instant aNow) const
 {
@@ -78,7 +94,7 @@
 {
   const auto it = mPeers.find(aName);
   if (it != mPeers.end()) {
-    it->second.mDoubtedUntil = aNow + kNoContactTime;
+    it->second.mNoContactUntil = aNow + kNoContactTime;
   }
 }
 
@@ -90,7 +106,7 @@
     return;
   }
   Peer& peer = it->second;
-  peer.mDoubtedUntil = aNow + peer.mDoubt;
+  peer.mSilentUntil = aNow + peer.mDoubt;
   peer.mDoubt = std::min(kLastDoubt, peer.mDoubt * 2);
   peer.mIsUnanswered = true;
 }
@@ -102,7 +118,7 @@
   if (it != mPeers.end() && it->second.mIsUnanswered) {
     it->second.mIsUnanswered = false;
     it->second.mDoubt = kFirstDoubt;
-    it->second.mDoubtedUntil = Instant{};
+    it->second.mSilentUntil = Instant{};
   }
 }
 
--- a/src/cactusgw/gateway/relay_choice.hpp
+++ b/src/cactusgw/gateway/relay_choice.hpp
@@ -40,7 +40,9 @@
   void SetPeer(const GatewayPeer& aPeer);
   void RemovePeer(std::string_view aName);
 
-  /// Whom to ask, if anybody.
+  /// The first before this gateway that answers, if any.
+  std::optional<std::string> Above(Instant aNow) const;
+  /// The same among those in contact with the store: whom to ask.
   std::optional<std::string> Relay(Instant aNow) const;
   bool ShouldRead(Instant aNow) const;
 
@@ -57,7 +59,8 @@
   struct Peer
   {
     double mCapacity = 0;
-    Instant mDoubtedUntil;
+    Instant mSilentUntil;
+    Instant mNoContactUntil;
     Milliseconds mDoubt = kFirstDoubt;
     bool mIsUnanswered = false;
   };
@@ -66,6 +69,8 @@
     : mSelf(std::move(aSelf))
   {
   }
+  template<typename Condition>
+  std::optional<std::string> FirstBefore(const Condition& aIsOpen) const;
   bool IsBeforeSelf(std::string_view aName, const Peer& aPeer) const;
 
   GatewayPeer mSelf;
--- a/src/cactusgw/gateway/store_relay.hpp
+++ b/src/cactusgw/gateway/store_relay.hpp
@@ -41,6 +41,12 @@
   /// Whether this gateway has to read the store itself at present.
   bool ShouldRead(Instant aNow) const { return mChoice.ShouldRead(aNow); }
 
+  /// Whom this gateway follows, if anybody.
+  std::optional<std::string> Above(Instant aNow) const
+  {
+    return mChoice.Above(aNow);
+  }
+
   /// Asks, gives up on questions, and answers those that are due.
   void Tick(Instant aNow);
   /// A stopping gateway sends the others elsewhere.
--- a/tests/gateway/gateway_core_test.cpp
+++ b/tests/gateway/gateway_core_test.cpp
@@ -111,27 +111,20 @@
   EXPECT_EQ(directory.Serving("s").size(), 1U);
 }
 
-TEST(LoadTableTest, PeersCountUntilTheirFiguresAreOld)
+TEST(LoadTableTest, OthersCountUntilTheirFiguresAreOld)
 {
   LoadTable loads = LoadTable::Create();
   loads.Add("u", { 1, 100, 40, 1 });
-  loads.SetPeer("p", { { "u", { 2, 200, 0, 1 } } }, At(0));
+  loads.SetOthers({ { "u", { { 2, 200, 0, 1 }, { 150, 1 } } } }, At(0));
   EXPECT_EQ(loads.Total("u", At(10)), (UpstreamUse{ 3, 300, 40, 2 }));
-  const int late = static_cast<int>(LoadTable::kPeerValidity.count());
+  EXPECT_EQ(loads.MovedFirst("u", At(10)), (MoveTurn{ 150, 1 }));
+  const int late = static_cast<int>(LoadTable::kValidity.count());
   EXPECT_EQ(loads.Total("u", At(late)), (UpstreamUse{ 1, 100, 40, 1 }));
+  EXPECT_EQ(loads.MovedFirst("u", At(late)), MoveTurn{});
   loads.Subtract("u", { 1, 100, 40, 1 });
   EXPECT_TRUE(loads.Own().empty());
 }
 
-TEST(LoadTableTest, OnlyPeersWithSmallerNamesComeFirst)
-{
-  LoadTable loads = LoadTable::Create();
-  loads.SetPeer("a", { { "u", { 1, 100, 0, 1 } } }, At(0));
-  loads.SetPeer("z", { { "u", { 1, 500, 0, 1 } } }, At(0));
-  loads.SetPeer("b", { { "u", { 1, 900, 0, 0 } } }, At(0));
-  EXPECT_EQ(loads.MovableBefore("u", "m", At(1)).mTokens, 100U);
-}
-
 /// The bound of a cold upstream holds in every second, whatever the arrivals,
 /// when each gateway keeps its share.
 TEST(ColdGateTest, SharesTogetherKeepTheBoundInEverySecond)
--- a/tests/gateway/store_sharing_test.cpp
+++ b/tests/gateway/store_sharing_test.cpp
@@ -258,6 +258,7 @@
   choice.OnNoContact("a", At(0));
   choice.OnHeard("a");
   EXPECT_EQ(choice.Relay(At(1999)), std::nullopt);
+  EXPECT_EQ(choice.Above(At(0)), "a"); // It is alive all the same.
   EXPECT_EQ(choice.Relay(At(2000)), "a");
 }
 
