Gateways with the same view choose different upstreams among equals

Cause: all gateways share one view of the engines now, and for the time that a message takes they all take the same engine as the least used one.

Each gateway orders the upstreams by a hash of its own name and theirs, and the order counts 0.3 of a whole load: less than a request adds.

--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -1,5 +1,7 @@
 #include "cactusgw/gateway/gateway_state.hpp"
 
+#include "cactusgw/core/hash.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -21,6 +23,13 @@
                                                   kFreshnessPart);
 }
 
+double
+OwnOrder(const std::string& aVm, const std::string& aUpstream)
+{
+  constexpr double kHashes = 18446744073709551616.0; // 2 to the power of 64.
+  return static_cast<double>(StableHash(aVm + aUpstream)) / kHashes;
+}
+
 bool
 Holds(std::span<const std::string> aTexts, std::string_view aText)
 {
@@ -108,7 +117,8 @@
         { known,
           mLoads.Total(record.mId, aNow),
           DistanceBetween(aFilter.mFromDataCentre, record.mDataCentre),
-          mHealth.Badness(record.mId, aNow) });
+          mHealth.Badness(record.mId, aNow),
+          OwnOrder(mSettings.mPlace.mVm, record.mId) });
     }
   }
   return candidates;
--- a/src/cactusgw/gateway/upstream_choice.cpp
+++ b/src/cactusgw/gateway/upstream_choice.cpp
@@ -17,6 +17,9 @@
 /// is full.
 constexpr double kPromptWeight = 3.0;
 constexpr double kBadnessWeight = 1.0;
+/// Less than the load that one request of a common size adds, prompt included:
+/// upstreams that differ by a whole request are no equals.
+constexpr double kOwnOrderWeight = 0.3;
 
 double
 DistanceCost(Distance aDistance, const DistanceWeights& aWeights)
@@ -58,7 +61,8 @@
     load = std::max(load, tokens) + kPromptWeight * prompts;
   }
   return load + DistanceCost(aCandidate.mDistance, aDistances) +
-         kBadnessWeight * aCandidate.mBadness;
+         kBadnessWeight * aCandidate.mBadness +
+         kOwnOrderWeight * aCandidate.mOwnOrder;
 }
 
 } // namespace
--- a/src/cactusgw/gateway/upstream_choice.hpp
+++ b/src/cactusgw/gateway/upstream_choice.hpp
@@ -30,6 +30,9 @@
   Distance mDistance = Distance::SameDataCentre;
   /// From UpstreamHealth.
   double mBadness = 0;
+  /// From zero to one: this gateway's own order among equals. Gateways that
+  /// know the same at the same time choose different ones by it.
+  double mOwnOrder = 0;
 };
 
 /// Memory that one request needs at a model engine; zero elsewhere.
--- a/tests/gateway/gateway_core_test.cpp
+++ b/tests/gateway/gateway_core_test.cpp
@@ -230,6 +230,34 @@
   EXPECT_EQ(ChooseUpstream(candidates, service, { 700, 700 }), nullptr);
 }
 
+TEST(UpstreamChoiceTest, AmongEqualsEachGatewayHasItsOwnOrder)
+{
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  directory.Put(Record("a"), At(0));
+  directory.Put(Record("b"), At(0));
+  GatewayService service;
+  service.mEngine = EngineProfile{ 4, 1000, 0, 0, true };
+  const auto choose = [&](double aOrderOfA, std::uint64_t aTokensAtA) {
+    const std::vector<Candidate> candidates{
+      { directory.Find("a"),
+        { 1, aTokensAtA, 0, 0 },
+        Distance::SameDataCentre,
+        0,
+        aOrderOfA },
+      { directory.Find("b"),
+        { 1, 300, 0, 0 },
+        Distance::SameDataCentre,
+        0,
+        0.5 },
+    };
+    return ChooseUpstream(candidates, service, { 100, 200 })
+      ->mUpstream->mRecord.mId;
+  };
+  EXPECT_EQ(choose(0.1, 300), "a");
+  EXPECT_EQ(choose(0.9, 300), "b");
+  EXPECT_EQ(choose(0.1, 650), "b");
+}
+
 TEST(UpstreamChoiceTest, AFailingUpstreamIsAvoidedUntilItsFailuresFade)
 {
   UpstreamHealth health = UpstreamHealth::Create();
