Tests choose their upstreams by room, and listen on addresses of their own

The fixture now gives those that are added first more room. What the tests check is unchanged.

The fixture probed for a free port on 127.0.0.1, where stand-ins then take any port. Each listening address now has an IP of its own.

--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <unistd.h>
+
 #include <exception>
 #include <utility>
 
@@ -54,9 +56,20 @@
 std::string
 FreeAddress(net::io_context& aContext)
 {
-  tcp::acceptor probe{ aContext,
-                       tcp::endpoint{ net::ip::address_v4::loopback(), 0 } };
-  return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+  // An IP address of its own for each call: the port that is free now can't be
+  // given to a connection or a stand-in, which all use 127.0.0.1, meanwhile.
+  constexpr unsigned kByte = 0xffU;
+  constexpr unsigned kBitsPerByte = 8;
+  static unsigned calls = 0;
+  const unsigned process = static_cast<unsigned>(getpid());
+  const net::ip::address_v4 address{ net::ip::address_v4::bytes_type{
+    127,
+    static_cast<unsigned char>(1 + ((process >> kBitsPerByte) & kByte) / 2),
+    static_cast<unsigned char>(process & kByte),
+    static_cast<unsigned char>(1 + calls++ % (kByte - 1)) } };
+  tcp::acceptor probe{ aContext, tcp::endpoint{ address, 0 } };
+  return address.to_string() + ":" +
+         std::to_string(probe.local_endpoint().port());
 }
 
 GatewayTest::GatewayTest()
@@ -148,7 +161,9 @@
   record.mService = aService;
   record.mAddress = mUpstreams.back()->Address();
   record.mDataCentre = "dc-a";
-  record.mSlots = 4;
+  // More room in those that were added first: they are chosen first, whatever
+  // the gateway's own order among equals.
+  record.mSlots = mRecords.empty() ? 100 : mRecords.size() < 2 ? 2 : 1;
   mRecords.push_back(record);
   return *mUpstreams.back();
 }
