--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -1,17 +1,14 @@
 #include "gateway_fixture.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/ip/tcp.hpp>
+#include "free_address.hpp"
 
-#include <unistd.h>
+#include <boost/asio/co_spawn.hpp>
 
 #include <exception>
 #include <utility>
 
 namespace cactusgw::test {
 
-using net::ip::tcp;
-
 namespace {
 
 constexpr Milliseconds kCallTime{ 20'000 };
@@ -53,33 +50,14 @@
 
 } // namespace
 
-std::string
-FreeAddress(net::io_context& aContext)
-{
-  // An IP address of its own for each call: the port that is free now can't be
-  // given to a connection or a stand-in, which all use 127.0.0.1, meanwhile.
-  constexpr unsigned kByte = 0xffU;
-  constexpr unsigned kBitsPerByte = 8;
-  static unsigned calls = 0;
-  const unsigned process = static_cast<unsigned>(getpid());
-  const net::ip::address_v4 address{ net::ip::address_v4::bytes_type{
-    127,
-    static_cast<unsigned char>(1 + ((process >> kBitsPerByte) & kByte) / 2),
-    static_cast<unsigned char>(process & kByte),
-    static_cast<unsigned char>(1 + calls++ % (kByte - 1)) } };
-  tcp::acceptor probe{ aContext, tcp::endpoint{ address, 0 } };
-  return address.to_string() + ":" +
-         std::to_string(probe.local_endpoint().port());
-}
-
 GatewayTest::GatewayTest()
 {
   mSettings.mPlace = { "vm-1", "dc-a" };
   mSettings.mRegions = { { "dc-a", "north" }, { "dc-b", "south" } };
-  mSettings.mListen = FreeAddress(mContext);
-  mSettings.mReadyListen = FreeAddress(mContext);
-  mSettings.mMetricsListen = FreeAddress(mContext);
-  mSettings.mPeerListen = FreeAddress(mContext);
+  mSettings.mListen = FreeAddress();
+  mSettings.mReadyListen = FreeAddress();
+  mSettings.mMetricsListen = FreeAddress();
+  mSettings.mPeerListen = FreeAddress();
   mSettings.mBounds.mKeyFreshness = Milliseconds{ 60'000 };
   mSettings.mBounds.mRetryExtra = 1000;
   mSettings.mUnreadyTime = Milliseconds{ 10 };
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -18,9 +18,6 @@
 
 namespace cactusgw::test {
 
-/// An address on the loopback device that nobody uses.
-std::string FreeAddress(boost::asio::io_context& aContext);
-
 class GatewayTest : public ::testing::Test
 {
 protected:
--- a/tests/gateway/store_relay_test.cpp
+++ b/tests/gateway/store_relay_test.cpp
@@ -1,3 +1,4 @@
+#include "free_address.hpp"
 #include "gateway_fixture.hpp"
 
 #include <gmock/gmock.h>
@@ -19,10 +20,10 @@
   {
     mFollowerSettings = mSettings;
     mFollowerSettings.mPlace.mVm = kFollower;
-    mFollowerSettings.mListen = FreeAddress(mContext);
-    mFollowerSettings.mReadyListen = FreeAddress(mContext);
-    mFollowerSettings.mMetricsListen = FreeAddress(mContext);
-    mFollowerSettings.mPeerListen = FreeAddress(mContext);
+    mFollowerSettings.mListen = FreeAddress();
+    mFollowerSettings.mReadyListen = FreeAddress();
+    mFollowerSettings.mMetricsListen = FreeAddress();
+    mFollowerSettings.mPeerListen = FreeAddress();
     mReader = MakeGateway(mSettings);
     mFollower = MakeGateway(mFollowerSettings);
     mReader->Store().SetHandler(
--- a/tests/system/gateway_process_test.cpp
+++ b/tests/system/gateway_process_test.cpp
@@ -1,5 +1,5 @@
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
+#include "free_address.hpp"
+
 #include <gtest/gtest.h>
 
 #include <csignal>
@@ -15,16 +15,7 @@
 
 namespace {
 
-std::string
-FreeAddress()
-{
-  using boost::asio::ip::tcp;
-  boost::asio::io_context context;
-  tcp::acceptor probe{
-    context, tcp::endpoint{ boost::asio::ip::address_v4::loopback(), 0 }
-  };
-  return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
-}
+using test::FreeAddress;
 
 /// A gateway process whose output the test reads.
 class GatewayProcess
