Gateways that follow another one pause longer between unanswered calls

A gateway that has another one to ask waits up to 1600 ms between failed calls; the first of a data centre still 400 ms.

Ruled out: leaving it to the first one alone (a gateway may be the only one that the store answers).

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "cactusgw/gateway/gateway.hpp"
 
 #include "cactusgw/gateway/gateway_call.hpp"
+#include "cactusgw/gateway/store_contact.hpp"
 #include "cactusgw/net/operator_port.hpp"
 #include "cactusgw/net/steady_now.hpp"
 #include "cactusgw/programs/event_loop.hpp"
@@ -195,6 +196,13 @@
   return mRelay->ShouldRead(SteadyNow());
 }
 
+Milliseconds
+Gateway::LastStorePause() const
+{
+  return mRelay->Above(SteadyNow()) ? StoreContact::kLastPauseOfFollower
+                                    : StoreContact::kLastPause;
+}
+
 void
 Gateway::OnConfigUnusable(const Failure& aFailure)
 {
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -47,6 +47,8 @@
   StoreView& Store() { return mStore; }
   /// Whether this gateway has to read the store itself at present.
   bool ShouldReadStore() const;
+  /// Longest pause between calls that the store does not answer.
+  Milliseconds LastStorePause() const;
 
   // What the store says. Lists of changes may be empty: the collection is
   // known then.
--- a/src/cactusgw/gateway/object_poller.hpp
+++ b/src/cactusgw/gateway/object_poller.hpp
@@ -51,7 +51,8 @@
       const BootTime asked = BootNow();
       Result<CollectionUpdate> update = co_await mSource.Read();
       if (!update) {
-        co_await contact.OnFailure(update.error(), mEvents.mOnLost);
+        co_await contact.OnFailure(
+          update.error(), mEvents.mLastPause(), mEvents.mOnLost);
         continue;
       }
       contact.OnAnswer(mEvents.mOnBack);
--- a/src/cactusgw/gateway/registry_follower.hpp
+++ b/src/cactusgw/gateway/registry_follower.hpp
@@ -21,6 +21,8 @@
   /// The state that is known; zero: nothing.
   std::function<std::uint64_t()> mRevision;
   std::function<void(CollectionUpdate)> mOnUpdate;
+  /// Longest pause between failed calls.
+  std::function<Milliseconds()> mLastPause;
   std::function<void(const Failure&)> mOnLost;
   std::function<void()> mOnBack;
 };
@@ -53,7 +55,8 @@
         mLostHistory = mEvents.mRevision();
         continue;
       }
-      co_await mContact.OnFailure(done.error(), mEvents.mOnLost);
+      co_await mContact.OnFailure(
+        done.error(), mEvents.mLastPause(), mEvents.mOnLost);
     }
   }
 
--- a/src/cactusgw/gateway/store_contact.cpp
+++ b/src/cactusgw/gateway/store_contact.cpp
@@ -30,15 +30,22 @@
 
 Task<void>
 StoreContact::OnFailure(Failure aFailure,
+                        Milliseconds aLastPause,
                         std::function<void(const Failure&)> aOnLost)
 {
   if (!mIsLost) {
     mIsLost = true;
     aOnLost(aFailure);
   }
-  const Milliseconds pause = mPause;
-  mPause = std::min(kLastPause, mPause * 2);
-  co_await Sleep(pause);
+  co_await Sleep(NextPause(aLastPause));
+}
+
+Milliseconds
+StoreContact::NextPause(Milliseconds aLastPause)
+{
+  const Milliseconds pause = std::min(aLastPause, mPause);
+  mPause = std::min(aLastPause, mPause * 2);
+  return pause;
 }
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/store_contact.hpp
+++ b/src/cactusgw/gateway/store_contact.hpp
@@ -23,14 +23,22 @@
   /// Pauses between failed calls double from the first to the last.
   static constexpr Milliseconds kFirstPause{ 100 };
   static constexpr Milliseconds kLastPause{ 400 };
+  /// The last one for a gateway that has another one to ask as soon as the
+  /// store answers that one again. Bounds on knowing of a change start to count
+  /// four seconds or more after an outage.
+  static constexpr Milliseconds kLastPauseOfFollower{ 1600 };
 
   /// @param aOnBack called when the last call had failed
   void OnAnswer(const std::function<void()>& aOnBack);
 
   /// Pauses. @param aOnLost called when the last call was answered
   Task<void> OnFailure(Failure aFailure,
+                       Milliseconds aLastPause,
                        std::function<void(const Failure&)> aOnLost);
 
+  /// How long to pause after one more failed call.
+  Milliseconds NextPause(Milliseconds aLastPause);
+
 private:
   bool mIsLost = false;
   Milliseconds mPause = kFirstPause;
--- a/tests/gateway/store_sharing_test.cpp
+++ b/tests/gateway/store_sharing_test.cpp
@@ -1,4 +1,5 @@
 #include "cactusgw/gateway/relay_choice.hpp"
+#include "cactusgw/gateway/store_contact.hpp"
 #include "cactusgw/gateway/store_view.hpp"
 
 #include <gmock/gmock.h>
@@ -191,6 +192,29 @@
   EXPECT_TRUE(view.HasNews(known));
 }
 
+TEST(StoreContactTest, PausesDoubleUpToTheLastOneAndStartAnewAfterAnAnswer)
+{
+  StoreContact contact;
+  const Milliseconds last = StoreContact::kLastPause;
+  EXPECT_EQ(contact.NextPause(last), Milliseconds{ 100 });
+  EXPECT_EQ(contact.NextPause(last), Milliseconds{ 200 });
+  EXPECT_EQ(contact.NextPause(last), Milliseconds{ 400 });
+  EXPECT_EQ(contact.NextPause(last), Milliseconds{ 400 });
+  contact.OnAnswer([] {});
+  EXPECT_EQ(contact.NextPause(last), Milliseconds{ 100 });
+}
+
+TEST(StoreContactTest, AGatewayThatBecomesTheReaderPausesForLessAtOnce)
+{
+  StoreContact contact;
+  for (int i = 0; i < 6; ++i) {
+    contact.NextPause(StoreContact::kLastPauseOfFollower);
+  }
+  EXPECT_EQ(contact.NextPause(StoreContact::kLastPauseOfFollower),
+            Milliseconds{ 1600 });
+  EXPECT_EQ(contact.NextPause(StoreContact::kLastPause), Milliseconds{ 400 });
+}
+
 TEST(RelayChoiceTest, TheLargestGatewayOfTheDataCentreReadsForTheOthers)
 {
   RelayChoice choice = RelayChoice::Create(Peer("b", 0.1));
