Messages to followers take at most a tenth of the VM's link

Cause: the top of a data centre sends the rest's use to each follower each 25 ms. At 390 VMs and 700 upstreams that would be some 96 MB/s (computed: 31 KB to 77 followers), more than its link carries.

The interval grows with the size of the messages and the number of followers, up to a tenth of the link, which is a setting now.

--- a/src/cactusgw/config/process_settings.cpp
+++ b/src/cactusgw/config/process_settings.cpp
@@ -172,6 +172,7 @@
 ReadGatewaySettings(std::string_view aText, std::string_view aFile)
 {
   constexpr NumberRange kCapacityRange{ 0, 1000 };
+  constexpr NumberRange kLinkRange{ 0.1, 1e6 };
   return ReadSettings<GatewaySettings>(aText, aFile, [](ObjectReader& aReader) {
     GatewaySettings settings;
     settings.mPlace = ReadPlace(aReader);
@@ -186,6 +187,8 @@
     settings.mPlatform = aReader.Address("platform");
     settings.mCapacity =
       aReader.NumberOr("capacity", kCapacityRange, settings.mCapacity);
+    settings.mLinkMbps =
+      aReader.NumberOr("linkMbps", kLinkRange, settings.mLinkMbps);
     settings.mBounds = ReadGatewayBounds(aReader);
     settings.mLog = ReadLog(aReader, "stdout");
     settings.mUnreadyTime = TimeOr(aReader, "unreadyMs", 3000);
--- a/src/cactusgw/config/process_settings.hpp
+++ b/src/cactusgw/config/process_settings.hpp
@@ -92,6 +92,8 @@
   std::string mPlatform;
   /// What this VM can carry against others: its part of a processor.
   double mCapacity = 1;
+  /// Bandwidth of this VM's link.
+  double mLinkMbps = 1000;
   GatewayBounds mBounds;
   LogSettings mLog;
   /// How long a stopping gateway still accepts, while it is unready.
--- a/src/cactusgw/gateway/use_exchange.cpp
+++ b/src/cactusgw/gateway/use_exchange.cpp
@@ -125,14 +125,27 @@
 void
 UseExchange::SendDown(Instant aNow)
 {
-  for (const std::string& name : mHub.Followers()) {
-    if (TakeTurn(name, kInterval, aNow)) {
-      Send(name, mHub.RestFor(name), wire::GatewayUse::DOWN);
+  const std::vector<std::string> followers = mHub.Followers();
+  const Milliseconds interval = IntervalDown(followers.size());
+  for (const std::string& name : followers) {
+    if (TakeTurn(name, interval, aNow)) {
+      mBytesDown = Send(name, mHub.RestFor(name), wire::GatewayUse::DOWN);
     }
   }
 }
 
-void
+Milliseconds
+UseExchange::IntervalDown(std::size_t aFollowers) const
+{
+  constexpr double kBytesPerMsAndMbps = 125;
+  const double bytes = static_cast<double>(aFollowers * mBytesDown);
+  const double bytesPerMs =
+    kLinkPart * mState.mSettings.mLinkMbps * kBytesPerMsAndMbps;
+  return std::max(
+    kInterval, Milliseconds{ static_cast<std::int64_t>(bytes / bytesPerMs) });
+}
+
+std::size_t
 UseExchange::Send(const std::string& aPeer,
                   const UseSums& aSums,
                   wire::GatewayUse::Direction aDirection)
@@ -149,6 +162,7 @@
     entry->set_started_ms(upstream.mStartedMs);
   }
   mPeers.SendTo(aPeer, envelope);
+  return envelope.ByteSizeLong();
 }
 
 void
--- a/src/cactusgw/gateway/use_exchange.hpp
+++ b/src/cactusgw/gateway/use_exchange.hpp
@@ -10,6 +10,7 @@
 #include "cactusgw/gateway/top_finder.hpp"
 #include "cactusgw/gateway/use_hub.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -29,6 +30,9 @@
   static constexpr Milliseconds kInterval{ 25 };
   /// The same to another region: links there are narrow and paid for.
   static constexpr Milliseconds kFarInterval{ 50 };
+  /// Part of this VM's link that messages to followers may take. With many
+  /// followers and upstreams each of them hears less often.
+  static constexpr double kLinkPart = 0.1;
   /// Unchanged figures are repeated this often.
   static constexpr Milliseconds kRepeatInterval{ 1000 };
 
@@ -59,9 +63,11 @@
   void SendBeside(Instant aNow);
   void SendDown(Instant aNow);
   bool TakeTurn(const std::string& aPeer, Milliseconds aInterval, Instant aNow);
-  void Send(const std::string& aPeer,
-            const UseSums& aSums,
-            wire::GatewayUse::Direction aDirection);
+  Milliseconds IntervalDown(std::size_t aFollowers) const;
+  /// @return the bytes of the message
+  std::size_t Send(const std::string& aPeer,
+                   const UseSums& aSums,
+                   wire::GatewayUse::Direction aDirection);
   std::uint64_t Version() const;
 
   GatewayState& mState;
@@ -75,6 +81,8 @@
   /// Version that the shared view was computed from.
   std::uint64_t mAppliedVersion = 0;
   std::optional<std::string> mAbove;
+  /// Size of the last message to a follower.
+  std::size_t mBytesDown = 0;
 };
 
 } // namespace cactusgw
