--- a/src/cactusgw/config/process_settings.cpp
+++ b/src/cactusgw/config/process_settings.cpp
@@ -171,9 +171,9 @@
 SettingsResult<GatewaySettings>
 ReadGatewaySettings(std::string_view aText, std::string_view aFile)
 {
-  constexpr NumberRange kCapacityRange{ 0, 1000 };
-  constexpr NumberRange kLinkRange{ 0.1, 1e6 };
   return ReadSettings<GatewaySettings>(aText, aFile, [](ObjectReader& aReader) {
+    constexpr NumberRange kCapacityRange{ 0, 1000 };
+    constexpr NumberRange kLinkRange{ 0.1, 1e6 };
     GatewaySettings settings;
     settings.mPlace = ReadPlace(aReader);
     settings.mRegions = ReadRegions(aReader);
--- a/tests/gateway/use_hub_test.cpp
+++ b/tests/gateway/use_hub_test.cpp
@@ -20,7 +20,8 @@
 UseSums
 Use(std::uint32_t aRequests, std::uint32_t aMovable = 0)
 {
-  return SumOf({ { "u", { aRequests, 10 * aRequests, 0, aMovable } } });
+  const std::uint64_t tokens = std::uint64_t{ 10 } * aRequests;
+  return SumOf({ { "u", { aRequests, tokens, 0, aMovable } } });
 }
 
 UseSum
