Log lines tell a crashed upstream and the prompt parts of its requests

The lines could not tell whether requests that were cut had begun, nor what their prompts share. A connection that ended now has the reason upstream-closed, sent and send-failed name the prompt's shared parts, and send-failed says whether an event had been relayed.

--- a/src/cactusgw/core/verdict.cpp
+++ b/src/cactusgw/core/verdict.cpp
@@ -52,6 +52,8 @@
       return "upstream-refused";
     case FailureCode::UpstreamBroke:
       return "upstream-broke";
+    case FailureCode::UpstreamClosed:
+      return "upstream-closed";
     case FailureCode::UpstreamSilent:
       return "upstream-silent";
     case FailureCode::ClientDisconnected:
--- a/src/cactusgw/core/verdict.hpp
+++ b/src/cactusgw/core/verdict.hpp
@@ -50,7 +50,11 @@
   Conflict,
   UpstreamUnreachable,
   UpstreamRefused,
+  /// The upstream's response is not valid.
   UpstreamBroke,
+  /// The upstream closed or reset the connection before its response was
+  /// complete.
+  UpstreamClosed,
   UpstreamSilent,
   ClientDisconnected,
   TooLarge,
--- a/src/cactusgw/gateway/call_admission.cpp
+++ b/src/cactusgw/gateway/call_admission.cpp
@@ -129,6 +129,7 @@
   }
   request.mService = SelectService(*aTable, *request.mRoute, id);
   request.mTokenNeed = EstimateTokens(aExchange, names);
+  request.mSharedParts = ParseSharedParts(aExchange.Header(names.mPromptParts));
   const std::optional<std::uint64_t> timeLeft =
     ParseNumber(aExchange.Header(names.mRemainingTime));
   const Milliseconds clientTime =
--- a/src/cactusgw/gateway/call_admission.hpp
+++ b/src/cactusgw/gateway/call_admission.hpp
@@ -25,6 +25,8 @@
   /// Zero is the most urgent.
   std::uint32_t mRank = 0;
   TokenNeed mTokenNeed;
+  /// IDs of the prompt's parts that other requests may share.
+  std::vector<std::string> mSharedParts;
   /// Deadline of the final response: the earlier of the client's deadline and
   /// the route's timeout.
   Instant mDeadline;
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace cactusgw {
@@ -44,6 +45,19 @@
          aFailure.mCode == FailureCode::Timeout;
 }
 
+/// Lists the first parts of a prompt for a log line.
+std::string
+JoinParts(std::span<const std::string> aParts)
+{
+  constexpr std::size_t kMaxListed = 8;
+  std::string text;
+  for (const std::string& part :
+       aParts.first(std::min(aParts.size(), kMaxListed))) {
+    text += text.empty() ? part : "," + part;
+  }
+  return aParts.size() > kMaxListed ? text + ",..." : text;
+}
+
 /// Formats a Retry-After value in seconds with three decimals, which clients of
 /// the gateway accept.
 std::string
@@ -221,6 +235,7 @@
       { "upstream", mUpstream },
       { "attempt", static_cast<std::int64_t>(mAttempts) },
       { "continues", mContinuation ? mContinuation->mHandle : "nothing" },
+      { "parts", JoinParts(mAdmitted.mSharedParts) },
       { "afterMs", Elapsed().count() } },
     now);
   const Result<void> header =
@@ -386,14 +401,17 @@
     ++mPossibleRuns;
   }
   mState.mHealth.OnFailure(mUpstream, 1, now);
-  mState.mLog.Write("send-failed",
-                    { { "request", mRequestId },
-                      { "upstream", mUpstream },
-                      { "verdict", ToString(aFailure.mVerdict) },
-                      { "reason", ToString(aFailure.mCode) },
-                      { "detail", aFailure.mDetail },
-                      { "afterMs", Elapsed().count() } },
-                    now);
+  mState.mLog.Write(
+    "send-failed",
+    { { "request", mRequestId },
+      { "upstream", mUpstream },
+      { "verdict", ToString(aFailure.mVerdict) },
+      { "reason", ToString(aFailure.mCode) },
+      { "detail", aFailure.mDetail },
+      { "begun", mProgress.mLastEventId.empty() ? "no" : "yes" },
+      { "parts", JoinParts(mAdmitted.mSharedParts) },
+      { "afterMs", Elapsed().count() } },
+    now);
 }
 
 bool
--- a/src/cactusgw/gateway/header_names.hpp
+++ b/src/cactusgw/gateway/header_names.hpp
@@ -26,6 +26,8 @@
   /// Number of prompt tokens and maximum number of output tokens, separated by
   /// a comma.
   std::string mTokenCounts;
+  /// The parts of the prompt in order, as comma-separated ID:TOKENS entries.
+  std::string mPromptParts;
   /// The client's estimate of the number of output tokens.
   std::string mLengthHint;
   /// Id of the last event that the receiver of a stream has received.
--- a/src/cactusgw/gateway/message_headers.cpp
+++ b/src/cactusgw/gateway/message_headers.cpp
@@ -124,6 +124,25 @@
   return number;
 }
 
+std::vector<std::string>
+ParseSharedParts(std::string_view aText)
+{
+  std::vector<std::string> parts;
+  std::size_t comma = aText.find(',');
+  while (comma != std::string_view::npos && parts.size() < kMaxPromptParts) {
+    const std::string_view entry = aText.substr(0, comma);
+    const std::string_view id = entry.substr(0, entry.find(':'));
+    const std::size_t first = id.find_first_not_of(' ');
+    if (first != std::string_view::npos) {
+      const std::size_t last = id.find_last_not_of(' ');
+      parts.emplace_back(id.substr(first, last - first + 1));
+    }
+    aText.remove_prefix(comma + 1);
+    comma = aText.find(',');
+  }
+  return parts;
+}
+
 std::optional<TokenCounts>
 ParseTokenCounts(std::string_view aText)
 {
--- a/src/cactusgw/gateway/message_headers.hpp
+++ b/src/cactusgw/gateway/message_headers.hpp
@@ -7,9 +7,12 @@
 #include "cactusgw/gateway/header_names.hpp"
 #include "cactusgw/net/http_types.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace cactusgw {
 
@@ -20,6 +23,9 @@
   std::uint64_t mMaxOutput = 0;
 };
 
+/// Maximum number of shared prompt parts that are evaluated of one request.
+inline constexpr std::size_t kMaxPromptParts = 64;
+
 /// Copies a client's request for any upstream, dropping hop-by-hop and reserved
 /// headers and the client's key.
 HttpRequest ForwardedRequest(const HttpRequest& aRequest,
@@ -36,6 +42,11 @@
 /// malformed.
 std::optional<TokenCounts> ParseTokenCounts(std::string_view aText);
 
+/// Parses the IDs of a prompt's parts, without the last part: it belongs to the
+/// request itself and is shared with no other. Parts beyond kMaxPromptParts are
+/// left out.
+std::vector<std::string> ParseSharedParts(std::string_view aText);
+
 /// Parses an unsigned integer; nullopt if malformed.
 std::optional<std::uint64_t> ParseNumber(std::string_view aText);
 
--- a/src/cactusgw/net/http_connection.cpp
+++ b/src/cactusgw/net/http_connection.cpp
@@ -24,13 +24,25 @@
 /// dead.
 constexpr Milliseconds kDeadPeerTime{ 10'000 };
 
+FailureCode
+CodeOf(const beast::error_code& aError)
+{
+  if (aError == beast::error::timeout) {
+    return FailureCode::UpstreamSilent;
+  }
+  const bool isClosed = aError == http::error::end_of_stream ||
+                        aError == http::error::partial_message ||
+                        aError == net::error::eof ||
+                        aError == net::error::connection_reset ||
+                        aError == net::error::connection_aborted ||
+                        aError == net::error::broken_pipe;
+  return isClosed ? FailureCode::UpstreamClosed : FailureCode::UpstreamBroke;
+}
+
 Failure
 ResponseFailure(const beast::error_code& aError)
 {
-  const bool silent = aError == beast::error::timeout;
-  return MayHaveRun(silent ? FailureCode::UpstreamSilent
-                           : FailureCode::UpstreamBroke,
-                    aError.message());
+  return MayHaveRun(CodeOf(aError), aError.message());
 }
 
 } // namespace
--- a/src/cactusgw/net/problem.cpp
+++ b/src/cactusgw/net/problem.cpp
@@ -50,6 +50,7 @@
     case FailureCode::TooLarge:
       return http::status::payload_too_large;
     case FailureCode::UpstreamBroke:
+    case FailureCode::UpstreamClosed:
     case FailureCode::UpstreamSilent:
       return http::status::bad_gateway;
     case FailureCode::Timeout:
--- a/tests/gateway/gateway_core_test.cpp
+++ b/tests/gateway/gateway_core_test.cpp
@@ -280,6 +280,16 @@
   EXPECT_THAT(notices.Recent(At(6000)), IsEmpty());
 }
 
+// A part that is overlooked could not be held responsible for a crash.
+TEST(MessageHeadersTest, SharedPartsAreAllButTheLast)
+{
+  EXPECT_THAT(ParseSharedParts("5c1e:800,91bd:410, e440:250"),
+              ElementsAre("5c1e", "91bd"));
+  EXPECT_THAT(ParseSharedParts("5c1e:800"), IsEmpty());
+  EXPECT_THAT(ParseSharedParts(""), IsEmpty());
+  EXPECT_THAT(ParseSharedParts(",:5, 7 ,x"), ElementsAre("7"));
+}
+
 TEST(MessageHeadersTest, NumbersAreReadStrictly)
 {
   EXPECT_EQ(ParseNumber("12"), 12U);
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -24,6 +24,7 @@
   names.mNotRun = "Not-Run";
   names.mSeal = "Seal";
   names.mTokenCounts = "Tokens";
+  names.mPromptParts = "Prompt-Parts";
   names.mLengthHint = "Hint";
   names.mLastEventId = "Last-Event-Id";
   names.mMigratedFrom = "Moved-From";
