Quarantine prompt parts that crash the upstreams that run them

What callers saw: upstreams crashed one after the other, about one a second, each with all of its streams, because different requests with one common prompt part went on being sent. Cause: a gateway judged each send by itself. Nothing kept what the requests of a crashed upstream had in common, and no gateway told another, so the 20th crash was as unexpected as the first. The class of fault: evidence that only adds up over requests and gateways. RequestsWithADeadlyPartStopReachingUpstreams and RetriesWithADeadlyPartStopReachingUpstreams fail on the code before (8 arrivals then 9, and 16 where 6 are allowed). Why this works: each request that its upstream had not begun when it closed the connection is a suspect. Suspects and parts that were served travel along the tree of gateways, so all hold the same evidence. A part that was in three crashes and never served is quarantined; parts that never came apart only together, so that sound requests with some of them pass and tell them apart. The check stands before each send, whatever the reason of the send.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "cactusgw/gateway/gateway.hpp"
 
 #include "cactusgw/gateway/gateway_call.hpp"
+#include "cactusgw/gateway/message_headers.hpp"
 #include "cactusgw/gateway/store_backoff.hpp"
 #include "cactusgw/net/operator_port.hpp"
 #include "cactusgw/net/steady_now.hpp"
@@ -186,12 +187,31 @@
     OnDirectoryChange(DirectoryChange::DrainingOrRemoved, id);
   }
   mState.mPool.CloseExpired(now);
+  UpdateQuarantines(now);
   mRelay->Tick(now);
   mLoadExchange->Tick(mRelay->Parent(now), now);
   mState.mWaitQueue.WakeFirstWaiters();
   return true;
 }
 
+void
+Gateway::UpdateQuarantines(Instant aNow)
+{
+  const QuarantineChanges changes = mState.mCrashes.Update(aNow);
+  for (const Quarantine& quarantine : changes.mBegun) {
+    mState.mLog.WriteAlways(
+      "parts-quarantined",
+      { { "parts", JoinParts(quarantine.mParts) },
+        { "crashes", static_cast<std::int64_t>(quarantine.mCrashes) } });
+  }
+  for (const Quarantine& quarantine : changes.mEnded) {
+    mState.mLog.WriteAlways("parts-released",
+                            { { "parts", JoinParts(quarantine.mParts) } });
+  }
+  mState.mMetrics.mQuarantines.Set(
+    static_cast<double>(mState.mCrashes.Quarantines().size()));
+}
+
 bool
 Gateway::ShouldReadStore() const
 {
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -94,6 +94,7 @@
   void OnDrainNotice(const DrainingUpstream& aUpstream, std::string_view aFrom);
   void OnDirectoryChange(DirectoryChange aChange, const std::string& aId);
   void OnUndrained(const std::string& aDataCentre);
+  void UpdateQuarantines(Instant aNow);
   bool IsReady() const;
   std::string WriteMetrics();
 
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
-#include <span>
 #include <utility>
 
 namespace cactusgw {
@@ -31,6 +30,12 @@
 /// Minimum Retry-After of a refused request: the availability of upstreams
 /// changes at about this interval.
 constexpr Milliseconds kMinRetryAfter{ 250 };
+/// Retry-After of a request with a quarantined prompt part. Quarantines last
+/// for minutes.
+constexpr Milliseconds kQuarantineRetryAfter{ 60'000 };
+/// Time after its first event from which a stream counts as begun: a request
+/// that crashes its upstream may still send some events.
+constexpr Milliseconds kBegunTime{ 300 };
 /// Responses to other requests that are skipped on a connection before it
 /// counts as broken.
 constexpr int kMaxMismatchedResponses = 2;
@@ -45,19 +50,6 @@
          aFailure.mCode == FailureCode::Timeout;
 }
 
-/// Lists the first parts of a prompt for a log line.
-std::string
-JoinParts(std::span<const std::string> aParts)
-{
-  constexpr std::size_t kMaxListed = 8;
-  std::string text;
-  for (const std::string& part :
-       aParts.first(std::min(aParts.size(), kMaxListed))) {
-    text += text.empty() ? part : "," + part;
-  }
-  return aParts.size() > kMaxListed ? text + ",..." : text;
-}
-
 /// Formats a Retry-After value in seconds with three decimals, which clients of
 /// the gateway accept.
 std::string
@@ -117,12 +109,18 @@
   std::optional<std::string> migrationTarget;
   while (true) {
     Result<std::string> upstream{ migrationTarget.value_or("") };
-    if (!migrationTarget) {
+    // Checked before the wait, to refuse at once, and again before the send.
+    Result<void> allowed = CheckQuarantine();
+    if (allowed && !migrationTarget) {
       upstream = co_await mSelector.Find(mAdmitted, mTriedUpstreams);
+      allowed = CheckQuarantine();
     }
     if (mHasClientDisconnected) {
       break;
     }
+    if (!allowed) {
+      upstream = allowed.error();
+    }
     if (!upstream) {
       co_await Refuse(upstream.error());
       co_return;
@@ -193,6 +191,8 @@
   const KnownUpstream upstream = *known;
   mUpstream = aUpstream;
   mTriedUpstreams.push_back(aUpstream);
+  mFirstEventAt.reset();
+  mIsServed = false;
   mPendingPromptTokens = mContinuation ? 0 : mAdmitted.mTokenNeed.mPrompt;
   UpstreamLoad load{ 1, mAdmitted.mTokenNeed.mTotal, mPendingPromptTokens, 0 };
   mState.mLoads.Add(mUpstream, load);
@@ -202,6 +202,9 @@
   }
   if (result) {
     result = co_await SendAndRelay(upstream);
+    if (!result) {
+      ReportCrash(result.error());
+    }
   }
   if (mConnection) {
     if (result || result.error().mVerdict == Verdict::NotRun) {
@@ -361,9 +364,53 @@
                        "the upstream answered other requests");
 }
 
+Result<void>
+GatewayCall::CheckQuarantine()
+{
+  const Quarantine* const quarantine =
+    mState.mCrashes.Find(mAdmitted.mSharedParts);
+  if (quarantine == nullptr) {
+    return boost::outcome_v2::success();
+  }
+  mState.mMetrics.mQuarantinedRequests.Add();
+  return NotRun(FailureCode::Quarantined,
+                "upstreams crash on prompt parts " +
+                  JoinParts(quarantine->mParts),
+                kQuarantineRetryAfter);
+}
+
+void
+GatewayCall::ReportCrash(const Failure& aFailure)
+{
+  const KnownUpstream* const known = mState.mDirectory.Find(mUpstream);
+  const bool mayEnd = known == nullptr || known->mRecord.mIsDraining;
+  const Instant now = SteadyNow();
+  const bool hasBegun = mFirstEventAt && now - *mFirstEventAt >= kBegunTime;
+  if (aFailure.mCode != FailureCode::UpstreamClosed || mayEnd || hasBegun ||
+      mAdmitted.mSharedParts.empty()) {
+    return;
+  }
+  mState.mMetrics.mCrashSuspects.Add();
+  mState.mCrashes.OnCrash(
+    { mUpstream, known->mRecord.mStartedMs }, mAdmitted.mSharedParts, now);
+}
+
+void
+GatewayCall::OnServed()
+{
+  if (!std::exchange(mIsServed, true)) {
+    mState.mCrashes.OnServed(mAdmitted.mSharedParts, SteadyNow());
+  }
+}
+
 void
 GatewayCall::OnEventsRelayed()
 {
+  const Instant now = SteadyNow();
+  mFirstEventAt = mFirstEventAt.value_or(now);
+  if (now - *mFirstEventAt >= kBegunTime) {
+    OnServed();
+  }
   if (!mGeneration || mGeneration->HasBegun()) {
     return;
   }
@@ -381,6 +428,10 @@
   } else {
     mState.mHealth.OnSuccess(mUpstream, now);
   }
+  // A response that ends with its connection may have been cut by a crash.
+  if (IsSuccess(mConnection->Status()) && !mConnection->IsCloseDelimited()) {
+    OnServed();
+  }
   mState.mMetrics.mCompleted.Add();
   mState.mMetrics.mResponseTime.Record(now - mStart);
   mState.mLog.Write(
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -48,6 +48,12 @@
   void OnEventsRelayed();
   void OnCompleted();
 
+  /// Errors: NotRun with Quarantined.
+  Result<void> CheckQuarantine();
+  /// Records this request as a suspect when its upstream seems to have crashed
+  /// before it visibly began to respond.
+  void ReportCrash(const Failure& aFailure);
+  void OnServed();
   void OnAttemptFailed(const Failure& aFailure);
   bool TryRetry(const Failure& aFailure);
   Instant AttemptDeadline(Instant aNow) const;
@@ -82,6 +88,10 @@
   std::optional<Continuation> mContinuation;
   bool mHasClientDisconnected = false;
   StreamProgress mProgress;
+  /// When the current attempt relayed its first event.
+  std::optional<Instant> mFirstEventAt;
+  /// Whether the current attempt counts as served in the evidence of crashes.
+  bool mIsServed = false;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/gateway_metrics.cpp
+++ b/src/cactusgw/gateway/gateway_metrics.cpp
@@ -47,6 +47,17 @@
   , mContinued(mRegistry.AddCounter({ "cactusgw_streams_continued_total",
                                       "Streams continued by an upstream.",
                                       "" }))
+  , mCrashSuspects(
+      mRegistry.AddCounter({ "cactusgw_crash_suspects_total",
+                             "Requests whose connection the upstream closed "
+                             "before their answer had begun.",
+                             "" }))
+  , mQuarantinedRequests(
+      mRegistry.AddCounter({ "cactusgw_quarantined_requests_total",
+                             "Requests refused for a quarantined prompt part.",
+                             "" }))
+  , mQuarantines(mRegistry.AddGauge(
+      { "cactusgw_quarantines", "Quarantines of prompt parts in force.", "" }))
   , mConfigVersion(mRegistry.AddGauge(
       { "cactusgw_config_version", "Configuration in force.", "" }))
   , mConfigAge(mRegistry.AddGauge({ "cactusgw_config_age_seconds",
--- a/src/cactusgw/gateway/gateway_metrics.hpp
+++ b/src/cactusgw/gateway/gateway_metrics.hpp
@@ -34,6 +34,9 @@
   Counter& mMigrationsCompleted;
   Counter& mMigrationsFailed;
   Counter& mContinued;
+  Counter& mCrashSuspects;
+  Counter& mQuarantinedRequests;
+  Gauge& mQuarantines;
   Gauge& mConfigVersion;
   Gauge& mConfigAge;
   LatencyHistogram& mFirstByte;
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -4,6 +4,7 @@
 /// State shared by all calls of a gateway.
 
 #include "cactusgw/config/process_settings.hpp"
+#include "cactusgw/core/crash_evidence.hpp"
 #include "cactusgw/gateway/cold_start_limiter.hpp"
 #include "cactusgw/gateway/decision_log.hpp"
 #include "cactusgw/gateway/drain_notices.hpp"
@@ -85,6 +86,7 @@
   std::map<std::string, Instant> mColdAfterUndrainUntil;
   LoadTable mLoads;
   UpstreamHealth mHealth;
+  CrashEvidence mCrashes;
   ColdStartLimiter mColdStartLimiter;
   UpstreamConnectionPool mPool;
   WaitQueue mWaitQueue;
--- a/src/cactusgw/gateway/load_exchange.cpp
+++ b/src/cactusgw/gateway/load_exchange.cpp
@@ -43,6 +43,44 @@
   }
 }
 
+std::uint64_t
+AgeMs(Instant aThen, Instant aNow)
+{
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(
+    0, std::chrono::duration_cast<Milliseconds>(aNow - aThen).count()));
+}
+
+/// Ages beyond the longest that counts are cut, so that no sum overflows.
+Milliseconds
+Age(std::uint64_t aMs)
+{
+  constexpr std::uint64_t kLongest =
+    static_cast<std::uint64_t>(CrashEvidence::kMaxAge.count());
+  return Milliseconds{ static_cast<std::int64_t>(std::min(aMs, kLongest)) };
+}
+
+void
+Encode(const CrashEvidence& aCrashes, wire::GatewayUse& aMessage, Instant aNow)
+{
+  for (const auto& [upstream, report] : aCrashes.Crashes()) {
+    wire::CrashEntry* const entry = aMessage.add_crashes();
+    entry->set_upstream(upstream.mId);
+    entry->set_started_ms(upstream.mStartedMs);
+    entry->set_age_ms(AgeMs(report.mAt, aNow));
+    for (const PartSet& parts : report.mSuspects) {
+      wire::CrashSuspect* const suspect = entry->add_suspects();
+      for (const std::string& part : parts) {
+        suspect->add_parts(part);
+      }
+    }
+  }
+  for (const auto& [part, servedAt] : aCrashes.Served()) {
+    wire::ServedPart* const served = aMessage.add_served();
+    served->set_part(part);
+    served->set_age_ms(AgeMs(servedAt, aNow));
+  }
+}
+
 } // namespace
 
 LoadExchange::LoadExchange(GatewayState& aState,
@@ -61,7 +99,7 @@
 LoadExchange::Version() const
 {
   return mState.mLoads.OwnVersion() + mState.mDrainNotices.Version() +
-         mReceivedVersion;
+         mState.mCrashes.Version() + mReceivedVersion;
 }
 
 void
@@ -97,7 +135,8 @@
                        ? aNow - sent.mAt >= aInterval
                        : aNow - sent.mAt >= kRepeatInterval;
   if (isDue) {
-    sent = Sent{ aNow, Version() };
+    sent.mAt = aNow;
+    sent.mVersion = Version();
   }
   return isDue;
 }
@@ -165,10 +204,51 @@
     entry->set_upstream(upstream.mId);
     entry->set_started_ms(upstream.mStartedMs);
   }
+  AddEvidence(aPeer, *message, SteadyNow());
   mPeers.SendTo(aPeer, envelope);
   return envelope.ByteSizeLong();
 }
 
+void
+LoadExchange::AddEvidence(const std::string& aPeer,
+                          wire::GatewayUse& aMessage,
+                          Instant aNow)
+{
+  const CrashEvidence& crashes = mState.mCrashes;
+  if (mDigestVersion != crashes.Version()) {
+    mDigestVersion = crashes.Version();
+    mDigest = crashes.Digest();
+  }
+  aMessage.set_crash_digest(mDigest);
+  Sent& sent = mSent[aPeer];
+  const bool hasChanged = sent.mEvidenceVersion != crashes.Version();
+  const bool isLacking = sent.mReportedDigest != mDigest &&
+                         aNow - sent.mEvidenceAt >= kEvidenceRepeatInterval;
+  if (hasChanged || isLacking) {
+    sent.mEvidenceVersion = crashes.Version();
+    sent.mEvidenceAt = aNow;
+    Encode(crashes, aMessage, aNow);
+  }
+}
+
+void
+LoadExchange::OnEvidence(const wire::GatewayUse& aMessage, Instant aNow)
+{
+  for (const wire::CrashEntry& entry : aMessage.crashes()) {
+    CrashReport report{ { entry.upstream(), entry.started_ms() },
+                        aNow - Age(entry.age_ms()),
+                        {} };
+    for (const wire::CrashSuspect& suspect : entry.suspects()) {
+      report.mSuspects.emplace_back(suspect.parts().begin(),
+                                    suspect.parts().end());
+    }
+    mState.mCrashes.Merge(std::move(report));
+  }
+  for (const wire::ServedPart& served : aMessage.served()) {
+    mState.mCrashes.MergeServed(served.part(), aNow - Age(served.age_ms()));
+  }
+}
+
 void
 LoadExchange::OnMessage(const wire::Envelope& aEnvelope)
 {
@@ -179,6 +259,9 @@
   for (const wire::LeavingUpstream& entry : aEnvelope.gateway_use().leaving()) {
     mOnDraining({ entry.upstream(), entry.started_ms() });
   }
+  mSent[aEnvelope.sender_vm()].mReportedDigest =
+    aEnvelope.gateway_use().crash_digest();
+  OnEvidence(aEnvelope.gateway_use(), SteadyNow());
   mState.mWaitQueue.WakeFirstWaiters();
 }
 
--- a/src/cactusgw/gateway/load_exchange.hpp
+++ b/src/cactusgw/gateway/load_exchange.hpp
@@ -1,9 +1,11 @@
 #ifndef CACTUSGW_GATEWAY_LOAD_EXCHANGE_HPP
 #define CACTUSGW_GATEWAY_LOAD_EXCHANGE_HPP
 
-/// Exchanges the load of each upstream and notices of draining upstreams with
-/// other gateways along the relay tree (see LoadAggregator). Each message holds
-/// all figures, so a lost one is made up for by the next.
+/// Exchanges the load of each upstream, notices of draining upstreams and
+/// evidence of crashes with other gateways along the relay tree (see
+/// LoadAggregator). Each message holds all figures, so a lost one is made up
+/// for by the next. Evidence is sent when it has changed, and again while the
+/// digest in a gateway's messages shows that it lacks some.
 
 #include "cactusgw/gateway/drain_notices.hpp"
 #include "cactusgw/gateway/load_aggregator.hpp"
@@ -35,6 +37,8 @@
   /// Maximum share of this VM's link for messages to children. With many
   /// children and upstreams, the interval between messages grows accordingly.
   static constexpr double kMaxLinkShare = 0.1;
+  /// Minimum time between two messages with the same evidence to one gateway.
+  static constexpr Milliseconds kEvidenceRepeatInterval{ 1000 };
   /// Interval at which unchanged figures are repeated.
   static constexpr Milliseconds kRepeatInterval{ 1000 };
 
@@ -59,6 +63,10 @@
   {
     Instant mAt;
     std::uint64_t mVersion = 0;
+    Instant mEvidenceAt;
+    std::uint64_t mEvidenceVersion = 0;
+    /// Digest of the evidence that the gateway has last reported.
+    std::uint64_t mReportedDigest = 0;
   };
 
   void OnLoadMessage(const std::string& aSender,
@@ -77,6 +85,10 @@
                    const AggregatedLoads& aSums,
                    wire::GatewayUse::Direction aDirection);
   std::uint64_t Version() const;
+  void AddEvidence(const std::string& aPeer,
+                   wire::GatewayUse& aMessage,
+                   Instant aNow);
+  void OnEvidence(const wire::GatewayUse& aMessage, Instant aNow);
 
   GatewayState& mState;
   PeerExchange& mPeers;
@@ -88,6 +100,9 @@
   std::uint64_t mReceivedVersion = 0;
   /// Version for which the load table was last updated.
   std::uint64_t mAppliedVersion = 0;
+  /// Digest of the evidence of crashes, and the version that it is of.
+  std::uint64_t mDigest = 0;
+  std::uint64_t mDigestVersion = 0;
   std::optional<std::string> mParent;
   /// Size in bytes of the last message to a child.
   std::size_t mChildMessageBytes = 0;
--- a/src/cactusgw/gateway/message_headers.cpp
+++ b/src/cactusgw/gateway/message_headers.cpp
@@ -143,6 +143,18 @@
   return parts;
 }
 
+std::string
+JoinParts(std::span<const std::string> aParts)
+{
+  constexpr std::size_t kMaxListed = 8;
+  std::string text;
+  for (const std::string& part :
+       aParts.first(std::min(aParts.size(), kMaxListed))) {
+    text += text.empty() ? part : "," + part;
+  }
+  return aParts.size() > kMaxListed ? text + ",..." : text;
+}
+
 std::optional<TokenCounts>
 ParseTokenCounts(std::string_view aText)
 {
--- a/src/cactusgw/gateway/message_headers.hpp
+++ b/src/cactusgw/gateway/message_headers.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +48,9 @@
 /// left out.
 std::vector<std::string> ParseSharedParts(std::string_view aText);
 
+/// Lists the first parts of a prompt for a log line.
+std::string JoinParts(std::span<const std::string> aParts);
+
 /// Parses an unsigned integer; nullopt if malformed.
 std::optional<std::uint64_t> ParseNumber(std::string_view aText);
 
--- /dev/null
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -0,0 +1,227 @@
+#include "cactusgw/net/steady_now.hpp"
+#include "free_address.hpp"
+#include "gateway_fixture.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace cactusgw::test {
+
+namespace {
+
+constexpr const char* kDeadlyPart = "dead";
+
+/// Serves a stream, but ends without an answer when the prompt has the deadly
+/// part.
+Task<void>
+CrashOnDeadlyPart(ScriptedExchange& aExchange)
+{
+  if (aExchange.Header("Prompt-Parts").find(kDeadlyPart) != std::string::npos) {
+    aExchange.Close();
+    co_return;
+  }
+  co_await aExchange.Answer(200, "Seal: s\r\n", "id: 1\ndata: x\n\n");
+}
+
+} // namespace
+
+class CrashQuarantineTest : public GatewayTest
+{
+protected:
+  static constexpr int kUpstreams = 8;
+
+  CrashQuarantineTest()
+  {
+    for (int i = 0; i < kUpstreams; ++i) {
+      AddUpstream("u" + std::to_string(i), "engine", &CrashOnDeadlyPart);
+    }
+  }
+
+  HttpRequest PromptRequest(const std::string& aTarget,
+                            const std::string& aParts) const
+  {
+    HttpRequest request = MakeRequest(http::verb::post, aTarget);
+    request.set("Prompt-Parts", aParts);
+    return request;
+  }
+
+  /// Ends an upstream and starts it anew under its id, as a crash does.
+  void Restart(const std::string& aId, std::int64_t aStartedMs)
+  {
+    const KnownUpstream* const known = mGateway->State().mDirectory.Find(aId);
+    ASSERT_NE(known, nullptr);
+    UpstreamRecord record = known->mRecord;
+    record.mStartedMs = aStartedMs;
+    mGateway->OnUpstreamChanges({ { aId, record } });
+  }
+
+  /// Lets pass the time after which a crash counts, and after which the next
+  /// one counts as another.
+  Task<void> Settle()
+  {
+    net::steady_timer timer{ mContext };
+    timer.expires_after(CrashEvidence::kSettleTime);
+    co_await timer.async_wait(net::use_awaitable);
+    mGateway->State().mCrashes.Update(SteadyNow());
+  }
+
+  /// Requests that reached the upstreams and carried the deadly part.
+  std::size_t DeadlyArrivals() const
+  {
+    std::size_t arrivals = 0;
+    for (const std::unique_ptr<ScriptedUpstream>& upstream : mUpstreams) {
+      for (const HttpRequest& request : upstream->Requests()) {
+        const beast::string_view parts = request["Prompt-Parts"];
+        arrivals += parts.find(kDeadlyPart) != beast::string_view::npos;
+      }
+    }
+    return arrivals;
+  }
+};
+
+// Requests with a deadly prompt part went on crashing one upstream after the
+// other, as no request comes twice.
+TEST_F(CrashQuarantineTest, RequestsWithADeadlyPartStopReachingUpstreams)
+{
+  StartGateway();
+  Run([&]() -> Task<void> {
+    for (int i = 0; i < kUpstreams; ++i) {
+      const std::string own = "own" + std::to_string(i) + ":9";
+      const ClientResponse sound =
+        co_await Call(PromptRequest("/stream/x", "base:7," + own));
+      EXPECT_EQ(sound.mStatus, 200);
+      co_await Call(PromptRequest("/stream/x", "base:7,dead:5,other:3," + own));
+      co_await Settle();
+      // Each upstream is back under its id before the next request.
+      for (int u = 0; u < kUpstreams; ++u) {
+        Restart("u" + std::to_string(u), 100 + i);
+      }
+    }
+    const std::size_t arrivals = DeadlyArrivals();
+    EXPECT_LE(arrivals, 5U);
+    const ClientResponse refused =
+      co_await Call(PromptRequest("/stream/x", "base:7,dead:5,other:3,o:1"));
+    EXPECT_EQ(refused.mStatus, 503);
+    EXPECT_EQ(refused.mRetryAfter, "60.000");
+    const ClientResponse sound =
+      co_await Call(PromptRequest("/stream/x", "base:7,other:3,o:2"));
+    EXPECT_EQ(sound.mStatus, 200);
+    EXPECT_EQ(DeadlyArrivals(), arrivals);
+  });
+}
+
+// A request that is sent again, or resumed, after a crash is refused as well.
+TEST_F(CrashQuarantineTest, RetriesWithADeadlyPartStopReachingUpstreams)
+{
+  StartGateway();
+  Run([&]() -> Task<void> {
+    for (int i = 0; i < kUpstreams; ++i) {
+      co_await Call(PromptRequest("/resumable/x", "dead:5,own:1"));
+      co_await Settle();
+      for (int u = 0; u < kUpstreams; ++u) {
+        Restart("u" + std::to_string(u), 100 + i);
+      }
+    }
+  });
+  EXPECT_LE(DeadlyArrivals(), 6U);
+}
+
+// An upstream whose connection ends beside a served part must not be taken for
+// crashed by that part.
+TEST_F(CrashQuarantineTest, PartsThatAreServedStayAllowed)
+{
+  StartGateway();
+  Run([&]() -> Task<void> {
+    for (int i = 0; i < kUpstreams; ++i) {
+      const std::string own = "own" + std::to_string(i) + ":9";
+      co_await Call(PromptRequest("/stream/x", "base:7,dead:5," + own));
+      co_await Settle();
+      const ClientResponse sound =
+        co_await Call(PromptRequest("/stream/x", "base:7," + own));
+      EXPECT_EQ(sound.mStatus, 200);
+    }
+  });
+}
+
+/// Two gateways of one data centre.
+class SharedEvidenceTest : public GatewayTest
+{
+protected:
+  static constexpr const char* kOther = "vm-2";
+
+  SharedEvidenceTest()
+  {
+    mOtherSettings = mSettings;
+    mOtherSettings.mPlace.mVm = kOther;
+    mOtherSettings.mListen = FreeAddress();
+    mOtherSettings.mReadyListen = FreeAddress();
+    mOtherSettings.mMetricsListen = FreeAddress();
+    mOtherSettings.mPeerListen = FreeAddress();
+    mGateway = MakeGateway(mSettings);
+    StartOther();
+  }
+
+  void StartOther()
+  {
+    mOther = MakeGateway(mOtherSettings);
+    const std::string& self = mSettings.mPlace.mVm;
+    const std::vector<Change<GatewayPeer>> peers{
+      { self, GatewayPeer{ self, mSettings.mPeerListen, "dc-a", 1 } },
+      { kOther, GatewayPeer{ kOther, mOtherSettings.mPeerListen, "dc-a", 1 } },
+    };
+    mGateway->OnPeerChanges(peers);
+    mOther->OnPeerChanges(peers);
+  }
+
+  static void AddCrash(Gateway& aGateway, const std::string& aUpstream)
+  {
+    const std::vector<std::string> parts{ "dead", aUpstream };
+    const Milliseconds spacing = 2 * CrashEvidence::kCommonCauseTime;
+    aGateway.State().mCrashes.OnCrash(
+      { aUpstream, 1 }, parts, SteadyNow() - spacing * ++sCrashes);
+  }
+
+  static bool IsRefused(Gateway& aGateway)
+  {
+    const std::vector<std::string> parts{ "dead", "new" };
+    return aGateway.State().mCrashes.Find(parts) != nullptr;
+  }
+
+  void RunUntil(const std::function<bool()>& aCondition)
+  {
+    while (!aCondition()) {
+      // The gateway in contact with the store is the parent of the other.
+      mGateway->OnConfigConfirmed(BootNow());
+      mContext.run_one();
+    }
+  }
+
+  static inline int sCrashes = 0;
+  GatewaySettings mOtherSettings;
+  std::unique_ptr<Gateway> mOther;
+};
+
+// Requests with one part come at any gateway: each sees too few crashes to
+// blame it.
+TEST_F(SharedEvidenceTest, CrashesSeenByDifferentGatewaysCountTogether)
+{
+  AddCrash(*mGateway, "u1");
+  AddCrash(*mOther, "u2");
+  AddCrash(*mOther, "u3");
+  RunUntil([&] { return IsRefused(*mGateway) && IsRefused(*mOther); });
+}
+
+// A restarted gateway has no evidence of its own.
+TEST_F(SharedEvidenceTest, AGatewayThatStartsLaterLearnsOfQuarantines)
+{
+  for (const char* const upstream : { "u1", "u2", "u3" }) {
+    AddCrash(*mGateway, upstream);
+  }
+  RunUntil([&] { return IsRefused(*mOther); });
+  mOther.reset();
+  StartOther();
+  EXPECT_FALSE(IsRefused(*mOther));
+  RunUntil([&] { return IsRefused(*mOther); });
+}
+
+} // namespace cactusgw::test
