A stream that ends inside an event is broken off

What callers saw: a stream without length or chunks whose upstream crashed looked complete, with a piece of an event at its end; if the crash came before the first event, it looked empty. Cause: the end of the connection is the end of such a body, so the relay wrote what it held and ended the response. The crash was not counted as evidence either. Why this works: events have their own end, which a cut stream lacks. A stream that is cut exactly between two events still looks complete; nothing on the wire tells the two apart.

--- a/src/cactusgw/gateway/response_relay.cpp
+++ b/src/cactusgw/gateway/response_relay.cpp
@@ -180,9 +180,17 @@
     mProgress.mLastEventId = splitter.LastId();
     mEvents.mOnEventsRelayed();
   }
-  const Result<void> rest = co_await WriteEvents(splitter.Remainder());
-  if (!rest) {
-    co_return rest;
+  // The framing of such a stream doesn't tell that its upstream has crashed.
+  const bool isEmpty =
+    mConnection.IsCloseDelimited() && splitter.LastId().empty();
+  if (!splitter.Remainder().empty() || isEmpty) {
+    co_return MayHaveRun(FailureCode::UpstreamClosed,
+                         isEmpty ? "the stream ended before its first event"
+                                 : "the stream ended inside an event");
+  }
+  const Result<void> begun = co_await WriteEvents({});
+  if (!begun) {
+    co_return begun;
   }
   mEvents.mOnComplete();
   co_return co_await mExchange.Finish();
--- a/tests/standins/scripted_upstream.cpp
+++ b/tests/standins/scripted_upstream.cpp
@@ -26,12 +26,13 @@
   return std::string{ mRequest[{ aName.data(), aName.size() }] };
 }
 
-Task<void>
+Task<bool>
 ScriptedExchange::Write(std::string aBytes)
 {
   beast::error_code ec;
   co_await net::async_write(
     mSocket, net::buffer(aBytes), net::redirect_error(net::use_awaitable, ec));
+  co_return !ec;
 }
 
 Task<void>
--- a/tests/standins/scripted_upstream.hpp
+++ b/tests/standins/scripted_upstream.hpp
@@ -25,7 +25,8 @@
   const HttpRequest& Request() const { return mRequest; }
   std::string Header(std::string_view aName) const;
 
-  Task<void> Write(std::string aBytes);
+  /// Returns false once the other side has closed the connection.
+  Task<bool> Write(std::string aBytes);
   /// A whole answer with a length; header lines end with CRLF each.
   Task<void> Answer(unsigned aStatus, std::string aHeaders, std::string aBody);
   /// The header of an answer in chunks.
