Limit the size of one event of a stream

What callers saw: nothing yet; a stream of bytes without an event's end would fill the gateway's memory until the request's deadline, and end the process with all its streams. Cause: the splitter kept an incomplete event without a limit. Evidence: AnEventWithoutEndIsCutOff.

--- a/src/cactusgw/gateway/event_splitter.hpp
+++ b/src/cactusgw/gateway/event_splitter.hpp
@@ -4,6 +4,7 @@
 /// Splits a server-sent event stream at event boundaries, so that an
 /// interrupted stream can be resumed after the last complete event.
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -14,6 +15,10 @@
 class EventSplitter
 {
 public:
+  /// Maximum size of one event; more bytes without an event's end are not a
+  /// stream.
+  static constexpr std::size_t kMaxEventBytes = std::size_t{ 256 } * 1024;
+
   /// Appends received bytes.
   /// @return all complete events that were not returned before
   std::string Feed(std::string_view aBytes);
--- a/src/cactusgw/gateway/response_relay.cpp
+++ b/src/cactusgw/gateway/response_relay.cpp
@@ -170,6 +170,12 @@
       break;
     }
     std::string events = splitter.Feed(piece.value());
+    if (splitter.Remainder().size() > EventSplitter::kMaxEventBytes) {
+      co_return MayHaveRun(FailureCode::UpstreamBroke,
+                           "an event exceeds " +
+                             std::to_string(EventSplitter::kMaxEventBytes) +
+                             " bytes");
+    }
     if (events.empty()) {
       continue;
     }
--- a/tests/gateway/bad_bytes_test.cpp
+++ b/tests/gateway/bad_bytes_test.cpp
@@ -140,6 +140,15 @@
   EXPECT_LT(written, kMaxBufferedBytes);
 }
 
+TEST_F(BadBytesTest, AnEventWithoutEndIsCutOff)
+{
+  std::size_t written = 0;
+  const ClientResponse response = CallWith(
+    WithoutEnd(kCloseDelimited, std::string(1000, 'x'), written), "/stream/x");
+  EXPECT_EQ(response.mStatus, 502U);
+  EXPECT_LT(written, kMaxBufferedBytes);
+}
+
 // The same for the calls that move generations and ask for reports.
 TEST_F(BadBytesTest, AControlCallWithoutEndIsCutOff)
 {
