Skip interim responses of upstreams, up to a limit

What callers saw: an interim response (1xx) of an upstream was relayed as the final one. Cause: the header that was read first was taken for that of the response. Evidence: InterimResponsesWithoutEndAreCutOff failed with status 100 where 502 is due. Why this works: interim responses are read over; after eight without a final one the attempt fails.

--- a/src/cactusgw/net/http_connection.cpp
+++ b/src/cactusgw/net/http_connection.cpp
@@ -20,6 +20,8 @@
 
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
+/// Interim (1xx) responses that are skipped before the final one.
+constexpr int kMaxInterimResponses = 8;
 /// Time that sent data may stay unacknowledged before the peer is considered
 /// dead.
 constexpr Milliseconds kDeadPeerTime{ 10'000 };
@@ -106,11 +108,19 @@
 Task<beast::error_code>
 HttpConnection::ReadHeader(Instant aDeadline)
 {
-  beast::error_code ec;
   mStream.expires_at(aDeadline);
-  co_await http::async_read_header(
-    mStream, mBuffer, *mParser, net::redirect_error(net::use_awaitable, ec));
-  co_return ec;
+  for (int n = 0; n <= kMaxInterimResponses; ++n) {
+    beast::error_code ec;
+    co_await http::async_read_header(
+      mStream, mBuffer, *mParser, net::redirect_error(net::use_awaitable, ec));
+    const bool isInterim = !ec && http::to_status_class(Status()) ==
+                                    http::status_class::informational;
+    if (!isInterim) {
+      co_return ec;
+    }
+    ResetParser();
+  }
+  co_return make_error_code(http::error::bad_status);
 }
 
 Task<Result<void>>
--- a/tests/gateway/bad_bytes_test.cpp
+++ b/tests/gateway/bad_bytes_test.cpp
@@ -149,6 +149,15 @@
   EXPECT_LT(written, kMaxBufferedBytes);
 }
 
+TEST_F(BadBytesTest, InterimResponsesWithoutEndAreCutOff)
+{
+  std::size_t written = 0;
+  const ClientResponse response = CallWith(
+    WithoutEnd("", "HTTP/1.1 100 Continue\r\n\r\n", written), "/write/x");
+  EXPECT_EQ(response.mStatus, 502U);
+  EXPECT_LT(written, kMaxBufferedBytes);
+}
+
 // The same for the calls that move generations and ask for reports.
 TEST_F(BadBytesTest, AControlCallWithoutEndIsCutOff)
 {
