Keep quarantines of prompt parts in the platform's store

What callers saw: nothing yet; after a restart of all gateways the evidence is lost, and a deadly prompt part crashes three more upstreams before it is blamed again, at each such restart. Cause: the evidence lives in the gateways' memories only. Why this works: the gateways that read the store write each quarantine as an object of a kind of their own, and remove it after ten minutes or when its parts were served. Every gateway gets it with the rest of the store's content, directly or through the gateway that reads for it.

--- a/src/cactusgw/core/crash_evidence.cpp
+++ b/src/cactusgw/core/crash_evidence.cpp
@@ -397,8 +397,16 @@
   Expire(aNow);
   ClearServedParts();
   std::vector<Quarantine> current = Evaluate(aNow);
+  const std::size_t evident = current.size();
   for (const PartSet& stored : mStored) {
-    if (!Holds(current, stored) && !IsRefuted(stored, aNow)) {
+    // A quarantine of fewer parts makes one of more parts needless.
+    const bool isCovered =
+      std::any_of(current.begin(),
+                  current.begin() + static_cast<std::ptrdiff_t>(evident),
+                  [&](const Quarantine& aQuarantine) {
+                    return IncludesAll(stored, aQuarantine.mParts);
+                  });
+    if (!isCovered && !IsRefuted(stored, aNow)) {
       current.push_back({ stored, 0 });
     }
   }
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -25,6 +25,10 @@
 /// undrained, since their records lag behind. Covers a registration interval
 /// and its delay.
 constexpr Milliseconds kColdAfterUndrainTime{ 3000 };
+/// Interval between two changes of the stored quarantines; the gateway learns
+/// of a change by its watch meanwhile, and doesn't repeat it.
+constexpr Milliseconds kQuarantineStoreInterval{ 500 };
+constexpr Milliseconds kQuarantineStoreRetryDelay{ 2000 };
 /// Part of the stop time that is reserved for the exit of the process.
 constexpr Milliseconds kExitMargin{ 500 };
 
@@ -34,7 +38,8 @@
                  GatewaySettings aSettings,
                  HeaderNames aNames,
                  GenerationControl aControl,
-                 PeerRegistration aRegistration)
+                 PeerRegistration aRegistration,
+                 QuarantineRecords aQuarantines)
   : mContext(aContext)
   , mState(std::move(aSettings), std::move(aNames))
   , mMigrator(aContext,
@@ -44,6 +49,8 @@
                 OnDrainNotice(aUpstream, "upstream");
               })
   , mRegistration(std::move(aRegistration))
+  , mQuarantineRecords(std::move(aQuarantines))
+  , mQuarantineKeeper(QuarantineKeeper::Create())
 {
   mState.mMigrator = &mMigrator;
 }
@@ -53,13 +60,15 @@
                GatewaySettings aSettings,
                HeaderNames aNames,
                GenerationControl aControl,
-               PeerRegistration aRegistration)
+               PeerRegistration aRegistration,
+               QuarantineRecords aQuarantines)
 {
   std::unique_ptr<Gateway> gateway{ new Gateway{ aContext,
                                                  std::move(aSettings),
                                                  std::move(aNames),
                                                  std::move(aControl),
-                                                 std::move(aRegistration) } };
+                                                 std::move(aRegistration),
+                                                 std::move(aQuarantines) } };
   const Result<void> listening = gateway->Listen();
   if (!listening) {
     return listening.error();
@@ -68,6 +77,7 @@
   net::co_spawn(aContext, gateway->Register(), net::detached);
   net::co_spawn(
     aContext, gateway->mMigrator.PollWhileWatchIsDown(), net::detached);
+  net::co_spawn(aContext, gateway->StoreQuarantines(), net::detached);
   RunEvery(
     aContext, [] { return kTickInterval; }, [self] { return self->Tick(); });
   const GatewaySettings& settings = gateway->mState.mSettings;
@@ -212,6 +222,56 @@
     static_cast<double>(mState.mCrashes.Quarantines().size()));
 }
 
+void
+Gateway::OnQuarantineChanges(
+  const std::vector<Change<StoredQuarantine>>& aChanges)
+{
+  for (const Change<StoredQuarantine>& change : aChanges) {
+    mQuarantineKeeper.OnChange(change.mName, change.mValue);
+  }
+  mState.mCrashes.SetStored(mQuarantineKeeper.Stored());
+  UpdateQuarantines(SteadyNow());
+}
+
+Task<void>
+Gateway::StoreQuarantines()
+{
+  net::steady_timer timer{ mContext };
+  Milliseconds delay = kQuarantineStoreInterval;
+  while (true) {
+    timer.expires_after(delay);
+    co_await timer.async_wait(net::use_awaitable);
+    const std::optional<QuarantineEdit> edit =
+      mQuarantineKeeper.NextEdit(mState.mCrashes.Quarantines(), WallClockMs());
+    if (!edit || !ShouldReadStore() || mIsStopping) {
+      delay = kQuarantineStoreInterval;
+      continue;
+    }
+    const Result<void> done = co_await Store(*edit);
+    delay = done ? kQuarantineStoreInterval : kQuarantineStoreRetryDelay;
+  }
+}
+
+Task<Result<void>>
+Gateway::Store(QuarantineEdit aEdit)
+{
+  std::string name = aEdit.mRemoved;
+  Result<void> done = boost::outcome_v2::success();
+  if (aEdit.mAdded) {
+    name = QuarantineName(aEdit.mAdded->mParts);
+    done = co_await mQuarantineRecords.mAdd(*aEdit.mAdded);
+  } else {
+    done = co_await mQuarantineRecords.mRemove(name);
+  }
+  mState.mLog.Write(
+    "quarantine-stored",
+    { { "name", name },
+      { "change", aEdit.mAdded ? "added" : "removed" },
+      { "outcome", done ? std::string{ "done" } : done.error().mDetail } },
+    SteadyNow());
+  co_return done;
+}
+
 bool
 Gateway::ShouldReadStore() const
 {
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include "cactusgw/gateway/generation_migrator.hpp"
 #include "cactusgw/gateway/load_exchange.hpp"
 #include "cactusgw/gateway/peer_exchange.hpp"
+#include "cactusgw/gateway/quarantine_keeper.hpp"
 #include "cactusgw/gateway/store_relay.hpp"
 #include "cactusgw/gateway/store_view.hpp"
 #include "cactusgw/interfaces/registry_source.hpp"
@@ -34,7 +35,8 @@
     GatewaySettings aSettings,
     HeaderNames aNames,
     GenerationControl aControl,
-    PeerRegistration aRegistration);
+    PeerRegistration aRegistration,
+    QuarantineRecords aQuarantines);
 
   /// Shuts down gracefully: becomes unready at once, accepts connections until
   /// the load balancer has noticed, finishes open requests, and then calls
@@ -63,6 +65,8 @@
   /// whatever the value is, and no longer drained otherwise.
   void OnDrainedChanges(const std::vector<Change<std::string>>& aChanges);
   void OnPeerChanges(const std::vector<Change<GatewayPeer>>& aChanges);
+  void OnQuarantineChanges(
+    const std::vector<Change<StoredQuarantine>>& aChanges);
   void OnStoreLost(std::string_view aWhat, const Failure& aFailure);
   void OnStoreRecovered(std::string_view aWhat);
   /// Called when the watch of upstreams stops or resumes getting responses from
@@ -79,7 +83,8 @@
           GatewaySettings aSettings,
           HeaderNames aNames,
           GenerationControl aControl,
-          PeerRegistration aRegistration);
+          PeerRegistration aRegistration,
+          QuarantineRecords aQuarantines);
   Result<void> Listen();
   HttpServerLimits HttpLimits() const;
   Task<void> ServeClient(HttpExchange& aExchange);
@@ -95,6 +100,10 @@
   void OnDirectoryChange(DirectoryChange aChange, const std::string& aId);
   void OnUndrained(const std::string& aDataCentre);
   void UpdateQuarantines(Instant aNow);
+  /// Writes the quarantines into the store while this gateway reads it. Never
+  /// returns.
+  Task<void> StoreQuarantines();
+  Task<Result<void>> Store(QuarantineEdit aEdit);
   bool IsReady() const;
   std::string WriteMetrics();
 
@@ -102,6 +111,8 @@
   GatewayState mState;
   GenerationMigrator mMigrator;
   PeerRegistration mRegistration;
+  QuarantineRecords mQuarantineRecords;
+  QuarantineKeeper mQuarantineKeeper;
   std::unique_ptr<PeerExchange> mPeers;
   StoreView mStore;
   std::unique_ptr<StoreRelay> mRelay;
--- /dev/null
+++ b/src/cactusgw/gateway/quarantine_keeper.cpp
@@ -0,0 +1,67 @@
+#include "cactusgw/gateway/quarantine_keeper.hpp"
+
+#include "cactusgw/core/hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusgw {
+
+std::string
+QuarantineName(const PartSet& aParts)
+{
+  std::string joined;
+  for (const std::string& part : aParts) {
+    joined += part + ",";
+  }
+  return "q-" + std::to_string(StableHash(joined));
+}
+
+void
+QuarantineKeeper::OnChange(const std::string& aName,
+                           std::optional<StoredQuarantine> aStored)
+{
+  if (aStored) {
+    mStored[aName] = std::move(*aStored);
+  } else {
+    mStored.erase(aName);
+  }
+}
+
+std::vector<PartSet>
+QuarantineKeeper::Stored() const
+{
+  std::vector<PartSet> stored;
+  stored.reserve(mStored.size());
+  for (const auto& [name, quarantine] : mStored) {
+    stored.push_back(quarantine.mParts);
+  }
+  return stored;
+}
+
+std::optional<QuarantineEdit>
+QuarantineKeeper::NextEdit(const std::vector<Quarantine>& aQuarantines,
+                           std::int64_t aUnixMs) const
+{
+  for (const auto& [name, stored] : mStored) {
+    const bool isInForce =
+      std::any_of(aQuarantines.begin(),
+                  aQuarantines.end(),
+                  [&](const Quarantine& aQuarantine) {
+                    return aQuarantine.mParts == stored.mParts;
+                  });
+    if (!isInForce || aUnixMs - stored.mWrittenMs >= kMaxAge.count()) {
+      return QuarantineEdit{ std::nullopt, name };
+    }
+  }
+  for (const Quarantine& quarantine : aQuarantines) {
+    const bool isStored = mStored.count(QuarantineName(quarantine.mParts)) != 0;
+    if (!isStored && mStored.size() < kMaxStored) {
+      return QuarantineEdit{ StoredQuarantine{ quarantine.mParts, aUnixMs },
+                             {} };
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace cactusgw
--- a/src/cactusgw/gateway/store_view.hpp
+++ b/src/cactusgw/gateway/store_view.hpp
@@ -23,9 +23,11 @@
   Upstreams = 1,
   DrainedDataCentres = 2,
   Gateways = 3,
+  /// Quarantines of prompt parts.
+  Quarantines = 4,
 };
 
-inline constexpr std::size_t kStoreCollections = 4;
+inline constexpr std::size_t kStoreCollections = 5;
 
 /// A revision for each collection, indexed by StoreCollection.
 using StoreRevisions = std::array<std::uint64_t, kStoreCollections>;
@@ -58,6 +60,7 @@
 
 private:
   std::array<StoreMirror, kStoreCollections> mMirrors{ StoreMirror::Create(),
+                                                       StoreMirror::Create(),
                                                        StoreMirror::Create(),
                                                        StoreMirror::Create(),
                                                        StoreMirror::Create() };
--- a/tests/gateway/crash_quarantine_test.cpp
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -143,6 +143,23 @@
   });
 }
 
+// The evidence is lost when all gateways restart.
+TEST_F(CrashQuarantineTest, AQuarantineInTheStoreOutlastsTheEvidence)
+{
+  StartGateway();
+  mGateway->OnQuarantineChanges(
+    { { "q-1", StoredQuarantine{ { "dead" }, 1 } } });
+  Run([&]() -> Task<void> {
+    const ClientResponse refused =
+      co_await Call(PromptRequest("/stream/x", "base:7,dead:5,own:1"));
+    EXPECT_EQ(refused.mStatus, 503);
+    const ClientResponse sound =
+      co_await Call(PromptRequest("/stream/x", "base:7,own:2"));
+    EXPECT_EQ(sound.mStatus, 200);
+  });
+  EXPECT_EQ(DeadlyArrivals(), 0U);
+}
+
 /// Two gateways of one data centre.
 class SharedEvidenceTest : public GatewayTest
 {
@@ -211,6 +228,15 @@
   RunUntil([&] { return IsRefused(*mGateway) && IsRefused(*mOther); });
 }
 
+TEST_F(SharedEvidenceTest, AQuarantineIsWrittenIntoTheStore)
+{
+  for (const char* const upstream : { "u1", "u2", "u3" }) {
+    AddCrash(*mGateway, upstream);
+  }
+  RunUntil([&] { return !mStoredQuarantines.empty(); });
+  EXPECT_EQ(mStoredQuarantines[0], PartSet{ "dead" });
+}
+
 // A restarted gateway has no evidence of its own.
 TEST_F(SharedEvidenceTest, AGatewayThatStartsLaterLearnsOfQuarantines)
 {
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -107,8 +107,22 @@
   registration.mWithdraw = [](std::string) -> Task<Result<void>> {
     co_return boost::outcome_v2::success();
   };
-  Result<std::unique_ptr<Gateway>> gateway = Gateway::Start(
-    mContext, aSettings, TestNames(), mControl, std::move(registration));
+  QuarantineRecords quarantines;
+  quarantines.mAdd =
+    [this](StoredQuarantine aQuarantine) -> Task<Result<void>> {
+    mStoredQuarantines.push_back(aQuarantine.mParts);
+    co_return boost::outcome_v2::success();
+  };
+  quarantines.mRemove = [](std::string) -> Task<Result<void>> {
+    co_return boost::outcome_v2::success();
+  };
+  Result<std::unique_ptr<Gateway>> gateway =
+    Gateway::Start(mContext,
+                   aSettings,
+                   TestNames(),
+                   mControl,
+                   std::move(registration),
+                   std::move(quarantines));
   EXPECT_TRUE(gateway.has_value());
   return gateway ? std::move(gateway.value()) : nullptr;
 }
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -64,6 +64,7 @@
   std::vector<std::unique_ptr<ScriptedUpstream>> mUpstreams;
   std::vector<CopyOrder> mCopies;
   std::vector<std::string> mFreed;
+  std::vector<PartSet> mStoredQuarantines;
 
 private:
   std::vector<UpstreamRecord> mRecords;
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -302,6 +302,23 @@
   });
 }
 
+TEST(StoreDocumentsTest, AQuarantineIsDecodedAsItWasStored)
+{
+  const StoredQuarantine stored{ { "91bd", "5c1e" }, 1'700'000'000'000 };
+  const Result<StoredQuarantine> decoded =
+    DecodeQuarantine("q-1", EncodeQuarantine(stored));
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(decoded.value().mParts, (PartSet{ "5c1e", "91bd" }));
+  EXPECT_EQ(decoded.value().mWrittenMs, stored.mWrittenMs);
+}
+
+// A quarantine of no parts would apply to every request.
+TEST(StoreDocumentsTest, AQuarantineWithoutPartsIsRejected)
+{
+  EXPECT_FALSE(
+    DecodeQuarantine("q-1", EncodeQuarantine({ {}, 1 })).has_value());
+}
+
 TEST(StoreDocumentsTest, AGatewayIsDecodedAsItRegistered)
 {
   const GatewayPeer peer{ "vm-1", "10.0.0.1:7200", "dc", 0.25 };
