--- a/src/cactusgw/gateway/quarantine_keeper.cpp
+++ b/src/cactusgw/gateway/quarantine_keeper.cpp
@@ -55,7 +55,10 @@
     }
   }
   for (const Quarantine& quarantine : aQuarantines) {
-    const bool isStored = mStored.count(QuarantineName(quarantine.mParts)) != 0;
+    const bool isStored =
+      std::any_of(mStored.begin(), mStored.end(), [&](const auto& aEntry) {
+        return aEntry.second.mParts == quarantine.mParts;
+      });
     if (!isStored && mStored.size() < kMaxStored) {
       return QuarantineEdit{ StoredQuarantine{ quarantine.mParts, aUnixMs },
                              {} };
