Log lines name the limits that upstreams state

The lines could not tell whether a gateway knows an upstream's limit. StatedLimits keeps the newest statement of each upstream, and limit-stated names each change. Nothing is limited yet.

--- a/src/cactusgw/core/crash_evidence.hpp
+++ b/src/cactusgw/core/crash_evidence.hpp
@@ -7,9 +7,9 @@
 /// therefore blamed only after several crashes, and never while requests with
 /// it are served.
 
+#include "cactusgw/core/upstream_start.hpp"
 #include "cactusgw/core/verdict.hpp"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -22,20 +22,11 @@
 
 namespace cactusgw {
 
-/// One start of an upstream; it crashes at most once.
-struct UpstreamStart
-{
-  std::string mId;
-  /// Unix time of the start.
-  std::int64_t mStartedMs = 0;
-
-  auto operator<=>(const UpstreamStart&) const = default;
-};
-
 /// IDs of prompt parts, sorted and without duplicates.
 using PartSet = std::vector<std::string>;
 
-/// A crash as far as gateways have reported it.
+/// A crash as far as gateways have reported it. An upstream crashes at most
+/// once per start.
 struct CrashReport
 {
   UpstreamStart mUpstream;
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -198,6 +198,7 @@
   }
   mState.mPool.CloseExpired(now);
   UpdateQuarantines(now);
+  mState.ExpireStatedLimits(now);
   mRelay->Tick(now);
   mLoadExchange->Tick(mRelay->Parent(now), now);
   mState.mWaitQueue.WakeFirstWaiters();
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -229,6 +229,7 @@
   const Instant now = SteadyNow();
   const Instant until = AttemptDeadline(now);
   mState.OnSent(aUpstream, now);
+  mSentAt = now;
   ++mAttempts;
   mState.mLog.Write(
     "sent",
@@ -348,6 +349,7 @@
   for (int n = 0; header && n < kMaxMismatchedResponses; ++n) {
     const std::string_view id = mConnection->Header(mState.mNames.mRequestId);
     if (id.empty() || id == mRequestId) {
+      ReadStatedLimit();
       co_return CheckResponse(*mConnection, mState.mNames);
     }
     mState.mLog.Write("foreign-answer",
@@ -364,6 +366,27 @@
                        "the upstream answered other requests");
 }
 
+void
+GatewayCall::ReadStatedLimit()
+{
+  const KnownUpstream* const known = mState.mDirectory.Find(mUpstream);
+  const std::string_view text = mConnection->Header(mState.mNames.mRateLimit);
+  const std::optional<double> limit = ParseDecimal(text);
+  // A value that is not a number neither states nor withdraws a limit.
+  if (known == nullptr || (!text.empty() && !limit)) {
+    return;
+  }
+  const Instant now = SteadyNow();
+  const UpstreamStart upstream{ mUpstream, known->mRecord.mStartedMs };
+  if (mState.mStatedLimits.OnResponse(upstream, limit, mSentAt, now)) {
+    mState.mLog.Write("limit-stated",
+                      { { "request", mRequestId },
+                        { "upstream", mUpstream },
+                        { "perSecond", limit ? text : "none" } },
+                      now);
+  }
+}
+
 Result<void>
 GatewayCall::CheckQuarantine()
 {
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -45,6 +45,8 @@
   Task<Result<void>> Connect(const UpstreamRecord& aUpstream);
   HttpRequest MakeRequest(const UpstreamRecord& aUpstream) const;
   Task<Result<void>> ReadResponseHeader(HttpRequest aRequest, Instant aUntil);
+  /// Evaluates the limit that the upstream states in its response.
+  void ReadStatedLimit();
   void OnEventsRelayed();
   void OnCompleted();
 
@@ -88,6 +90,8 @@
   std::optional<Continuation> mContinuation;
   bool mHasClientDisconnected = false;
   StreamProgress mProgress;
+  /// When the current attempt was sent.
+  Instant mSentAt;
   /// When the current attempt relayed its first event.
   std::optional<Instant> mFirstEventAt;
   /// Whether the current attempt counts as served in the evidence of crashes.
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -46,6 +46,7 @@
   , mLoads(LoadTable::Create())
   , mHealth(UpstreamHealth::Create())
   , mCrashes(CrashEvidence::Create())
+  , mStatedLimits(StatedLimits::Create())
   , mColdStartLimiter(ColdStartLimiter::Create())
   , mPool(UpstreamConnectionPool::Create())
   , mWaitQueue(WaitQueue::Create())
@@ -151,6 +152,18 @@
   }
 }
 
+void
+GatewayState::ExpireStatedLimits(Instant aNow)
+{
+  mStatedLimits.Expire(
+    [&](const UpstreamStart& aUpstream) {
+      const KnownUpstream* const known = mDirectory.Find(aUpstream.mId);
+      return known != nullptr &&
+             known->mRecord.mStartedMs <= aUpstream.mStartedMs;
+    },
+    aNow);
+}
+
 void
 GatewayState::Forget(const std::string& aUpstream)
 {
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -5,6 +5,7 @@
 
 #include "cactusgw/config/process_settings.hpp"
 #include "cactusgw/core/crash_evidence.hpp"
+#include "cactusgw/core/stated_limits.hpp"
 #include "cactusgw/gateway/cold_start_limiter.hpp"
 #include "cactusgw/gateway/decision_log.hpp"
 #include "cactusgw/gateway/drain_notices.hpp"
@@ -66,6 +67,9 @@
   /// Counts an attempt, also towards the rate limit of a cold upstream.
   void OnSent(const KnownUpstream& aUpstream, Instant aNow);
 
+  /// Drops limits that are old or whose upstreams are gone.
+  void ExpireStatedLimits(Instant aNow);
+
   /// Discards health, rate limit and connections of an upstream that was
   /// registered anew.
   void Forget(const std::string& aUpstream);
@@ -87,6 +91,7 @@
   LoadTable mLoads;
   UpstreamHealth mHealth;
   CrashEvidence mCrashes;
+  StatedLimits mStatedLimits;
   ColdStartLimiter mColdStartLimiter;
   UpstreamConnectionPool mPool;
   WaitQueue mWaitQueue;
--- a/src/cactusgw/gateway/header_names.hpp
+++ b/src/cactusgw/gateway/header_names.hpp
@@ -20,6 +20,9 @@
   std::string mWorkspace;
   /// Set by an upstream that did not run the request.
   std::string mNotRun;
+  /// Requests per second, a decimal number, that the upstream takes from all
+  /// gateways together.
+  std::string mRateLimit;
   /// Set by the upstream; a successful response without it isn't accepted as
   /// the upstream's.
   std::string mSeal;
--- a/src/cactusgw/gateway/message_headers.cpp
+++ b/src/cactusgw/gateway/message_headers.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <string>
 #include <vector>
 
@@ -155,6 +156,20 @@
   return aParts.size() > kMaxListed ? text + ",..." : text;
 }
 
+std::optional<double>
+ParseDecimal(std::string_view aText)
+{
+  double number = 0;
+  const char* const end = aText.data() + aText.size();
+  const std::from_chars_result read =
+    std::from_chars(aText.data(), end, number, std::chars_format::fixed);
+  if (read.ec != std::errc{} || read.ptr != end || !std::isfinite(number) ||
+      number < 0) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 std::optional<TokenCounts>
 ParseTokenCounts(std::string_view aText)
 {
--- a/src/cactusgw/gateway/message_headers.hpp
+++ b/src/cactusgw/gateway/message_headers.hpp
@@ -51,6 +51,9 @@
 /// Lists the first parts of a prompt for a log line.
 std::string JoinParts(std::span<const std::string> aParts);
 
+/// Parses a non-negative decimal number; nullopt if malformed.
+std::optional<double> ParseDecimal(std::string_view aText);
+
 /// Parses an unsigned integer; nullopt if malformed.
 std::optional<std::uint64_t> ParseNumber(std::string_view aText);
 
--- a/tests/gateway/gateway_core_test.cpp
+++ b/tests/gateway/gateway_core_test.cpp
@@ -290,6 +290,16 @@
   EXPECT_THAT(ParseSharedParts(",:5, 7 ,x"), ElementsAre("7"));
 }
 
+TEST(MessageHeadersTest, DecimalsAreReadStrictly)
+{
+  EXPECT_EQ(ParseDecimal("5.4"), 5.4);
+  EXPECT_EQ(ParseDecimal("0"), 0);
+  for (const char* const text :
+       { "", "-1", "5,4", "1e3", "nan", "inf", "5 " }) {
+    EXPECT_EQ(ParseDecimal(text), std::nullopt) << text;
+  }
+}
+
 TEST(MessageHeadersTest, NumbersAreReadStrictly)
 {
   EXPECT_EQ(ParseNumber("12"), 12U);
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -22,6 +22,7 @@
   names.mExpectedUpstream = "Expected";
   names.mWorkspace = "Workspace";
   names.mNotRun = "Not-Run";
+  names.mRateLimit = "Rate-Limit";
   names.mSeal = "Seal";
   names.mTokenCounts = "Tokens";
   names.mPromptParts = "Prompt-Parts";
