Keep the limits that upstreams state, over all gateways together

What callers saw: nothing at first; an upstream in need got 101 requests within 4 s where the limit that it had stated allows 37, and would turn slower for everyone. Cause: the limit is in the headers of responses, which gateways forwarded without reading. The class of fault: what one gateway learns of an upstream has to bind all that send to it. Why this works: limits travel along the tree of gateways, the newest statement wins, and a response to an earlier request can't withdraw one. Each gateway has an equal share as a token bucket, which holds without any message; the count of what all gateways sent lately bounds bursts of full buckets; where gateways outnumber the requests that a limit allows, they take turns, as counts arrive late. The place is taken when the upstream is selected, for first attempts, retries and continued streams alike; without one a request waits or is refused as not run.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -198,7 +198,7 @@
   }
   mState.mPool.CloseExpired(now);
   UpdateQuarantines(now);
-  mState.ExpireStatedLimits(now);
+  mState.UpdateLimits(now);
   mRelay->Tick(now);
   mLoadExchange->Tick(mRelay->Parent(now), now);
   mState.mWaitQueue.WakeFirstWaiters();
@@ -477,6 +477,7 @@
   const std::uint32_t known =
     static_cast<std::uint32_t>(mPeers->PeerCount()) + 1;
   mState.mGatewayCount = std::max(GatewayState::kMinGateways, known);
+  mState.mGatewayRank = mPeers->CountBefore(mState.mSettings.mPlace.mVm);
 }
 
 void
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -191,6 +191,7 @@
   const KnownUpstream upstream = *known;
   mUpstream = aUpstream;
   mTriedUpstreams.push_back(aUpstream);
+  mState.OnSelected(aUpstream, SteadyNow());
   mFirstEventAt.reset();
   mIsServed = false;
   mPendingPromptTokens = mContinuation ? 0 : mAdmitted.mTokenNeed.mPrompt;
--- a/src/cactusgw/gateway/gateway_metrics.cpp
+++ b/src/cactusgw/gateway/gateway_metrics.cpp
@@ -58,6 +58,10 @@
                              "" }))
   , mQuarantines(mRegistry.AddGauge(
       { "cactusgw_quarantines", "Quarantines of prompt parts in force.", "" }))
+  , mLimitedUpstreams(
+      mRegistry.AddGauge({ "cactusgw_limited_upstreams",
+                           "Upstreams that state a limit of their requests.",
+                           "" }))
   , mConfigVersion(mRegistry.AddGauge(
       { "cactusgw_config_version", "Configuration in force.", "" }))
   , mConfigAge(mRegistry.AddGauge({ "cactusgw_config_age_seconds",
--- a/src/cactusgw/gateway/gateway_metrics.hpp
+++ b/src/cactusgw/gateway/gateway_metrics.hpp
@@ -37,6 +37,7 @@
   Counter& mCrashSuspects;
   Counter& mQuarantinedRequests;
   Gauge& mQuarantines;
+  Gauge& mLimitedUpstreams;
   Gauge& mConfigVersion;
   Gauge& mConfigAge;
   LatencyHistogram& mFirstByte;
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -47,6 +47,7 @@
   , mHealth(UpstreamHealth::Create())
   , mCrashes(CrashEvidence::Create())
   , mStatedLimits(StatedLimits::Create())
+  , mLimitPacer(LimitPacer::Create())
   , mColdStartLimiter(ColdStartLimiter::Create())
   , mPool(UpstreamConnectionPool::Create())
   , mWaitQueue(WaitQueue::Create())
@@ -116,10 +117,13 @@
     const bool isLimited =
       aService.mColdPerSecond > 0 && IsCold(*known, aNow) &&
       !mColdStartLimiter.Allows(record.mId, ColdStartShare(aService), aNow);
-    if (isAllowed && !isLimited && !Contains(aFilter.mExcluded, record.mId)) {
+    const UpstreamLoad load = mLoads.Total(record.mId, aNow);
+    const bool hasRate = mLimitPacer.Allows(record.mId, load.mRecent, aNow);
+    if (isAllowed && !isLimited && hasRate &&
+        !Contains(aFilter.mExcluded, record.mId)) {
       candidates.push_back(
         { known,
-          mLoads.Total(record.mId, aNow),
+          load,
           DistanceBetween(aFilter.mFromDataCentre, record.mDataCentre),
           mHealth.FailurePenalty(record.mId, aNow),
           TieBreakRank(mSettings.mPlace.mVm, record.mId) });
@@ -153,7 +157,16 @@
 }
 
 void
-GatewayState::ExpireStatedLimits(Instant aNow)
+GatewayState::OnSelected(const std::string& aUpstream, Instant aNow)
+{
+  if (mLimitPacer.IsLimited(aUpstream)) {
+    mLimitPacer.OnSent(aUpstream, aNow);
+    mLoads.Add(aUpstream, { 0, 0, 0, 0, 1 });
+  }
+}
+
+void
+GatewayState::UpdateLimits(Instant aNow)
 {
   mStatedLimits.Expire(
     [&](const UpstreamStart& aUpstream) {
@@ -162,6 +175,28 @@
              known->mRecord.mStartedMs <= aUpstream.mStartedMs;
     },
     aNow);
+  for (const auto& [upstream, limit] : mStatedLimits.All()) {
+    if (limit.mPerSecond) {
+      const std::uint32_t recent = mLoads.Total(upstream, aNow).mRecent;
+      mLimitPacer.Refill(
+        upstream,
+        { *limit.mPerSecond, mGatewayCount, mGatewayRank, recent },
+        aNow);
+    }
+  }
+  for (const std::string& upstream : mLimitPacer.Limited()) {
+    const std::uint32_t expired = mLimitPacer.TakeExpired(upstream, aNow);
+    if (expired > 0) {
+      mLoads.Subtract(upstream, { 0, 0, 0, 0, expired });
+    }
+    if (!mStatedLimits.PerSecond(upstream)) {
+      mLoads.Subtract(upstream,
+                      { 0, 0, 0, 0, mLimitPacer.RecentlySent(upstream) });
+      mLimitPacer.Forget(upstream);
+    }
+  }
+  mMetrics.mLimitedUpstreams.Set(
+    static_cast<double>(mLimitPacer.Limited().size()));
 }
 
 void
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -5,6 +5,7 @@
 
 #include "cactusgw/config/process_settings.hpp"
 #include "cactusgw/core/crash_evidence.hpp"
+#include "cactusgw/core/limit_pacer.hpp"
 #include "cactusgw/core/stated_limits.hpp"
 #include "cactusgw/gateway/cold_start_limiter.hpp"
 #include "cactusgw/gateway/decision_log.hpp"
@@ -67,8 +68,14 @@
   /// Counts an attempt, also towards the rate limit of a cold upstream.
   void OnSent(const KnownUpstream& aUpstream, Instant aNow);
 
-  /// Drops limits that are old or whose upstreams are gone.
-  void ExpireStatedLimits(Instant aNow);
+  /// Counts a request towards the limit that its upstream states. Called as
+  /// soon as the upstream is selected, so that no other request takes the same
+  /// place.
+  void OnSelected(const std::string& aUpstream, Instant aNow);
+
+  /// Applies the limits that upstreams state, and drops those that are old or
+  /// whose upstreams are gone.
+  void UpdateLimits(Instant aNow);
 
   /// Discards health, rate limit and connections of an upstream that was
   /// registered anew.
@@ -92,6 +99,7 @@
   UpstreamHealth mHealth;
   CrashEvidence mCrashes;
   StatedLimits mStatedLimits;
+  LimitPacer mLimitPacer;
   ColdStartLimiter mColdStartLimiter;
   UpstreamConnectionPool mPool;
   WaitQueue mWaitQueue;
@@ -99,6 +107,8 @@
   GenerationMigrator* mMigrator = nullptr;
   StoreFreshness mFreshness;
   std::uint32_t mGatewayCount = kMinGateways;
+  /// Position of this gateway among all, ordered by name.
+  std::uint32_t mGatewayRank = 0;
   GatewayMetrics mMetrics;
   EventRecorder mRecorder;
   DecisionLog mLog;
--- a/src/cactusgw/gateway/load_exchange.cpp
+++ b/src/cactusgw/gateway/load_exchange.cpp
@@ -19,7 +19,8 @@
       AggregatedLoad{ { entry.requests(),
                         entry.tokens(),
                         entry.prompt_tokens(),
-                        entry.movable() },
+                        entry.movable(),
+                        entry.recent_requests() },
                       { entry.turn_tokens(), entry.turn_movable() } };
   }
   return sums;
@@ -38,6 +39,7 @@
     entry->set_tokens(sum.mLoad.mTokens);
     entry->set_prompt_tokens(sum.mLoad.mPromptTokens);
     entry->set_movable(sum.mLoad.mMigratable);
+    entry->set_recent_requests(sum.mLoad.mRecent);
     entry->set_turn_tokens(sum.mMigrations.mTokens);
     entry->set_turn_movable(sum.mMigrations.mMigratable);
   }
@@ -99,7 +101,8 @@
 LoadExchange::Version() const
 {
   return mState.mLoads.OwnVersion() + mState.mDrainNotices.Version() +
-         mState.mCrashes.Version() + mReceivedVersion;
+         mState.mCrashes.Version() + mState.mStatedLimits.Version() +
+         mReceivedVersion;
 }
 
 void
@@ -205,6 +208,7 @@
     entry->set_started_ms(upstream.mStartedMs);
   }
   AddEvidence(aPeer, *message, SteadyNow());
+  AddLimits(aPeer, *message, SteadyNow());
   mPeers.SendTo(aPeer, envelope);
   return envelope.ByteSizeLong();
 }
@@ -231,6 +235,51 @@
   }
 }
 
+void
+LoadExchange::AddLimits(const std::string& aPeer,
+                        wire::GatewayUse& aMessage,
+                        Instant aNow)
+{
+  Sent& sent = mSent[aPeer];
+  const StatedLimits& limits = mState.mStatedLimits;
+  const bool isDue = sent.mLimitsVersion != limits.Version() ||
+                     aNow - sent.mLimitsAt >= kEvidenceRepeatInterval;
+  if (!isDue) {
+    return;
+  }
+  sent.mLimitsVersion = limits.Version();
+  sent.mLimitsAt = aNow;
+  for (const auto& [upstream, limit] : limits.All()) {
+    wire::UpstreamLimit* const entry = aMessage.add_limits();
+    entry->set_upstream(upstream);
+    entry->set_started_ms(limit.mUpstream.mStartedMs);
+    entry->set_per_second(limit.mPerSecond.value_or(0));
+    entry->set_withdrawn(!limit.mPerSecond);
+    entry->set_age_ms(AgeMs(limit.mStatedAt, aNow));
+  }
+}
+
+void
+LoadExchange::OnLimits(const wire::GatewayUse& aMessage, Instant aNow)
+{
+  for (const wire::UpstreamLimit& entry : aMessage.limits()) {
+    StatedLimit limit{ { entry.upstream(), entry.started_ms() },
+                       std::nullopt,
+                       aNow - Age(entry.age_ms()) };
+    if (!entry.withdrawn()) {
+      limit.mPerSecond = entry.per_second();
+    }
+    if (mState.mStatedLimits.Merge(limit)) {
+      mState.mLog.Write(
+        "limit-heard",
+        { { "upstream", entry.upstream() },
+          { "perSecond",
+            limit.mPerSecond ? std::to_string(*limit.mPerSecond) : "none" } },
+        aNow);
+    }
+  }
+}
+
 void
 LoadExchange::OnEvidence(const wire::GatewayUse& aMessage, Instant aNow)
 {
@@ -262,6 +311,7 @@
   mSent[aEnvelope.sender_vm()].mReportedDigest =
     aEnvelope.gateway_use().crash_digest();
   OnEvidence(aEnvelope.gateway_use(), SteadyNow());
+  OnLimits(aEnvelope.gateway_use(), SteadyNow());
   mState.mWaitQueue.WakeFirstWaiters();
 }
 
--- a/src/cactusgw/gateway/load_exchange.hpp
+++ b/src/cactusgw/gateway/load_exchange.hpp
@@ -1,11 +1,12 @@
 #ifndef CACTUSGW_GATEWAY_LOAD_EXCHANGE_HPP
 #define CACTUSGW_GATEWAY_LOAD_EXCHANGE_HPP
 
-/// Exchanges the load of each upstream, notices of draining upstreams and
-/// evidence of crashes with other gateways along the relay tree (see
-/// LoadAggregator). Each message holds all figures, so a lost one is made up
-/// for by the next. Evidence is sent when it has changed, and again while the
-/// digest in a gateway's messages shows that it lacks some.
+/// Exchanges the load of each upstream, the limits that upstreams state,
+/// notices of draining upstreams and evidence of crashes with other gateways
+/// along the relay tree (see LoadAggregator). Each message holds all figures,
+/// so a lost one is made up for by the next. Evidence is sent when it has
+/// changed, and again while the digest in a gateway's messages shows that it
+/// lacks some.
 
 #include "cactusgw/gateway/drain_notices.hpp"
 #include "cactusgw/gateway/load_aggregator.hpp"
@@ -37,7 +38,8 @@
   /// Maximum share of this VM's link for messages to children. With many
   /// children and upstreams, the interval between messages grows accordingly.
   static constexpr double kMaxLinkShare = 0.1;
-  /// Minimum time between two messages with the same evidence to one gateway.
+  /// Minimum time between two messages with the same evidence, or the same
+  /// limits, to one gateway.
   static constexpr Milliseconds kEvidenceRepeatInterval{ 1000 };
   /// Interval at which unchanged figures are repeated.
   static constexpr Milliseconds kRepeatInterval{ 1000 };
@@ -65,6 +67,8 @@
     std::uint64_t mVersion = 0;
     Instant mEvidenceAt;
     std::uint64_t mEvidenceVersion = 0;
+    Instant mLimitsAt;
+    std::uint64_t mLimitsVersion = 0;
     /// Digest of the evidence that the gateway has last reported.
     std::uint64_t mReportedDigest = 0;
   };
@@ -89,6 +93,10 @@
                    wire::GatewayUse& aMessage,
                    Instant aNow);
   void OnEvidence(const wire::GatewayUse& aMessage, Instant aNow);
+  void AddLimits(const std::string& aPeer,
+                 wire::GatewayUse& aMessage,
+                 Instant aNow);
+  void OnLimits(const wire::GatewayUse& aMessage, Instant aNow);
 
   GatewayState& mState;
   PeerExchange& mPeers;
--- a/src/cactusgw/gateway/peer_exchange.cpp
+++ b/src/cactusgw/gateway/peer_exchange.cpp
@@ -3,6 +3,8 @@
 #include "cactusgw/gateway/gateway_state.hpp"
 #include "cactusgw/net/steady_now.hpp"
 
+#include <iterator>
+
 namespace cactusgw {
 
 PeerExchange::PeerExchange(boost::asio::io_context& aContext,
@@ -63,6 +65,13 @@
   }
 }
 
+std::uint32_t
+PeerExchange::CountBefore(std::string_view aName) const
+{
+  return static_cast<std::uint32_t>(
+    std::distance(mPeers.begin(), mPeers.lower_bound(aName)));
+}
+
 bool
 PeerExchange::Connect(Link& aLink)
 {
--- a/src/cactusgw/gateway/peer_exchange.hpp
+++ b/src/cactusgw/gateway/peer_exchange.hpp
@@ -12,6 +12,7 @@
 #include <zmq.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -44,6 +45,8 @@
   void SetPeer(const GatewayPeer& aPeer);
   void RemovePeer(std::string_view aName);
   std::size_t PeerCount() const { return mPeers.size(); }
+  /// Number of peers whose names come before the given one.
+  std::uint32_t CountBefore(std::string_view aName) const;
 
   void SendTo(std::string_view aPeer, wire::Envelope& aEnvelope);
   void Reply(std::string_view aIdentity, wire::Envelope& aEnvelope);
--- a/src/cactusgw/gateway/upstream_load.cpp
+++ b/src/cactusgw/gateway/upstream_load.cpp
@@ -22,6 +22,7 @@
   mTokens += aOther.mTokens;
   mPromptTokens += aOther.mPromptTokens;
   mMigratable += aOther.mMigratable;
+  mRecent += aOther.mRecent;
   return *this;
 }
 
@@ -32,6 +33,7 @@
   SubtractDownToZero(mTokens, aOther.mTokens);
   SubtractDownToZero(mPromptTokens, aOther.mPromptTokens);
   SubtractDownToZero(mMigratable, aOther.mMigratable);
+  SubtractDownToZero(mRecent, aOther.mRecent);
   return *this;
 }
 
--- a/src/cactusgw/gateway/upstream_load.hpp
+++ b/src/cactusgw/gateway/upstream_load.hpp
@@ -20,6 +20,9 @@
   std::uint64_t mPromptTokens = 0;
   /// Generations that could be migrated to another upstream.
   std::uint32_t mMigratable = 0;
+  /// Requests sent within LimitPacer::kWindow; only counted for upstreams that
+  /// state a limit.
+  std::uint32_t mRecent = 0;
 
   UpstreamLoad& operator+=(const UpstreamLoad& aOther);
   /// Subtracts each figure, saturating at zero.
--- a/tests/gateway/crash_quarantine_test.cpp
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -228,6 +228,28 @@
   RunUntil([&] { return IsRefused(*mGateway) && IsRefused(*mOther); });
 }
 
+// The limit of an upstream is for all gateways together, whichever hears it.
+TEST_F(SharedEvidenceTest, LimitsAndRecentRequestsAreSharedToo)
+{
+  UpstreamRecord record;
+  record.mId = "u1";
+  record.mService = "app";
+  record.mAddress = "127.0.0.1:1";
+  record.mDataCentre = "dc-a";
+  record.mStartedMs = 1;
+  mGateway->OnUpstreamChanges({ { "u1", record } });
+  mOther->OnUpstreamChanges({ { "u1", record } });
+  const Instant now = SteadyNow();
+  mOther->State().mStatedLimits.OnResponse({ "u1", 1 }, 2.5, now, now);
+  RunUntil(
+    [&] { return mGateway->State().mStatedLimits.PerSecond("u1") == 2.5; });
+  RunUntil([&] { return mOther->State().mLimitPacer.IsLimited("u1"); });
+  mOther->State().OnSelected("u1", SteadyNow());
+  RunUntil([&] {
+    return mGateway->State().mLoads.Total("u1", SteadyNow()).mRecent == 1;
+  });
+}
+
 TEST_F(SharedEvidenceTest, AQuarantineIsWrittenIntoTheStore)
 {
   for (const char* const upstream : { "u1", "u2", "u3" }) {
