--- a/benchmarks/core_bench.cpp
+++ b/benchmarks/core_bench.cpp
@@ -2,7 +2,9 @@
 #include "cactusgw/config/deployment.hpp"
 #include "cactusgw/config/layering.hpp"
 #include "cactusgw/core/admission_control.hpp"
+#include "cactusgw/core/crash_evidence.hpp"
 #include "cactusgw/core/credit_ledger.hpp"
+#include "cactusgw/core/limit_pacer.hpp"
 #include "cactusgw/core/ownership.hpp"
 #include "cactusgw/core/stream_assembler.hpp"
 
@@ -12,6 +14,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <string>
+#include <vector>
 
 // Cost of the core's decisions against the size of what they look at.
 
@@ -190,6 +193,73 @@
 }
 BENCHMARK(AssembleToken);
 
+/// Crashes with two suspects each, of which one always has the same part.
+CrashEvidence
+MakeEvidence(std::int64_t aCrashes, Instant aNow)
+{
+  CrashEvidence evidence = CrashEvidence::Create();
+  for (std::int64_t i = 0; i < aCrashes; ++i) {
+    const std::string id = std::to_string(i);
+    const Instant at = aNow - std::chrono::seconds{ aCrashes - i };
+    evidence.OnCrash({ "u" + id, 1 }, PartSet{ "deadly", "a" + id }, at);
+    evidence.OnCrash({ "u" + id, 1 }, PartSet{ "b" + id, "c" + id }, at);
+  }
+  return evidence;
+}
+
+void
+UpdateEvidence(benchmark::State& aState)
+{
+  const Instant now = Instant{} + std::chrono::hours{ 1 };
+  CrashEvidence evidence = MakeEvidence(aState.range(0), now);
+  for (auto _ : aState) {
+    evidence.SetStored({}); // Makes the next update evaluate all evidence.
+    benchmark::DoNotOptimize(evidence.Update(now));
+  }
+}
+BENCHMARK(UpdateEvidence)
+  ->ArgName("crashes")
+  ->Arg(4)
+  ->Arg(16)
+  ->Arg(CrashEvidence::kMaxCrashes)
+  ->Unit(benchmark::kMicrosecond);
+
+void
+FindQuarantine(benchmark::State& aState)
+{
+  const Instant now = Instant{} + std::chrono::hours{ 1 };
+  CrashEvidence evidence = MakeEvidence(4, now);
+  evidence.Update(now);
+  const PartSet parts{ "first", "second" };
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(evidence.Find(parts));
+  }
+}
+BENCHMARK(FindQuarantine);
+
+void
+PaceLimits(benchmark::State& aState)
+{
+  LimitPacer pacer = LimitPacer::Create();
+  Instant now = Instant{} + std::chrono::hours{ 1 };
+  std::vector<std::string> upstreams;
+  for (std::int64_t i = 0; i < aState.range(0); ++i) {
+    upstreams.push_back("upstream-" + std::to_string(i));
+  }
+  for (auto _ : aState) {
+    now += Milliseconds{ 25 };
+    for (const std::string& upstream : upstreams) {
+      pacer.Refill(upstream, { 2.5, 390, 7, 3 }, now);
+    }
+  }
+}
+BENCHMARK(PaceLimits)
+  ->ArgName("upstreams")
+  ->Arg(12)
+  ->Arg(57)
+  ->Arg(700)
+  ->Unit(benchmark::kMicrosecond);
+
 } // namespace
 
 BENCHMARK_MAIN();
