Entries and agents share evidence of crashes as gateways do

Cause: the same as for gateways: nothing kept what the requests of crashed engines have in common. Evidence: APromptPartThatCrashesEnginesIsRefusedOnEveryVm on real processes. Why this works: the messages of a chat but the last are its shared parts. Entries keep the evidence and refuse by it; it travels with the messages that entries, agents and lease holder send anyway, and its encoding is now one for both modes. Entries don't know when an engine started, so crashes are told apart by their time. A prompt without messages has no shared parts, and a limit as on the platform is not part of the engines' contract here.

--- a/src/cactusgw/agent/agent_state.hpp
+++ b/src/cactusgw/agent/agent_state.hpp
@@ -6,6 +6,7 @@
 #include "cactusgw/config/config_store.hpp"
 #include "cactusgw/config/process_settings.hpp"
 #include "cactusgw/core/admission_control.hpp"
+#include "cactusgw/core/crash_evidence.hpp"
 #include "cactusgw/core/drain_table.hpp"
 #include "cactusgw/core/lease_keeper.hpp"
 #include "cactusgw/core/member_table.hpp"
@@ -89,6 +90,9 @@
   LeaseKeeper mLease;
   MemberTable mMembers;
   AdmissionControl mAdmission;
+  /// What entries have reported of crashes, passed on between agents and to the
+  /// own entry, which decides by it.
+  CrashEvidence mCrashes = CrashEvidence::Create();
   std::string mLeaseHolder;
   std::uint64_t mLeaseFence = 0;
   bool mPlatformReachable = false;
--- a/src/cactusgw/agent/entry_port.cpp
+++ b/src/cactusgw/agent/entry_port.cpp
@@ -1,6 +1,7 @@
 #include "cactusgw/agent/entry_port.hpp"
 
 #include "cactusgw/config/layering.hpp"
+#include "cactusgw/messaging/crash_messages.hpp"
 #include "cactusgw/net/steady_now.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -169,8 +170,13 @@
   mEntryIncarnation = hello.entry_incarnation();
   mState.mAdmission.Reconcile(live, isNew, aNow);
 
+  // The agent only passes evidence on; the update drops what is old.
+  MergeCrashReports(hello.crash_reports(), aNow, mState.mCrashes);
+  mState.mCrashes.Update(aNow);
+
   wire::Envelope envelope;
   wire::AgentState& state = *envelope.mutable_agent_state();
+  EncodeCrashReports(mState.mCrashes, aNow, *state.mutable_crash_reports());
   state.set_config_version(mState.mConfig.Revision());
   state.set_data_centre_drained(mState.mDrains.IsDrained(mState.DataCentre()));
   if (hello.config_version() != mState.mConfig.Revision()) {
--- a/src/cactusgw/agent/peer_port.cpp
+++ b/src/cactusgw/agent/peer_port.cpp
@@ -3,6 +3,7 @@
 #include "cactusgw/agent/wire_conversion.hpp"
 #include "cactusgw/config/ownership_document.hpp"
 #include "cactusgw/core/hash.hpp"
+#include "cactusgw/messaging/crash_messages.hpp"
 #include "cactusgw/net/steady_now.hpp"
 
 #include <algorithm>
@@ -71,12 +72,23 @@
   FillDrains(mState.mDrains, aHeartbeat);
 }
 
+template<typename Message>
+void
+PeerPort::FillCrashReports(Instant aNow, Message& aMessage) const
+{
+  if (!mState.mCrashes.Crashes().empty()) {
+    EncodeCrashReports(
+      mState.mCrashes, aNow, *aMessage.mutable_crash_reports());
+  }
+}
+
 void
 PeerPort::SendHeartbeatTo(std::string_view aVm, Instant aNow, bool aStopping)
 {
   wire::Envelope envelope;
   wire::Heartbeat& heartbeat = *envelope.mutable_heartbeat();
   FillVersions(heartbeat);
+  FillCrashReports(aNow, heartbeat);
   heartbeat.set_sequence(++mSequence);
   heartbeat.set_stopping(aStopping);
   if (aVm == mState.mLeaseHolder) {
@@ -252,6 +264,7 @@
   const VmIncarnation sender{ aEnvelope.sender_vm(),
                               aEnvelope.sender_incarnation() };
   OnDrains(heartbeat.drains());
+  MergeCrashReports(heartbeat.crash_reports(), aNow, mState.mCrashes);
   const bool isLocal = heartbeat.data_centre() == mState.DataCentre();
   wire::Envelope envelope;
   wire::HeartbeatReply& reply = *envelope.mutable_heartbeat_reply();
@@ -275,6 +288,7 @@
   reply.set_lease_holder(mState.mLeaseHolder);
   reply.set_lease_fence(mState.mLeaseFence);
   FillDrains(mState.mDrains, reply);
+  FillCrashReports(aNow, reply);
   SendToAddress(heartbeat.peer_address(), envelope);
   PushIfBehind(heartbeat);
   AskIfBehind(heartbeat.peer_address(), heartbeat.config_version());
@@ -285,6 +299,7 @@
 {
   const wire::HeartbeatReply& reply = aEnvelope.heartbeat_reply();
   OnDrains(reply.drains());
+  MergeCrashReports(reply.crash_reports(), aNow, mState.mCrashes);
   const std::string address = mState.PeerAddress(aEnvelope.sender_vm());
   AskIfBehind(address, reply.config_version());
   if (reply.data_centre() != mState.DataCentre()) {
--- a/src/cactusgw/agent/peer_port.hpp
+++ b/src/cactusgw/agent/peer_port.hpp
@@ -97,6 +97,8 @@
   void OnDrains(
     const google::protobuf::RepeatedPtrField<wire::DrainOrder>& aDrains);
   void FillVersions(wire::Heartbeat& aHeartbeat) const;
+  template<typename Message>
+  void FillCrashReports(Instant aNow, Message& aMessage) const;
   void SendHeartbeatTo(std::string_view aVm, Instant aNow, bool aStopping);
   void PushIfBehind(const wire::Heartbeat& aHeartbeat);
   void PushOwnership(std::string_view aAddress, std::string_view aDataCentre);
--- a/src/cactusgw/entry/agent_link.cpp
+++ b/src/cactusgw/entry/agent_link.cpp
@@ -1,5 +1,6 @@
 #include "cactusgw/entry/agent_link.hpp"
 
+#include "cactusgw/messaging/crash_messages.hpp"
 #include "cactusgw/net/steady_now.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -42,6 +43,7 @@
   , mIncarnation(static_cast<std::uint64_t>(WallClockMs()))
   , mCodec(aSettings.mPlace.mVm, mIncarnation, aRecorder)
   , mLog("agent-link")
+  , mCrashes(CrashEvidence::Create())
   , mNextCall(mIncarnation << kCallBits)
 {
 }
@@ -156,6 +158,7 @@
     live->set_permit(id);
     live->set_upstream(permit.mUpstream);
   }
+  EncodeCrashReports(mCrashes, SteadyNow(), *hello.mutable_crash_reports());
   Send(envelope);
 }
 
@@ -194,6 +197,7 @@
 AgentLink::OnState(const wire::AgentState& aState)
 {
   mDrained = aState.data_centre_drained();
+  MergeCrashReports(aState.crash_reports(), SteadyNow(), mCrashes);
   if (aState.deployment().empty() ||
       aState.config_version() <= mConfigRevision) {
     return;
--- a/src/cactusgw/entry/agent_link.hpp
+++ b/src/cactusgw/entry/agent_link.hpp
@@ -5,6 +5,7 @@
 
 #include "cactusgw/config/deployment.hpp"
 #include "cactusgw/config/process_settings.hpp"
+#include "cactusgw/core/crash_evidence.hpp"
 #include "cactusgw/messaging/envelope.hpp"
 #include "cactusgw/messaging/message_socket.hpp"
 #include "cactusgw/net/http_types.hpp"
@@ -82,6 +83,8 @@
   std::uint64_t ConfigRevision() const { return mConfigRevision; }
   bool IsDrained() const { return mDrained; }
   bool IsConnected() const;
+  /// What this entry and, through the agents, the others know of crashes.
+  CrashEvidence& Crashes() { return mCrashes; }
   std::size_t PermitsInUse() const { return mPermits.size(); }
 
 private:
@@ -119,6 +122,7 @@
   std::shared_ptr<const Deployment> mDeployment;
   std::uint64_t mConfigRevision = 0;
   bool mDrained = false;
+  CrashEvidence mCrashes;
   Instant mHeardAt;
   std::uint64_t mNextCall;
   std::map<std::uint64_t, std::shared_ptr<Pending>> mPending;
--- a/src/cactusgw/entry/entry.cpp
+++ b/src/cactusgw/entry/entry.cpp
@@ -321,6 +321,8 @@
   pages.mReady = IsReady();
   pages.mMetrics = [this] {
     mMetrics.SetOpenRequests(mServer->OpenExchanges());
+    mLink->Crashes().Update(SteadyNow());
+    mMetrics.SetQuarantines(mLink->Crashes().Quarantines().size());
     return mMetrics.Write();
   };
   pages.mEvents = [this] { return mRecorder.WriteJsonLines(); };
--- a/src/cactusgw/entry/entry_metrics.cpp
+++ b/src/cactusgw/entry/entry_metrics.cpp
@@ -33,6 +33,8 @@
                                           "reason=\"foreign\"" }))
   , mOpen(mRegistry.AddGauge(
       { "cactusgw_requests_open", "Requests in progress.", "" }))
+  , mQuarantines(mRegistry.AddGauge(
+      { "cactusgw_quarantines", "Quarantines of prompt parts in force.", "" }))
   , mFirstToken(mRegistry.AddLatency(
       { "cactusgw_first_token_seconds", "Time to the first token.", "" }))
   , mTokenGap(mRegistry.AddLatency(
@@ -82,4 +84,10 @@
   mOpen.Set(static_cast<double>(aCount));
 }
 
+void
+EntryMetrics::SetQuarantines(std::size_t aCount)
+{
+  mQuarantines.Set(static_cast<double>(aCount));
+}
+
 } // namespace cactusgw
--- a/src/cactusgw/entry/entry_metrics.hpp
+++ b/src/cactusgw/entry/entry_metrics.hpp
@@ -26,6 +26,7 @@
   void RecordFirstToken(std::chrono::nanoseconds aTime);
   void RecordGap(std::chrono::nanoseconds aTime);
   void SetOpenRequests(std::size_t aCount);
+  void SetQuarantines(std::size_t aCount);
 
   std::string Write() const { return mRegistry.Write(); }
 
@@ -43,6 +44,7 @@
   Counter& mGapFrames;
   Counter& mForeignFrames;
   Gauge& mOpen;
+  Gauge& mQuarantines;
   LatencyHistogram& mFirstToken;
   LatencyHistogram& mTokenGap;
 };
--- a/src/cactusgw/entry/generation_call.hpp
+++ b/src/cactusgw/entry/generation_call.hpp
@@ -62,6 +62,10 @@
   Task<Result<void>> Deliver(TokenSink& aSink, const GenerationFrame& aFrame);
   Task<Result<void>> ResumeStream();
   void NoteToken(Instant aNow);
+  /// Errors: NotRun with Quarantined.
+  Result<void> CheckQuarantine();
+  /// Records whether the upstream served the request or may have crashed on it.
+  void RecordEvidence(const Result<GenerationResult>& aResult);
   void EndPermit(const Result<GenerationResult>& aResult);
   Task<void> CancelAndRelease(AdmissionPermit aPermit,
                               wire::ReleasePermit aRelease);
--- a/src/cactusgw/entry/internal/generation_call_impl.hpp
+++ b/src/cactusgw/entry/internal/generation_call_impl.hpp
@@ -24,6 +24,9 @@
 /// A request whose end on the upstream could not be confirmed keeps its
 /// credit this long; the upstream drops unread generations sooner.
 inline constexpr Milliseconds kUnconfirmedHold{ 6000 };
+/// Retry-After of a request with a quarantined prompt part. Quarantines last
+/// for minutes.
+inline constexpr Milliseconds kQuarantineRetryAfter{ 60'000 };
 
 } // namespace internal
 
@@ -96,6 +99,10 @@
 GenerationCall<Client>::RunOnce(TokenSink& aSink, bool aIsRetry)
 {
   mPermit = {};
+  const Result<void> allowed = CheckQuarantine();
+  if (!allowed) {
+    co_return allowed.error();
+  }
   const AdmissionTarget target{ mScope.mRequestId,
                                 mService->mName,
                                 mRequest.mModel,
@@ -118,11 +125,13 @@
   Result<std::unique_ptr<Stream>> started = co_await Start(mPermit);
   if (!started) {
     Result<GenerationResult> failed = started.error();
+    RecordEvidence(failed);
     EndPermit(failed);
     co_return failed;
   }
   mStream = std::move(started.value());
   Result<GenerationResult> result = co_await Forward(aSink);
+  RecordEvidence(result);
   EndPermit(result);
   co_return result;
 }
@@ -241,6 +250,46 @@
   mLastTokenAt = aNow;
 }
 
+template<EngineClient Client>
+Result<void>
+GenerationCall<Client>::CheckQuarantine()
+{
+  CrashEvidence& crashes = mContext.mLink.Crashes();
+  crashes.Update(SteadyNow());
+  const Quarantine* const quarantine = crashes.Find(mRequest.mSharedParts);
+  if (quarantine == nullptr) {
+    return boost::outcome_v2::success();
+  }
+  mContext.mLog.Warn("Request " + mScope.mRequestId +
+                     " is refused: upstreams crash on its prompt.");
+  return NotRun(FailureCode::Quarantined,
+                "upstreams crash on " +
+                  std::to_string(quarantine->mParts.size()) +
+                  " messages of the prompt",
+                internal::kQuarantineRetryAfter);
+}
+
+template<EngineClient Client>
+void
+GenerationCall<Client>::RecordEvidence(const Result<GenerationResult>& aResult)
+{
+  CrashEvidence& crashes = mContext.mLink.Crashes();
+  const Instant now = SteadyNow();
+  if (aResult) {
+    crashes.OnServed(mRequest.mSharedParts, now);
+    return;
+  }
+  const Failure& failure = aResult.error();
+  const bool isClosed = failure.mCode == FailureCode::UpstreamClosed &&
+                        failure.mVerdict != Verdict::NotRun;
+  if (isClosed && mAssembler.NextOffset() == 0 && !mCallerLeft) {
+    // Entries don't know when an upstream started; crashes of one upstream are
+    // told apart by their time.
+    crashes.OnCrash(
+      { mPermit.mUpstream, WallClockMs() }, mRequest.mSharedParts, now);
+  }
+}
+
 template<EngineClient Client>
 void
 GenerationCall<Client>::EndPermit(const Result<GenerationResult>& aResult)
--- a/src/cactusgw/entry/model_request.cpp
+++ b/src/cactusgw/entry/model_request.cpp
@@ -1,5 +1,6 @@
 #include "cactusgw/entry/model_request.hpp"
 
+#include "cactusgw/core/hash.hpp"
 #include "cactusgw/net/problem.hpp"
 
 #include <boost/json/array.hpp>
@@ -34,8 +35,14 @@
   return std::string{ value->get_string() };
 }
 
+struct Prompt
+{
+  std::string mText;
+  std::vector<std::string> mSharedParts;
+};
+
 /// The messages of a chat, joined with their roles.
-Result<std::string>
+Result<Prompt>
 ReadMessages(const json::object& aBody)
 {
   const json::value* messages = aBody.if_contains("messages");
@@ -44,7 +51,7 @@
   if (!isList) {
     return Invalid("messages", "must be an array that is not empty");
   }
-  std::string prompt;
+  Prompt prompt;
   for (const json::value& message : messages->get_array()) {
     const json::object* object = message.if_object();
     if (object == nullptr) {
@@ -55,11 +62,27 @@
     if (!role || !content) {
       return Invalid("messages", "each needs \"role\" and \"content\"");
     }
-    prompt += role.value() + ": " + content.value() + "\n";
+    const std::string text = role.value() + ": " + content.value() + "\n";
+    prompt.mText += text;
+    prompt.mSharedParts.push_back(std::to_string(StableHash(text)));
   }
+  prompt.mSharedParts.pop_back();
   return prompt;
 }
 
+Result<Prompt>
+ReadPrompt(ModelApi aApi, const json::object& aBody)
+{
+  if (aApi == ModelApi::ChatCompletions) {
+    return ReadMessages(aBody);
+  }
+  const Result<std::string> text = RequiredText(aBody, "prompt");
+  if (!text) {
+    return text.error();
+  }
+  return Prompt{ text.value(), {} };
+}
+
 Result<std::uint32_t>
 ReadMaxTokens(const json::object& aBody)
 {
@@ -100,9 +123,7 @@
   }
   const json::object& body = value.get_object();
   const Result<std::string> model = RequiredText(body, "model");
-  const Result<std::string> prompt = aApi == ModelApi::ChatCompletions
-                                       ? ReadMessages(body)
-                                       : RequiredText(body, "prompt");
+  const Result<Prompt> prompt = ReadPrompt(aApi, body);
   const Result<std::uint32_t> maxTokens = ReadMaxTokens(body);
   const Result<bool> stream = ReadStream(body);
   if (!model) {
@@ -117,9 +138,12 @@
   if (!stream) {
     return stream.error();
   }
-  return ModelRequest{
-    aApi, model.value(), prompt.value(), maxTokens.value(), stream.value()
-  };
+  return ModelRequest{ aApi,
+                       model.value(),
+                       prompt.value().mText,
+                       maxTokens.value(),
+                       stream.value(),
+                       prompt.value().mSharedParts };
 }
 
 AnswerWriter::AnswerWriter(const ModelRequest& aRequest,
--- a/src/cactusgw/entry/model_request.hpp
+++ b/src/cactusgw/entry/model_request.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cactusgw {
 
@@ -26,6 +27,9 @@
   /// Zero when the caller set no limit.
   std::uint32_t mMaxTokens = 0;
   bool mStream = false;
+  /// Hashes of the chat's messages but the last one, which belongs to the
+  /// request itself: prompt parts that other requests may share.
+  std::vector<std::string> mSharedParts;
 };
 
 /// Errors: InvalidInput, naming the member at fault.
--- a/src/cactusgw/gateway/load_exchange.cpp
+++ b/src/cactusgw/gateway/load_exchange.cpp
@@ -1,6 +1,7 @@
 #include "cactusgw/gateway/load_exchange.hpp"
 
 #include "cactusgw/gateway/gateway_state.hpp"
+#include "cactusgw/messaging/crash_messages.hpp"
 #include "cactusgw/net/steady_now.hpp"
 
 #include <algorithm>
@@ -45,44 +46,6 @@
   }
 }
 
-std::uint64_t
-AgeMs(Instant aThen, Instant aNow)
-{
-  return static_cast<std::uint64_t>(std::max<std::int64_t>(
-    0, std::chrono::duration_cast<Milliseconds>(aNow - aThen).count()));
-}
-
-/// Ages beyond the longest that counts are cut, so that no sum overflows.
-Milliseconds
-Age(std::uint64_t aMs)
-{
-  constexpr std::uint64_t kLongest =
-    static_cast<std::uint64_t>(CrashEvidence::kMaxAge.count());
-  return Milliseconds{ static_cast<std::int64_t>(std::min(aMs, kLongest)) };
-}
-
-void
-Encode(const CrashEvidence& aCrashes, wire::GatewayUse& aMessage, Instant aNow)
-{
-  for (const auto& [upstream, report] : aCrashes.Crashes()) {
-    wire::CrashEntry* const entry = aMessage.add_crashes();
-    entry->set_upstream(upstream.mId);
-    entry->set_started_ms(upstream.mStartedMs);
-    entry->set_age_ms(AgeMs(report.mAt, aNow));
-    for (const PartSet& parts : report.mSuspects) {
-      wire::CrashSuspect* const suspect = entry->add_suspects();
-      for (const std::string& part : parts) {
-        suspect->add_parts(part);
-      }
-    }
-  }
-  for (const auto& [part, servedAt] : aCrashes.Served()) {
-    wire::ServedPart* const served = aMessage.add_served();
-    served->set_part(part);
-    served->set_age_ms(AgeMs(servedAt, aNow));
-  }
-}
-
 } // namespace
 
 LoadExchange::LoadExchange(GatewayState& aState,
@@ -231,7 +194,7 @@
   if (hasChanged || isLacking) {
     sent.mEvidenceVersion = crashes.Version();
     sent.mEvidenceAt = aNow;
-    Encode(crashes, aMessage, aNow);
+    EncodeCrashReports(crashes, aNow, *aMessage.mutable_crash_reports());
   }
 }
 
@@ -255,7 +218,7 @@
     entry->set_started_ms(limit.mUpstream.mStartedMs);
     entry->set_per_second(limit.mPerSecond.value_or(0));
     entry->set_withdrawn(!limit.mPerSecond);
-    entry->set_age_ms(AgeMs(limit.mStatedAt, aNow));
+    entry->set_age_ms(EncodeAge(limit.mStatedAt, aNow));
   }
 }
 
@@ -265,7 +228,7 @@
   for (const wire::UpstreamLimit& entry : aMessage.limits()) {
     StatedLimit limit{ { entry.upstream(), entry.started_ms() },
                        std::nullopt,
-                       aNow - Age(entry.age_ms()) };
+                       aNow - DecodeAge(entry.age_ms()) };
     if (!entry.withdrawn()) {
       limit.mPerSecond = entry.per_second();
     }
@@ -280,24 +243,6 @@
   }
 }
 
-void
-LoadExchange::OnEvidence(const wire::GatewayUse& aMessage, Instant aNow)
-{
-  for (const wire::CrashEntry& entry : aMessage.crashes()) {
-    CrashReport report{ { entry.upstream(), entry.started_ms() },
-                        aNow - Age(entry.age_ms()),
-                        {} };
-    for (const wire::CrashSuspect& suspect : entry.suspects()) {
-      report.mSuspects.emplace_back(suspect.parts().begin(),
-                                    suspect.parts().end());
-    }
-    mState.mCrashes.Merge(std::move(report));
-  }
-  for (const wire::ServedPart& served : aMessage.served()) {
-    mState.mCrashes.MergeServed(served.part(), aNow - Age(served.age_ms()));
-  }
-}
-
 void
 LoadExchange::OnMessage(const wire::Envelope& aEnvelope)
 {
@@ -310,7 +255,8 @@
   }
   mSent[aEnvelope.sender_vm()].mReportedDigest =
     aEnvelope.gateway_use().crash_digest();
-  OnEvidence(aEnvelope.gateway_use(), SteadyNow());
+  MergeCrashReports(
+    aEnvelope.gateway_use().crash_reports(), SteadyNow(), mState.mCrashes);
   OnLimits(aEnvelope.gateway_use(), SteadyNow());
   mState.mWaitQueue.WakeFirstWaiters();
 }
--- a/src/cactusgw/gateway/load_exchange.hpp
+++ b/src/cactusgw/gateway/load_exchange.hpp
@@ -92,7 +92,6 @@
   void AddEvidence(const std::string& aPeer,
                    wire::GatewayUse& aMessage,
                    Instant aNow);
-  void OnEvidence(const wire::GatewayUse& aMessage, Instant aNow);
   void AddLimits(const std::string& aPeer,
                  wire::GatewayUse& aMessage,
                  Instant aNow);
--- a/src/cactusgw/gateway/quarantine_keeper.cpp
+++ b/src/cactusgw/gateway/quarantine_keeper.cpp
@@ -43,7 +43,8 @@
 QuarantineKeeper::NextEdit(const std::vector<Quarantine>& aQuarantines,
                            std::int64_t aUnixMs) const
 {
-  for (const auto& [name, stored] : mStored) {
+  for (const auto& entry : mStored) {
+    const StoredQuarantine& stored = entry.second;
     const bool isInForce =
       std::any_of(aQuarantines.begin(),
                   aQuarantines.end(),
@@ -51,7 +52,7 @@
                     return aQuarantine.mParts == stored.mParts;
                   });
     if (!isInForce || aUnixMs - stored.mWrittenMs >= kMaxAge.count()) {
-      return QuarantineEdit{ std::nullopt, name };
+      return QuarantineEdit{ std::nullopt, entry.first };
     }
   }
   for (const Quarantine& quarantine : aQuarantines) {
--- /dev/null
+++ b/src/cactusgw/messaging/crash_messages.cpp
@@ -0,0 +1,67 @@
+#include "cactusgw/messaging/crash_messages.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusgw {
+
+std::uint64_t
+EncodeAge(Instant aThen, Instant aNow)
+{
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(
+    0, std::chrono::duration_cast<Milliseconds>(aNow - aThen).count()));
+}
+
+Milliseconds
+DecodeAge(std::uint64_t aMs)
+{
+  constexpr std::uint64_t kLongest =
+    static_cast<std::uint64_t>(CrashEvidence::kMaxAge.count());
+  return Milliseconds{ static_cast<std::int64_t>(std::min(aMs, kLongest)) };
+}
+
+void
+EncodeCrashReports(const CrashEvidence& aEvidence,
+                   Instant aNow,
+                   wire::CrashReports& aMessage)
+{
+  for (const auto& [upstream, report] : aEvidence.Crashes()) {
+    wire::CrashEntry* const entry = aMessage.add_crashes();
+    entry->set_upstream(upstream.mId);
+    entry->set_started_ms(upstream.mStartedMs);
+    entry->set_age_ms(EncodeAge(report.mAt, aNow));
+    for (const PartSet& parts : report.mSuspects) {
+      wire::CrashSuspect* const suspect = entry->add_suspects();
+      for (const std::string& part : parts) {
+        suspect->add_parts(part);
+      }
+    }
+  }
+  for (const auto& [part, servedAt] : aEvidence.Served()) {
+    wire::ServedPart* const served = aMessage.add_served();
+    served->set_part(part);
+    served->set_age_ms(EncodeAge(servedAt, aNow));
+  }
+}
+
+void
+MergeCrashReports(const wire::CrashReports& aMessage,
+                  Instant aNow,
+                  CrashEvidence& aEvidence)
+{
+  for (const wire::CrashEntry& entry : aMessage.crashes()) {
+    CrashReport report{ { entry.upstream(), entry.started_ms() },
+                        aNow - DecodeAge(entry.age_ms()),
+                        {} };
+    for (const wire::CrashSuspect& suspect : entry.suspects()) {
+      report.mSuspects.emplace_back(suspect.parts().begin(),
+                                    suspect.parts().end());
+    }
+    aEvidence.Merge(std::move(report));
+  }
+  for (const wire::ServedPart& served : aMessage.served()) {
+    aEvidence.MergeServed(served.part(), aNow - DecodeAge(served.age_ms()));
+  }
+}
+
+} // namespace cactusgw
--- a/tests/system/stream_failure_test.cpp
+++ b/tests/system/stream_failure_test.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
@@ -89,6 +91,43 @@
   EXPECT_EQ(report.mWhole + report.mBroken, 24U);
 }
 
+// Each entry would need crashes of its own to blame a message of the prompt.
+TEST_F(FailureTest, APromptPartThatCrashesEnginesIsRefusedOnEveryVm)
+{
+  StartTwoVms();
+  const auto ask = [&](const std::string& aVm, const std::string& aSystem) {
+    const json::object body{
+      { "model", "model-1" },
+      { "messages",
+        json::array{
+          json::object{ { "role", "system" }, { "content", aSystem } },
+          json::object{ { "role", "user" }, { "content", "own" } } } }
+    };
+    return mCluster.Call(mCluster.Vm(aVm).mListen,
+                         http::verb::post,
+                         "/v1/chat/completions",
+                         json::serialize(body));
+  };
+  const auto setFault = [&](const std::string& aControl) {
+    for (const char* const engine : { "engine-1", "engine-2" }) {
+      mCluster.Control(mCluster.Engine(engine).mAddress, aControl);
+    }
+  };
+  setFault(R"({"dieBeforeHeaders":1000})");
+  EXPECT_TRUE(Cluster::WaitUntil([&] {
+    const Answer answer = ask("vm-1", "deadly");
+    return answer.mBody.find("quarantined") != std::string::npos &&
+           answer.mStatus == 503;
+  }));
+  setFault(R"({"dieBeforeHeaders":0})");
+  EXPECT_TRUE(Cluster::WaitUntil([&] {
+    return mCluster.Metrics(mCluster.Vm("vm-2").mEntryOperator)
+             .find("cactusgw_quarantines 1") != std::string::npos;
+  }));
+  EXPECT_EQ(ask("vm-2", "deadly").mStatus, 503U);
+  EXPECT_EQ(ask("vm-2", "sound").mStatus, 200U);
+}
+
 TEST_F(FailureTest, AnEngineRestartedColdIsNeverGivenMoreThanItBears)
 {
   StartOneEngine();
