Requests that come new need no turn at a limited upstream

What callers saw: on a grown site with most engines limited to about half a request a second, sound requests were late: the other engines were overfull while the limited ones idled. Cause: where gateways outnumber the requests that a limit allows, each could send in its turn only, 150 ms every nine seconds, and hardly ever had a request just then. Why this works: turns are needed where requests wait at many gateways for the same free place. New requests come at different times, so they are held to the shares and to the shared count alone, up to three quarters of it. The fleet test now draws requests at 1 to 100 times the limit, with pauses, and lets them wait as the selector does; its bound on the sum is the same.

--- a/src/cactusgw/core/limit_pacer.cpp
+++ b/src/cactusgw/core/limit_pacer.cpp
@@ -3,18 +3,29 @@
 #include "cactusgw/core/hash.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cactusgw {
 
 namespace {
 
+/// Requests that all gateways together may send within the window without
+/// turns, if they come new: such requests come to gateways at different times.
+double
+LimitWithoutTurns(double aWindowLimit)
+{
+  constexpr double kFraction = 0.75;
+  constexpr double kAtLeast = 2;
+  return std::max(kAtLeast, kFraction * aWindowLimit);
+}
+
 /// Requests that all gateways together may send within the window; at least
 /// one, or a low limit would allow none.
 double
 WindowLimit(double aPerSecond)
 {
   constexpr std::chrono::duration<double> kSeconds = LimitPacer::kWindow;
-  return std::max(1.0, aPerSecond * kSeconds.count());
+  return std::max(1.0, std::ceil(aPerSecond * kSeconds.count()));
 }
 
 } // namespace
@@ -66,6 +77,7 @@
 bool
 LimitPacer::Allows(std::string_view aUpstream,
                    std::uint32_t aRecent,
+                   bool aIsWaiting,
                    Instant aNow) const
 {
   const auto it = mShares.find(aUpstream);
@@ -73,10 +85,14 @@
     return true;
   }
   const Share& share = it->second;
+  const double limit = WindowLimit(share.mPerSecond);
+  if (share.mTokens < 1 || aRecent + 1 > limit) {
+    return false;
+  }
   const std::uint64_t turn =
     static_cast<std::uint64_t>(aNow.time_since_epoch() / kTurn);
-  return share.mTokens >= 1 && turn % share.mTurns == share.mTurn &&
-         aRecent + 1 <= WindowLimit(share.mPerSecond);
+  const bool needsTurn = aIsWaiting || aRecent + 1 > LimitWithoutTurns(limit);
+  return !needsTurn || turn % share.mTurns == share.mTurn;
 }
 
 void
--- a/src/cactusgw/core/limit_pacer.hpp
+++ b/src/cactusgw/core/limit_pacer.hpp
@@ -5,9 +5,8 @@
 /// gateways together keep to it. Each gateway has an equal share, as a token
 /// bucket for one request: the shares hold also while gateways can't reach each
 /// other. The requests that all have sent lately, as far as they are reported,
-/// bound what many full buckets could send at once; and where there are more
-/// gateways than the limit allows requests, they take turns, since reports come
-/// late.
+/// bound what many full buckets could send at once. Reports come late: requests
+/// that wait, probably at many gateways, are sent in turns of the gateways.
 
 #include "cactusgw/core/verdict.hpp"
 
@@ -69,8 +68,10 @@
   }
   /// Whether a request may be sent to the upstream now.
   /// @param aRecent requests that all gateways have sent within kWindow
+  /// @param aIsWaiting whether the request has waited for an upstream
   bool Allows(std::string_view aUpstream,
               std::uint32_t aRecent,
+              bool aIsWaiting,
               Instant aNow) const;
   /// Counts a request to an upstream that is limited.
   void OnSent(std::string_view aUpstream, Instant aNow);
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -118,7 +118,8 @@
       aService.mColdPerSecond > 0 && IsCold(*known, aNow) &&
       !mColdStartLimiter.Allows(record.mId, ColdStartShare(aService), aNow);
     const UpstreamLoad load = mLoads.Total(record.mId, aNow);
-    const bool hasRate = mLimitPacer.Allows(record.mId, load.mRecent, aNow);
+    const bool hasRate =
+      mLimitPacer.Allows(record.mId, load.mRecent, aFilter.mIsWaiting, aNow);
     if (isAllowed && !isLimited && hasRate &&
         !Contains(aFilter.mExcluded, record.mId)) {
       candidates.push_back(
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -42,6 +42,8 @@
   std::span<const std::string> mExcluded;
   /// Distances are measured from this data centre.
   std::string_view mFromDataCentre;
+  /// Whether the request has waited for an upstream.
+  bool mIsWaiting = false;
 };
 
 /// Not thread-safe; one instance per process.
--- a/src/cactusgw/gateway/upstream_selector.cpp
+++ b/src/cactusgw/gateway/upstream_selector.cpp
@@ -49,7 +49,8 @@
 {
   const CandidateFilter filter{ aRequest.mRegions,
                                 aTried,
-                                mState.mSettings.mPlace.mDataCentre };
+                                mState.mSettings.mPlace.mDataCentre,
+                                mWaitEntry != nullptr };
   const std::vector<Candidate> candidates =
     mState.Candidates(*aRequest.mService, filter, SteadyNow());
   const Candidate* const chosen =
--- a/tests/core/limit_pacer_test.cpp
+++ b/tests/core/limit_pacer_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include <deque>
+#include <algorithm>
 #include <random>
 #include <string>
 #include <vector>
@@ -17,41 +17,46 @@
   return Instant{} + std::chrono::hours{ 1 } + Milliseconds{ aMs };
 }
 
-/// Gateways that send to one limited upstream whenever they may, and learn of
-/// each other's requests late.
+/// Gateways that send to one limited upstream, and learn of each other's
+/// requests late.
 class Fleet
 {
 public:
   static constexpr std::int64_t kStepMs = 25;
+  /// Time until other gateways know of a request.
+  static constexpr std::int64_t kDelayMs = 100;
+  static constexpr int kMaxWaiting = 5;
 
-  Fleet(std::uint32_t aGateways, double aLimit, std::int64_t aDelayMs)
+  /// @param aMaxWaiting requests that wait at a gateway; others go elsewhere
+  Fleet(std::uint32_t aGateways, double aLimit, int aMaxWaiting)
     : mLimit(aLimit)
-    , mDelayMs(aDelayMs)
+    , mMaxWaiting(aMaxWaiting)
   {
     for (std::uint32_t i = 0; i < aGateways; ++i) {
-      mGateways.push_back({ LimitPacer::Create(), {} });
+      mGateways.push_back({ LimitPacer::Create(), {}, 0 });
     }
   }
 
-  /// Runs one step in which each gateway has some requests to send.
+  /// Runs one step in which each gateway receives some requests. A request that
+  /// can't be sent waits; the first one that waits is tried in each step.
   /// @param aReach whether gateways hear of each other
-  void Step(std::int64_t aMs, const std::vector<int>& aDemand, bool aReach)
+  void Step(std::int64_t aMs, const std::vector<int>& aNew, bool aReach)
   {
     for (std::size_t i = 0; i < mGateways.size(); ++i) {
-      LimitPacer& pacer = mGateways[i].mPacer;
-      const std::uint32_t gateways =
-        static_cast<std::uint32_t>(mGateways.size());
-      const LimitUse use{
-        mLimit, gateways, static_cast<std::uint32_t>(i), Recent(i, aMs, aReach)
-      };
-      pacer.Refill("u", use, At(aMs));
-      for (int n = 0; n < aDemand[i]; ++n) {
-        if (pacer.Allows("u", Recent(i, aMs, aReach), ClockOf(i, aMs))) {
-          pacer.OnSent("u", At(aMs));
-          mGateways[i].mSent.push_back(aMs);
-          mArrivals.push_back(aMs);
+      Sender& sender = mGateways[i];
+      const LimitUse use{ mLimit,
+                          static_cast<std::uint32_t>(mGateways.size()),
+                          static_cast<std::uint32_t>(i),
+                          Recent(i, aMs, aReach) };
+      sender.mPacer.Refill("u", use, At(aMs));
+      for (int n = 0; n < aNew[i]; ++n) {
+        if (sender.mWaiting > 0 || !TrySend(i, aMs, false, aReach)) {
+          sender.mWaiting = std::min(mMaxWaiting, sender.mWaiting + 1);
         }
       }
+      if (sender.mWaiting > 0 && TrySend(i, aMs, true, aReach)) {
+        --sender.mWaiting;
+      }
     }
   }
 
@@ -80,8 +85,26 @@
   {
     LimitPacer mPacer;
     std::vector<std::int64_t> mSent;
+    int mWaiting = 0;
   };
 
+  bool TrySend(std::size_t aGateway,
+               std::int64_t aMs,
+               bool aIsWaiting,
+               bool aReach)
+  {
+    Sender& sender = mGateways[aGateway];
+    const std::uint32_t recent = Recent(aGateway, aMs, aReach);
+    if (!sender.mPacer.Allows(
+          "u", recent, aIsWaiting, ClockOf(aGateway, aMs))) {
+      return false;
+    }
+    sender.mPacer.OnSent("u", At(aMs));
+    sender.mSent.push_back(aMs);
+    mArrivals.push_back(aMs);
+    return true;
+  }
+
   /// Gateways have clocks of their own.
   static Instant ClockOf(std::size_t aGateway, std::int64_t aMs)
   {
@@ -93,7 +116,7 @@
     const std::int64_t window = LimitPacer::kWindow.count();
     std::uint32_t recent = 0;
     for (std::size_t i = 0; i < mGateways.size(); ++i) {
-      const std::int64_t until = i == aSelf ? aMs : aMs - mDelayMs;
+      const std::int64_t until = i == aSelf ? aMs : aMs - kDelayMs;
       const std::vector<std::int64_t>& sent = mGateways[i].mSent;
       for (auto it = sent.rbegin(); it != sent.rend() && *it > until - window;
            ++it) {
@@ -104,7 +127,7 @@
   }
 
   double mLimit;
-  std::int64_t mDelayMs;
+  int mMaxWaiting;
   std::vector<Sender> mGateways;
   std::vector<std::int64_t> mArrivals;
 };
@@ -124,19 +147,23 @@
 TEST_P(LimitPacerFleetTest, TheSumOverGatewaysKeepsToTheLimit)
 {
   const FleetCase& param = GetParam();
-  for (std::uint32_t seed = 1; seed <= 5; ++seed) {
-    std::mt19937 random{ seed };
-    Fleet fleet{ param.mGateways, param.mLimit, 100 };
-    for (std::int64_t ms = 0; ms < 40'000; ms += Fleet::kStepMs) {
-      // Pauses, in which all buckets fill, and bursts at all gateways.
-      const bool isPause = ms % 10'000 < 5000 && ms % 20'000 >= 10'000;
-      std::vector<int> demand;
+  // Requests a second as a multiple of the limit. After the pauses all buckets
+  // are full.
+  for (const double demand : { 1.0, 3.0, 10.0, 100.0 }) {
+    std::mt19937 random{ 1 };
+    std::poisson_distribution<int> arrivals{
+      demand * param.mLimit * Fleet::kStepMs / 1000 / param.mGateways
+    };
+    Fleet fleet{ param.mGateways, param.mLimit, Fleet::kMaxWaiting };
+    for (std::int64_t ms = 0; ms < 60'000; ms += Fleet::kStepMs) {
+      const bool isPause = ms % 20'000 >= 12'000;
+      std::vector<int> received;
       for (std::uint32_t i = 0; i < param.mGateways; ++i) {
-        demand.push_back(isPause ? 0 : static_cast<int>(random() % 3));
+        received.push_back(isPause ? 0 : arrivals(random));
       }
-      fleet.Step(ms, demand, true);
+      fleet.Step(ms, received, true);
     }
-    EXPECT_LE(fleet.MostInFourSeconds(), fleet.Bound()) << "seed " << seed;
+    EXPECT_LE(fleet.MostInFourSeconds(), fleet.Bound()) << demand;
   }
 }
 
@@ -144,7 +171,7 @@
 TEST_P(LimitPacerFleetTest, SharesHoldWhileGatewaysCanNotReachEachOther)
 {
   const FleetCase& param = GetParam();
-  Fleet fleet{ param.mGateways, param.mLimit, 100 };
+  Fleet fleet{ param.mGateways, param.mLimit, Fleet::kMaxWaiting };
   const std::vector<int> demand(param.mGateways, 1);
   for (std::int64_t ms = 0; ms < 40'000; ms += Fleet::kStepMs) {
     fleet.Step(ms, demand, false);
@@ -156,7 +183,7 @@
 TEST_P(LimitPacerFleetTest, MostOfTheLimitIsUsedWhileAllGatewaysHaveRequests)
 {
   const FleetCase& param = GetParam();
-  Fleet fleet{ param.mGateways, param.mLimit, 100 };
+  Fleet fleet{ param.mGateways, param.mLimit, Fleet::kMaxWaiting };
   const std::vector<int> demand(param.mGateways, 1);
   for (std::int64_t ms = 0; ms < 40'000; ms += Fleet::kStepMs) {
     fleet.Step(ms, demand, true);
@@ -164,6 +191,26 @@
   EXPECT_GE(static_cast<double>(fleet.Arrivals()), 0.6 * 40 * param.mLimit);
 }
 
+// Requests that go elsewhere at once hardly ever met their gateway's turn.
+TEST_P(LimitPacerFleetTest, HalfOfTheLimitIsUsedWhileGatewaysHaveFewRequests)
+{
+  const FleetCase& param = GetParam();
+  std::mt19937 random{ 1 };
+  std::poisson_distribution<int> arrivals{ 2 * param.mLimit * Fleet::kStepMs /
+                                           1000 / param.mGateways };
+  Fleet fleet{ param.mGateways, param.mLimit, 0 };
+  constexpr std::int64_t kTimeMs = 200'000;
+  for (std::int64_t ms = 0; ms < kTimeMs; ms += Fleet::kStepMs) {
+    std::vector<int> received;
+    for (std::uint32_t i = 0; i < param.mGateways; ++i) {
+      received.push_back(arrivals(random));
+    }
+    fleet.Step(ms, received, true);
+  }
+  EXPECT_GE(static_cast<double>(fleet.Arrivals()),
+            0.5 * kTimeMs / 1000 * param.mLimit);
+}
+
 INSTANTIATE_TEST_SUITE_P(Fleets,
                          LimitPacerFleetTest,
                          ::testing::Values(FleetCase{ 1, 0.5 },
@@ -179,7 +226,7 @@
 
 TEST(LimitPacerTest, ALimitOfZeroStillLetsTheUpstreamWithdrawIt)
 {
-  Fleet fleet{ 8, 0, 100 };
+  Fleet fleet{ 8, 0, Fleet::kMaxWaiting };
   const std::vector<int> demand(8, 1);
   for (std::int64_t ms = 0; ms < 40'000; ms += Fleet::kStepMs) {
     fleet.Step(ms, demand, true);
@@ -191,11 +238,11 @@
 TEST(LimitPacerTest, AnUpstreamThatIsNotLimitedIsAlwaysAllowed)
 {
   LimitPacer pacer = LimitPacer::Create();
-  EXPECT_TRUE(pacer.Allows("u", 1000, At(0)));
+  EXPECT_TRUE(pacer.Allows("u", 1000, false, At(0)));
   pacer.Refill("u", { 1, 8, 0, 0 }, At(0));
-  EXPECT_FALSE(pacer.Allows("u", 1000, At(0)));
+  EXPECT_FALSE(pacer.Allows("u", 1000, false, At(0)));
   pacer.Forget("u");
-  EXPECT_TRUE(pacer.Allows("u", 1000, At(0)));
+  EXPECT_TRUE(pacer.Allows("u", 1000, false, At(0)));
 }
 
 } // namespace cactusgw::test
