--- a/src/cactusgw/core/crash_evidence.cpp
+++ b/src/cactusgw/core/crash_evidence.cpp
@@ -298,15 +298,16 @@
 CrashEvidence::ServedAt(const std::string& aPart, Instant aNow) const
 {
   std::optional<Instant> at;
-  for (const auto* const map : { &mOwnServed, &mOwnServedBefore }) {
-    const auto it = map->find(aPart);
-    if (it != map->end()) {
-      at = std::max(at.value_or(it->second), it->second);
-    }
+  const auto shared = mServed.find(aPart);
+  if (shared != mServed.end()) {
+    at = shared->second;
   }
-  const auto it = mServed.find(aPart);
-  if (it != mServed.end()) {
-    at = std::max(at.value_or(it->second), it->second);
+  const auto own = mOwnServed.find(aPart);
+  const auto before = mOwnServedBefore.find(aPart);
+  if (own != mOwnServed.end()) {
+    at = std::max(at.value_or(own->second), own->second);
+  } else if (before != mOwnServedBefore.end()) {
+    at = std::max(at.value_or(before->second), before->second);
   }
   return at && aNow - *at < kMaxAge ? at : std::nullopt;
 }
--- a/tests/core/crash_evidence_test.cpp
+++ b/tests/core/crash_evidence_test.cpp
@@ -78,7 +78,7 @@
 TEST(CrashEvidenceTest, CrashesAtTheSameTimeCountAsOne)
 {
   CrashEvidence evidence = CrashEvidence::Create();
-  for (int i = 0; i < 10; ++i) {
+  for (std::int64_t i = 0; i < 10; ++i) {
     Crash(evidence, i * 10, { "shared" });
   }
   EXPECT_THAT(QuarantinedAt(evidence, 1000), IsEmpty());
@@ -88,7 +88,7 @@
 TEST(CrashEvidenceTest, PartsThatWereServedAreNotBlamed)
 {
   CrashEvidence evidence = CrashEvidence::Create();
-  for (int i = 0; i < 4; ++i) {
+  for (std::int64_t i = 0; i < 4; ++i) {
     Crash(evidence, i * 1000, { "dead", "first" });
     evidence.OnServed(PartSet{ "first" }, At(i * 1000 + 500));
   }
@@ -100,7 +100,7 @@
 TEST(CrashEvidenceTest, PartsThatAlwaysComeTogetherAreBlamedTogether)
 {
   CrashEvidence evidence = CrashEvidence::Create();
-  for (int i = 0; i < 3; ++i) {
+  for (std::int64_t i = 0; i < 3; ++i) {
     Crash(evidence, i * 1000, { "dead", "first", "own" + std::to_string(i) });
   }
   EXPECT_THAT(QuarantinedAt(evidence, 3000),
@@ -114,7 +114,7 @@
 TEST(CrashEvidenceTest, OneMoreCrashTellsPartsApart)
 {
   CrashEvidence evidence = CrashEvidence::Create();
-  for (int i = 0; i < 3; ++i) {
+  for (std::int64_t i = 0; i < 3; ++i) {
     Crash(evidence, i * 1000, { "dead", "first" });
   }
   EXPECT_THAT(QuarantinedAt(evidence, 3000),
@@ -128,7 +128,7 @@
 TEST(CrashEvidenceTest, SuspectsBesideAKnownCauseAreNotBlamed)
 {
   CrashEvidence evidence = CrashEvidence::Create();
-  for (int i = 0; i < 6; ++i) {
+  for (std::int64_t i = 0; i < 6; ++i) {
     Crash(evidence, i * 1000, { "dead" });
     if (i < 4) {
       Crash(evidence, i * 1000, { "unlucky" });
@@ -142,7 +142,7 @@
 {
   CrashEvidence evidence = CrashEvidence::Create();
   evidence.OnServed(PartSet{ "turned" }, At(0));
-  for (int i = 1; i <= 4; ++i) {
+  for (std::int64_t i = 1; i <= 4; ++i) {
     Crash(evidence, i * 1000, { "turned" });
   }
   EXPECT_THAT(QuarantinedAt(evidence, 4900), IsEmpty());
@@ -157,8 +157,10 @@
 {
   std::vector<CrashEvidence> gateways(5, CrashEvidence::Create());
   gateways[4].OnServed(PartSet{ "first" }, At(100));
-  for (int i = 0; i < 3; ++i) {
-    Crash(gateways[i], 1000 + i * 1000, { "dead", "first" });
+  for (std::int64_t i = 0; i < 3; ++i) {
+    Crash(gateways[static_cast<std::size_t>(i)],
+          1000 + i * 1000,
+          { "dead", "first" });
   }
   for (int round = 0; round < 2; ++round) {
     for (CrashEvidence& from : gateways) {
@@ -202,7 +204,7 @@
 TEST(CrashEvidenceTest, QuarantinesEndAndTheirEvidenceIsDropped)
 {
   CrashEvidence evidence = CrashEvidence::Create();
-  for (int i = 0; i < 3; ++i) {
+  for (std::int64_t i = 0; i < 3; ++i) {
     Crash(evidence, i * 1000, { "dead" });
   }
   EXPECT_THAT(QuarantinedAt(evidence, 599'999), ElementsAre(PartSet{ "dead" }));
@@ -215,11 +217,11 @@
 TEST(CrashEvidenceTest, StateIsBoundedAndKeepsTheEvidenceOfQuarantines)
 {
   CrashEvidence evidence = CrashEvidence::Create();
-  for (int i = 0; i < 3; ++i) {
+  for (std::int64_t i = 0; i < 3; ++i) {
     Crash(evidence, i * 1000, { "dead" });
   }
   EXPECT_THAT(QuarantinedAt(evidence, 3000), ElementsAre(PartSet{ "dead" }));
-  for (int i = 0; i < 1000; ++i) {
+  for (std::int64_t i = 0; i < 1000; ++i) {
     const std::string upstream = "v" + std::to_string(i);
     for (int n = 0; n < 100; ++n) {
       evidence.OnCrash({ upstream, 1 },
--- a/tests/gateway/bad_bytes_test.cpp
+++ b/tests/gateway/bad_bytes_test.cpp
@@ -33,10 +33,11 @@
 Script
 WriteAndClose(std::string aBytes)
 {
-  return [aBytes](ScriptedExchange& aExchange) -> Task<void> {
-    co_await aExchange.Write(aBytes);
-    aExchange.Close();
-  };
+  return
+    [aBytes = std::move(aBytes)](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.Write(aBytes);
+      aExchange.Close();
+    };
 }
 
 } // namespace
--- a/tests/gateway/stated_limit_test.cpp
+++ b/tests/gateway/stated_limit_test.cpp
@@ -11,7 +11,8 @@
 Script
 RespondWith(std::string aHeaders)
 {
-  return [aHeaders](ScriptedExchange& aExchange) -> Task<void> {
+  return [aHeaders =
+            std::move(aHeaders)](ScriptedExchange& aExchange) -> Task<void> {
     co_await aExchange.Answer(200, aHeaders, "id: 1\ndata: x\n\n");
   };
 }
