Forget what was sent to a gateway that is gone

What callers saw: nothing; a fleet whose VMs are replaced for weeks keeps an entry for each name. Cause: LoadExchange kept its record of a peer after the peer's registration had gone; with digests and limits in it the record has grown. Evidence: by reading; no test, as no behaviour hangs on it.

--- a/src/cactusgw/gateway/load_exchange.hpp
+++ b/src/cactusgw/gateway/load_exchange.hpp
@@ -52,7 +52,12 @@
                DrainHandler aOnDraining);
 
   void SetPeer(const GatewayPeer& aPeer) { mRelayRoots.SetPeer(aPeer); }
-  void RemovePeer(std::string_view aName) { mRelayRoots.RemovePeer(aName); }
+  void RemovePeer(std::string_view aName)
+  {
+    mRelayRoots.RemovePeer(aName);
+    std::erase_if(mSent,
+                  [&](const auto& aEntry) { return aEntry.first == aName; });
+  }
 
   /// Sends the messages that are due.
   /// @param aParent the parent of this gateway, if any
