Test gateways that are replaced end with their event loop

Traced with valgrind: the test destroyed a gateway on an event loop that went on, so the gateway's periodic check ran on freed memory. In a process the gateway lives as long as its event loop.

--- a/tests/gateway/crash_quarantine_test.cpp
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -178,9 +178,13 @@
     StartOther();
   }
 
+  /// Starts the other gateway, in place of the one that may run. Its event loop
+  /// ends with it, as with its process.
   void StartOther()
   {
-    mOther = MakeGateway(mOtherSettings);
+    mOther.reset();
+    mOtherContext = std::make_unique<net::io_context>(1);
+    mOther = MakeGateway(mOtherSettings, *mOtherContext);
     const std::string& self = mSettings.mPlace.mVm;
     const std::vector<Change<GatewayPeer>> peers{
       { self, GatewayPeer{ self, mSettings.mPeerListen, "dc-a", 1 } },
@@ -209,12 +213,14 @@
     while (!aCondition()) {
       // The gateway in contact with the store is the parent of the other.
       mGateway->OnConfigConfirmed(BootNow());
-      mContext.run_one();
+      mContext.poll_one();
+      mOtherContext->poll_one();
     }
   }
 
   static inline int sCrashes = 0;
   GatewaySettings mOtherSettings;
+  std::unique_ptr<net::io_context> mOtherContext;
   std::unique_ptr<Gateway> mOther;
 };
 
@@ -266,7 +272,6 @@
     AddCrash(*mGateway, upstream);
   }
   RunUntil([&] { return IsRefused(*mOther); });
-  mOther.reset();
   StartOther();
   EXPECT_FALSE(IsRefused(*mOther));
   RunUntil([&] { return IsRefused(*mOther); });
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -99,7 +99,8 @@
 }
 
 std::unique_ptr<Gateway>
-GatewayTest::MakeGateway(const GatewaySettings& aSettings)
+GatewayTest::MakeGateway(const GatewaySettings& aSettings,
+                         net::io_context& aContext)
 {
   PeerRegistration registration;
   registration.mRegister = [](GatewayPeer) -> Task<Result<void>> {
@@ -118,7 +119,7 @@
     co_return boost::outcome_v2::success();
   };
   Result<std::unique_ptr<Gateway>> gateway =
-    Gateway::Start(mContext,
+    Gateway::Start(aContext,
                    aSettings,
                    TestNames(),
                    mControl,
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -25,7 +25,13 @@
   GatewayTest();
 
   /// Starts a gateway without a configuration; null when it can't listen.
-  std::unique_ptr<Gateway> MakeGateway(const GatewaySettings& aSettings);
+  std::unique_ptr<Gateway> MakeGateway(const GatewaySettings& aSettings)
+  {
+    return MakeGateway(aSettings, mContext);
+  }
+  /// The same on an event loop of its own, with which it can be destroyed.
+  std::unique_ptr<Gateway> MakeGateway(const GatewaySettings& aSettings,
+                                       net::io_context& aContext);
   /// Starts the gateway with the standard configuration.
   void StartGateway();
   GatewayConfig StandardConfig() const;
