--- a/src/cactusgw/gateway/header_names.hpp
+++ b/src/cactusgw/gateway/header_names.hpp
@@ -29,7 +29,8 @@
   /// Number of prompt tokens and maximum number of output tokens, separated by
   /// a comma.
   std::string mTokenCounts;
-  /// What the prompt is made of: `ID:TOKENS` for each part, with commas between.
+  /// What the prompt is made of: `ID:TOKENS` for each part, with commas
+  /// between.
   std::string mPromptParts;
   /// The client's estimate of the number of output tokens.
   std::string mLengthHint;
