Create the demo's answer file before it is read

The demo ended with "cannot open answer.txt" on a busy machine: the load tool runs in the background, and its shell creates the file only when it is scheduled, while tail opens it at once. The file is now created before either starts.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -29,6 +29,8 @@
 entry="127.0.0.1:17211"
 echo "Tokens as they arrive:"
 code=0
+# The background job may start to write only after tail has opened the file.
+: >"$run/answer.txt"
 "$bin/cactusgw-load" --targets "$entry" --keys demo-key --model assessor-1 \
   --requests 1 --lengths fixed:60 --print >"$run/answer.txt" 2>&1 &
 load=$!
