Log the regions a request may go to and the one it goes to

Callers reported that requests ran outside the regions that their routes allow. No log line tells where a request was allowed at the moment it was sent, so the possible causes can't be told apart.

Migrations name the region and homes too. "homes-changed" names each route and workspace whose regions differ from the version before, "config-applied" counts those with regions, and "upstream-added" names the address, start and region, so that addresses that change region are seen.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -13,6 +13,8 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <map>
+#include <span>
 #include <utility>
 
 namespace cactusgw {
@@ -32,6 +34,47 @@
 /// Part of the stop time that is reserved for the exit of the process.
 constexpr Milliseconds kExitMargin{ 500 };
 
+/// Counts the routes or workspaces whose requests are restricted to regions.
+template<typename T>
+std::int64_t
+CountWithHomes(const std::vector<T>& aItems)
+{
+  return std::count_if(aItems.begin(), aItems.end(), [](const T& aItem) {
+    return !aItem.mRegions.empty();
+  });
+}
+
+/// Writes a line for each route or workspace whose regions differ from those of
+/// the version before.
+template<typename T>
+void
+LogChangedHomes(DecisionLog& aLog,
+                std::string_view aKind,
+                const std::vector<T>* aBefore,
+                const std::vector<T>& aItems)
+{
+  std::map<std::string_view, std::span<const std::string>> before;
+  if (aBefore != nullptr) {
+    for (const T& item : *aBefore) {
+      before.emplace(item.mName, item.mRegions);
+    }
+  }
+  for (const T& item : aItems) {
+    const std::span<const std::string> homes = before[item.mName];
+    if (!std::equal(homes.begin(),
+                    homes.end(),
+                    item.mRegions.begin(),
+                    item.mRegions.end())) {
+      aLog.Write(
+        "homes-changed",
+        { { aKind, item.mName },
+          { "homes", item.mRegions.empty() ? "any" : JoinParts(item.mRegions) },
+          { "before", homes.empty() ? "any" : JoinParts(homes) } },
+        SteadyNow());
+    }
+  }
+}
+
 } // namespace
 
 Gateway::Gateway(boost::asio::io_context& aContext,
@@ -307,8 +350,18 @@
     "config-applied",
     { { "version", static_cast<std::int64_t>(aConfig.mVersion) },
       { "before", static_cast<std::int64_t>(known) },
-      { "routes", static_cast<std::int64_t>(aConfig.mRoutes.size()) } },
+      { "routes", static_cast<std::int64_t>(aConfig.mRoutes.size()) },
+      { "routesWithHomes", CountWithHomes(aConfig.mRoutes) },
+      { "workspacesWithHomes", CountWithHomes(aConfig.mWorkspaces) } },
     SteadyNow());
+  const GatewayConfig* const before =
+    mState.mTable ? &mState.mTable->Config() : nullptr;
+  LogChangedHomes(
+    mState.mLog, "route", before ? &before->mRoutes : nullptr, aConfig.mRoutes);
+  LogChangedHomes(mState.mLog,
+                  "workspace",
+                  before ? &before->mWorkspaces : nullptr,
+                  aConfig.mWorkspaces);
   mState.mMetrics.mConfigVersion.Set(static_cast<double>(aConfig.mVersion));
   mState.mTable = std::make_shared<const RoutingTable>(
     RoutingTable::Create(std::move(aConfig)));
@@ -349,7 +402,7 @@
   switch (aChange) {
     case DirectoryChange::Added:
       mState.Forget(aId);
-      mState.mLog.Write("upstream-added", { { "upstream", aId } }, SteadyNow());
+      LogAdded(aId);
       mState.mWaitQueue.WakeFirstWaiters();
       break;
     case DirectoryChange::DrainingOrRemoved:
@@ -365,6 +418,23 @@
   }
 }
 
+void
+Gateway::LogAdded(const std::string& aId)
+{
+  const KnownUpstream* const known = mState.mDirectory.Find(aId);
+  if (known == nullptr) {
+    return;
+  }
+  const UpstreamRecord& record = known->mRecord;
+  mState.mLog.Write("upstream-added",
+                    { { "upstream", aId },
+                      { "startedMs", record.mStartedMs },
+                      { "address", record.mAddress },
+                      { "dataCentre", record.mDataCentre },
+                      { "region", mState.RegionOf(record.mDataCentre) } },
+                    SteadyNow());
+}
+
 void
 Gateway::OnUpstreamChanges(std::vector<Change<UpstreamRecord>> aChanges)
 {
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -98,6 +98,7 @@
   void UpdateGatewayCount();
   void OnDrainNotice(const DrainingUpstream& aUpstream, std::string_view aFrom);
   void OnDirectoryChange(DirectoryChange aChange, const std::string& aId);
+  void LogAdded(const std::string& aId);
   void OnUndrained(const std::string& aDataCentre);
   void UpdateQuarantines(Instant aNow);
   /// Writes the quarantines into the store while this gateway reads it. Never
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -67,6 +67,13 @@
   mFreshness.SetLimit(FreshnessLimit(aSettings.mBounds));
 }
 
+std::string
+GatewayState::RegionOf(std::string_view aDataCentre) const
+{
+  const auto it = mSettings.mRegions.find(aDataCentre);
+  return it == mSettings.mRegions.end() ? "unknown" : it->second;
+}
+
 Distance
 GatewayState::DistanceBetween(std::string_view aFrom,
                               std::string_view aTo) const
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -83,6 +83,8 @@
   /// registered anew.
   void Forget(const std::string& aUpstream);
 
+  /// Returns the region of a data centre, or "unknown".
+  std::string RegionOf(std::string_view aDataCentre) const;
   Distance DistanceBetween(std::string_view aFrom, std::string_view aTo) const;
 
   GatewaySettings mSettings;
--- a/src/cactusgw/gateway/generation_migrator.cpp
+++ b/src/cactusgw/gateway/generation_migrator.cpp
@@ -1,6 +1,7 @@
 #include "cactusgw/gateway/generation_migrator.hpp"
 
 #include "cactusgw/gateway/gateway_state.hpp"
+#include "cactusgw/gateway/message_headers.hpp"
 #include "cactusgw/net/steady_now.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -323,11 +324,17 @@
                         Instant aBegun) const
 {
   const Instant now = SteadyNow();
+  const KnownUpstream* const target = mState.mDirectory.Find(aTarget);
   mState.mLog.Write(
     aEvent,
     { { "request", aIdentity.mRequestId },
       { "from", aIdentity.mUpstream },
       { "to", aTarget },
+      { "region",
+        target == nullptr ? "unknown"
+                          : mState.RegionOf(target->mRecord.mDataCentre) },
+      { "homes",
+        aIdentity.mRegions.empty() ? "any" : JoinParts(aIdentity.mRegions) },
       { "outcome", aOutcome },
       { "tokens", static_cast<std::int64_t>(aIdentity.mNeed.mTotal) },
       { "tookMs",
