--- a/src/cactusgw/config/process_settings.cpp
+++ b/src/cactusgw/config/process_settings.cpp
@@ -58,10 +58,10 @@
 }
 
 /// An object whose members are data centres, each with its region.
-std::map<std::string, std::string, std::less<>>
+RegionMap
 ReadRegions(ObjectReader& aReader)
 {
-  std::map<std::string, std::string, std::less<>> regions;
+  RegionMap regions;
   aReader.ObjectOr("regions", [&](ObjectReader& aMember) {
     for (const std::string& dataCentre : aMember.Names()) {
       regions[dataCentre] = aMember.String(dataCentre);
--- a/src/cactusgw/config/process_settings.hpp
+++ b/src/cactusgw/config/process_settings.hpp
@@ -62,6 +62,9 @@
   Milliseconds mStopTime{ 0 };
 };
 
+/// Region of each data centre.
+using RegionMap = std::map<std::string, std::string, std::less<>>;
+
 /// Bounds that a gateway keeps together with all others.
 struct GatewayBounds
 {
@@ -81,8 +84,7 @@
 struct GatewaySettings
 {
   PlaceSettings mPlace;
-  /// Region of each data centre.
-  std::map<std::string, std::string, std::less<>> mRegions;
+  RegionMap mRegions;
   std::string mListen;
   /// Where the balancer asks whether this VM is ready.
   std::string mReadyListen;
--- a/src/cactusgw/core/verdict.cpp
+++ b/src/cactusgw/core/verdict.cpp
@@ -46,6 +46,8 @@
       return "history-gone";
     case FailureCode::Conflict:
       return "conflict";
+    case FailureCode::OutsideHomeRegions:
+      return "outside-home-regions";
     case FailureCode::UpstreamUnreachable:
       return "upstream-unreachable";
     case FailureCode::UpstreamRefused:
--- a/src/cactusgw/core/verdict.hpp
+++ b/src/cactusgw/core/verdict.hpp
@@ -49,6 +49,8 @@
   HistoryCompacted,
   Conflict,
   UpstreamUnreachable,
+  /// The request may not be served in the region of the upstream, or in none.
+  OutsideHomeRegions,
   UpstreamRefused,
   /// The upstream's response is not valid.
   UpstreamBroke,
--- a/src/cactusgw/gateway/call_admission.cpp
+++ b/src/cactusgw/gateway/call_admission.cpp
@@ -3,7 +3,6 @@
 #include "cactusgw/core/hash.hpp"
 #include "cactusgw/gateway/message_headers.hpp"
 
-#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -13,30 +12,13 @@
 
 /// Assumed length of an output when the client gives no estimate.
 constexpr std::uint64_t kDefaultOutputTokens = 256;
-
-/// Returns the regions that both lists allow; an empty list allows all. Errors:
-/// UpstreamUnreachable when the intersection is empty.
-Result<std::vector<std::string>>
-IntersectRegions(std::vector<std::string> aRegions,
-                 const std::vector<std::string>& aOthers)
-{
-  if (aRegions.empty() || aOthers.empty()) {
-    return aRegions.empty() ? aOthers : aRegions;
-  }
-  std::erase_if(aRegions, [&](const std::string& aRegion) {
-    return std::find(aOthers.begin(), aOthers.end(), aRegion) == aOthers.end();
-  });
-  if (aRegions.empty()) {
-    return NotRun(FailureCode::UpstreamUnreachable,
-                  "no region is open to both route and workspace");
-  }
-  return aRegions;
-}
+/// Retry-After of a request that may be served in no region: operators have to
+/// change the configuration, which then takes effect within seconds.
+constexpr Milliseconds kHomesRetryAfter{ 5000 };
 
 Result<void>
 Authenticate(const GatewayState& aState,
              const RoutingTable& aTable,
-             const HttpExchange& aExchange,
              AdmittedRequest& aRequest)
 {
   if (aRequest.mRoute->mIsPublic || !aTable.NeedsKeys()) {
@@ -48,21 +30,33 @@
                   "the keys are too old: " +
                     std::to_string(aState.mFreshness.Age(now).count()) + " ms");
   }
-  const std::string authorization = aExchange.Header("Authorization");
-  aRequest.mWorkspace = aTable.FindWorkspace(BearerKey(authorization));
+  aRequest.mWorkspace = aTable.FindWorkspace(aRequest.mOrigin.mKey);
   if (aRequest.mWorkspace == nullptr) {
     return NotRun(FailureCode::Unauthorized, "the key is unknown");
   }
   aRequest.mRank = aRequest.mWorkspace->mRank.value_or(aRequest.mRank);
-  Result<std::vector<std::string>> regions =
-    IntersectRegions(aRequest.mRegions, aRequest.mWorkspace->mRegions);
-  if (!regions) {
-    return regions.error();
-  }
-  aRequest.mRegions = std::move(regions.value());
   return boost::outcome_v2::success();
 }
 
+RequestOrigin
+OriginOf(const RoutingTable& aTable,
+         const GatewayRoute& aRoute,
+         const HttpExchange& aExchange)
+{
+  RequestOrigin origin;
+  origin.mHost = aExchange.Header("Host");
+  origin.mPath = aExchange.Path();
+  origin.mKey = BearerKey(aExchange.Header("Authorization"));
+  origin.mRouteRegions = aRoute.mRegions;
+  // A key binds its workspace's regions also on routes that need none.
+  const Workspace* const workspace = aTable.FindWorkspace(origin.mKey);
+  if (workspace != nullptr) {
+    origin.mWorkspace = workspace->mName;
+    origin.mWorkspaceRegions = workspace->mRegions;
+  }
+  return origin;
+}
+
 TokenNeed
 EstimateTokens(const HttpExchange& aExchange, const HeaderNames& aNames)
 {
@@ -101,6 +95,19 @@
 
 } // namespace
 
+Result<void>
+CheckHomes(const GatewayState& aState, const RequestOrigin& aOrigin)
+{
+  const SendGate gate = aState.Gate();
+  const AllowedRegions regions = gate.RegionsFor(aOrigin);
+  if (gate.HasDataCentre(regions)) {
+    return boost::outcome_v2::success();
+  }
+  return NotRun(FailureCode::OutsideHomeRegions,
+                "no data centre is in the allowed regions: " + regions.Text(),
+                kHomesRetryAfter);
+}
+
 Result<AdmittedRequest>
 AdmitRequest(const GatewayState& aState,
              const RoutingTable* aTable,
@@ -122,11 +129,15 @@
     return NotRun(FailureCode::InvalidInput, "the request's id is missing");
   }
   request.mRank = request.mRoute->mRank;
-  request.mRegions = request.mRoute->mRegions;
-  const Result<void> key = Authenticate(aState, *aTable, aExchange, request);
+  request.mOrigin = OriginOf(*aTable, *request.mRoute, aExchange);
+  const Result<void> key = Authenticate(aState, *aTable, request);
   if (!key) {
     return key.error();
   }
+  const Result<void> homes = CheckHomes(aState, request.mOrigin);
+  if (!homes) {
+    return homes.error();
+  }
   request.mService = SelectService(*aTable, *request.mRoute, id);
   request.mTokenNeed = EstimateTokens(aExchange, names);
   request.mSharedParts = ParseSharedParts(aExchange.Header(names.mPromptParts));
--- a/src/cactusgw/gateway/call_admission.hpp
+++ b/src/cactusgw/gateway/call_admission.hpp
@@ -20,8 +20,7 @@
   const Workspace* mWorkspace = nullptr;
   /// Null when the configuration does not hold the route's service.
   const GatewayService* mService = nullptr;
-  /// Allowed regions; empty means all.
-  std::vector<std::string> mRegions;
+  RequestOrigin mOrigin;
   /// Zero is the most urgent.
   std::uint32_t mRank = 0;
   TokenNeed mTokenNeed;
@@ -34,8 +33,13 @@
   Instant mClientDeadline;
 };
 
+/// Refuses a request that the newest configuration allows in no data centre.
+/// Errors: NotRun with OutsideHomeRegions.
+Result<void> CheckHomes(const GatewayState& aState,
+                        const RequestOrigin& aOrigin);
+
 /// Errors: NotRun with StoreUnavailable, NotFound, InvalidInput, Unauthorized
-/// or UpstreamUnreachable.
+/// or OutsideHomeRegions.
 /// @param aTable null before the first configuration
 Result<AdmittedRequest> AdmitRequest(const GatewayState& aState,
                                      const RoutingTable* aTable,
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -14,7 +14,6 @@
 
 #include <algorithm>
 #include <map>
-#include <span>
 #include <utility>
 
 namespace cactusgw {
@@ -37,10 +36,10 @@
 /// Counts the routes or workspaces whose requests are restricted to regions.
 template<typename T>
 std::int64_t
-CountWithHomes(const std::vector<T>& aItems)
+CountRestricted(const std::vector<T>& aItems)
 {
   return std::count_if(aItems.begin(), aItems.end(), [](const T& aItem) {
-    return !aItem.mRegions.empty();
+    return aItem.mRegions.IsRestricted();
   });
 }
 
@@ -48,29 +47,25 @@
 /// the version before.
 template<typename T>
 void
-LogChangedHomes(DecisionLog& aLog,
-                std::string_view aKind,
-                const std::vector<T>* aBefore,
-                const std::vector<T>& aItems)
-{
-  std::map<std::string_view, std::span<const std::string>> before;
-  if (aBefore != nullptr) {
-    for (const T& item : *aBefore) {
-      before.emplace(item.mName, item.mRegions);
-    }
+LogChangedRegions(DecisionLog& aLog,
+                  std::string_view aKind,
+                  const std::vector<T>& aBefore,
+                  const std::vector<T>& aItems)
+{
+  const AllowedRegions everywhere = AllowedRegions::Everywhere();
+  std::map<std::string_view, const AllowedRegions*> known;
+  for (const T& item : aBefore) {
+    known.emplace(item.mName, &item.mRegions);
   }
   for (const T& item : aItems) {
-    const std::span<const std::string> homes = before[item.mName];
-    if (!std::equal(homes.begin(),
-                    homes.end(),
-                    item.mRegions.begin(),
-                    item.mRegions.end())) {
-      aLog.Write(
-        "homes-changed",
-        { { aKind, item.mName },
-          { "homes", item.mRegions.empty() ? "any" : JoinParts(item.mRegions) },
-          { "before", homes.empty() ? "any" : JoinParts(homes) } },
-        SteadyNow());
+    const auto it = known.find(item.mName);
+    const AllowedRegions& before = it == known.end() ? everywhere : *it->second;
+    if (item.mRegions != before) {
+      aLog.Write("homes-changed",
+                 { { aKind, item.mName },
+                   { "homes", item.mRegions.Text() },
+                   { "before", before.Text() } },
+                 SteadyNow());
     }
   }
 }
@@ -351,17 +346,14 @@
     { { "version", static_cast<std::int64_t>(aConfig.mVersion) },
       { "before", static_cast<std::int64_t>(known) },
       { "routes", static_cast<std::int64_t>(aConfig.mRoutes.size()) },
-      { "routesWithHomes", CountWithHomes(aConfig.mRoutes) },
-      { "workspacesWithHomes", CountWithHomes(aConfig.mWorkspaces) } },
+      { "routesWithHomes", CountRestricted(aConfig.mRoutes) },
+      { "workspacesWithHomes", CountRestricted(aConfig.mWorkspaces) } },
     SteadyNow());
-  const GatewayConfig* const before =
-    mState.mTable ? &mState.mTable->Config() : nullptr;
-  LogChangedHomes(
-    mState.mLog, "route", before ? &before->mRoutes : nullptr, aConfig.mRoutes);
-  LogChangedHomes(mState.mLog,
-                  "workspace",
-                  before ? &before->mWorkspaces : nullptr,
-                  aConfig.mWorkspaces);
+  const GatewayConfig none;
+  const GatewayConfig& before = mState.mTable ? mState.mTable->Config() : none;
+  LogChangedRegions(mState.mLog, "route", before.mRoutes, aConfig.mRoutes);
+  LogChangedRegions(
+    mState.mLog, "workspace", before.mWorkspaces, aConfig.mWorkspaces);
   mState.mMetrics.mConfigVersion.Set(static_cast<double>(aConfig.mVersion));
   mState.mTable = std::make_shared<const RoutingTable>(
     RoutingTable::Create(std::move(aConfig)));
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -131,6 +131,7 @@
     if (sent || mHasClientDisconnected) {
       break;
     }
+    DropContinuation(sent.error());
     migrationTarget = TakeMigrationTarget();
     if (migrationTarget) {
       continue;
@@ -209,7 +210,7 @@
   }
   if (mConnection) {
     if (result || result.error().mVerdict == Verdict::NotRun) {
-      mState.mPool.Release(mUpstream, std::move(mConnection), SteadyNow());
+      mState.mPool.Release(std::move(mConnection), SteadyNow());
     }
     mConnection.reset();
   }
@@ -227,6 +228,14 @@
 Task<Result<void>>
 GatewayCall::SendAndRelay(const KnownUpstream& aUpstream)
 {
+  // Nothing may be awaited between the clearance and the send.
+  Result<SendClearance> clearance = mState.Gate().Clear(
+    mAdmitted.mOrigin,
+    mConnection->Target(),
+    mContinuation ? SendPurpose::Continuation : SendPurpose::NewWork);
+  if (!clearance) {
+    co_return clearance.error();
+  }
   const Instant now = SteadyNow();
   const Instant until = AttemptDeadline(now);
   mState.OnSent(aUpstream, now);
@@ -240,8 +249,7 @@
       { "upstream", mUpstream },
       { "dataCentre", aUpstream.mRecord.mDataCentre },
       { "region", mState.RegionOf(aUpstream.mRecord.mDataCentre) },
-      { "homes",
-        mAdmitted.mRegions.empty() ? "any" : JoinParts(mAdmitted.mRegions) },
+      { "homes", mState.Gate().RegionsFor(mAdmitted.mOrigin).Text() },
       { "newestVersion",
         static_cast<std::int64_t>(mState.mTable->Config().mVersion) },
       { "attempt", static_cast<std::int64_t>(mAttempts) },
@@ -249,8 +257,8 @@
       { "parts", JoinParts(mAdmitted.mSharedParts) },
       { "afterMs", Elapsed().count() } },
     now);
-  const Result<void> header =
-    co_await ReadResponseHeader(MakeRequest(aUpstream.mRecord), until);
+  const Result<void> header = co_await Exchange(
+    std::move(clearance.value()), MakeRequest(aUpstream.mRecord), until);
   if (!header) {
     co_return header;
   }
@@ -276,13 +284,14 @@
   const bool canMigrate =
     IsStream(mAdmitted.mRoute->mKind) && mAdmitted.mService->mEngine &&
     mAdmitted.mService->mEngine->mCanMigrate && mState.mMigrator != nullptr &&
-    !mConnection->IsCloseDelimited() && IsSuccess(mConnection->Status());
+    !mConnection->Response().IsCloseDelimited() &&
+    IsSuccess(mConnection->Response().Status());
   if (!canMigrate) {
     co_return;
   }
   const net::any_io_executor executor = co_await net::this_coro::executor;
   GenerationIdentity identity{ mRequestId,          mAdmitted.mService->mName,
-                               mAdmitted.mRegions,  aUpstream.mId,
+                               mAdmitted.mOrigin,   aUpstream.mId,
                                aUpstream.mAddress,  aUpstream.mDataCentre,
                                mAdmitted.mTokenNeed };
   mGeneration =
@@ -311,13 +320,13 @@
 Task<Result<void>>
 GatewayCall::Connect(const UpstreamRecord& aUpstream)
 {
-  mConnection = mState.mPool.Acquire(aUpstream.mId, SteadyNow());
+  mConnection = mState.mPool.Acquire(TargetOf(aUpstream), SteadyNow());
   if (mConnection) {
     co_return boost::outcome_v2::success();
   }
   mState.mMetrics.mConnects.Add();
-  Result<std::unique_ptr<HttpConnection>> connected =
-    co_await HttpConnection::Connect(aUpstream.mAddress, kConnectTimeout);
+  Result<std::unique_ptr<UpstreamConnection>> connected =
+    co_await UpstreamConnection::Connect(TargetOf(aUpstream), kConnectTimeout);
   if (!connected) {
     co_return connected.error();
   }
@@ -350,14 +359,18 @@
 }
 
 Task<Result<void>>
-GatewayCall::ReadResponseHeader(HttpRequest aRequest, Instant aUntil)
+GatewayCall::Exchange(SendClearance aClearance,
+                      HttpRequest aRequest,
+                      Instant aUntil)
 {
-  Result<void> header = co_await mConnection->Exchange(aRequest, aUntil);
+  Result<void> header =
+    co_await mConnection->Exchange(std::move(aClearance), aRequest, aUntil);
   for (int n = 0; header && n < kMaxMismatchedResponses; ++n) {
-    const std::string_view id = mConnection->Header(mState.mNames.mRequestId);
+    const std::string_view id =
+      mConnection->Response().Header(mState.mNames.mRequestId);
     if (id.empty() || id == mRequestId) {
       ReadStatedLimit();
-      co_return CheckResponse(*mConnection, mState.mNames);
+      co_return CheckResponse(mConnection->Response(), mState.mNames);
     }
     mState.mLog.Write("foreign-answer",
                       { { "request", mRequestId },
@@ -377,7 +390,8 @@
 GatewayCall::ReadStatedLimit()
 {
   const KnownUpstream* const known = mState.mDirectory.Find(mUpstream);
-  const std::string_view text = mConnection->Header(mState.mNames.mRateLimit);
+  const std::string_view text =
+    mConnection->Response().Header(mState.mNames.mRateLimit);
   const std::optional<double> limit = ParseDecimal(text);
   // A value that is not a number neither states nor withdraws a limit.
   if (known == nullptr || (!text.empty() && !limit)) {
@@ -453,13 +467,14 @@
 GatewayCall::OnCompleted()
 {
   const Instant now = SteadyNow();
-  if (IsServerError(mConnection->Status())) {
+  const HttpConnection& response = mConnection->Response();
+  if (IsServerError(response.Status())) {
     mState.mHealth.OnFailure(mUpstream, 1, now);
   } else {
     mState.mHealth.OnSuccess(mUpstream, now);
   }
   // A response that ends with its connection may have been cut by a crash.
-  if (IsSuccess(mConnection->Status()) && !mConnection->IsCloseDelimited()) {
+  if (IsSuccess(response.Status()) && !response.IsCloseDelimited()) {
     OnServed();
   }
   mState.mMetrics.mCompleted.Add();
@@ -468,11 +483,19 @@
     "answered",
     { { "request", mRequestId },
       { "upstream", mUpstream },
-      { "status", static_cast<std::int64_t>(mConnection->Status()) },
+      { "status", static_cast<std::int64_t>(response.Status()) },
       { "afterMs", Elapsed().count() } },
     now);
 }
 
+void
+GatewayCall::DropContinuation(const Failure& aFailure)
+{
+  if (mContinuation && aFailure.mCode == FailureCode::OutsideHomeRegions) {
+    mState.mMigrator->Free(*mContinuation);
+  }
+}
+
 void
 GatewayCall::OnAttemptFailed(const Failure& aFailure)
 {
@@ -481,7 +504,9 @@
     mMayHaveRun = true;
     ++mPossibleRuns;
   }
-  mState.mHealth.OnFailure(mUpstream, 1, now);
+  if (aFailure.mCode != FailureCode::OutsideHomeRegions) {
+    mState.mHealth.OnFailure(mUpstream, 1, now);
+  }
   mState.mLog.Write(
     "send-failed",
     { { "request", mRequestId },
@@ -508,9 +533,9 @@
   if (!isAllowed || isLate || !canContinue || mAttempts >= kMaxAttempts) {
     return false;
   }
-  // A failed connection puts no load on any upstream, so the retry does not
-  // count towards the budget.
-  if (aFailure.mCode == FailureCode::UpstreamUnreachable) {
+  // Nothing was sent, so the retry does not count towards the budget.
+  if (aFailure.mCode == FailureCode::UpstreamUnreachable ||
+      aFailure.mCode == FailureCode::OutsideHomeRegions) {
     return true;
   }
   if (!mState.RetryBudgetFor(mAdmitted.mService->mName)
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -44,7 +44,9 @@
   Task<Result<void>> SendTo(const std::string& aUpstream);
   Task<Result<void>> Connect(const UpstreamRecord& aUpstream);
   HttpRequest MakeRequest(const UpstreamRecord& aUpstream) const;
-  Task<Result<void>> ReadResponseHeader(HttpRequest aRequest, Instant aUntil);
+  Task<Result<void>> Exchange(SendClearance aClearance,
+                              HttpRequest aRequest,
+                              Instant aUntil);
   /// Evaluates the limit that the upstream states in its response.
   void ReadStatedLimit();
   void OnEventsRelayed();
@@ -57,6 +59,8 @@
   void ReportCrash(const Failure& aFailure);
   void OnServed();
   void OnAttemptFailed(const Failure& aFailure);
+  /// Frees the state of a generation that can't be continued in its regions.
+  void DropContinuation(const Failure& aFailure);
   bool TryRetry(const Failure& aFailure);
   Instant AttemptDeadline(Instant aNow) const;
   Task<void> Refuse(const Failure& aFailure);
@@ -79,7 +83,7 @@
   std::uint32_t mAttempts = 0;
   bool mMayHaveRun = false;
   std::string mUpstream;
-  std::unique_ptr<HttpConnection> mConnection;
+  std::unique_ptr<UpstreamConnection> mConnection;
   /// The generation at the current upstream, if it can be migrated.
   std::shared_ptr<MigratableGeneration> mGeneration;
   /// Counts the generation as migratable in the load of the upstream.
--- a/src/cactusgw/gateway/gateway_config.hpp
+++ b/src/cactusgw/gateway/gateway_config.hpp
@@ -3,6 +3,7 @@
 
 /// The configuration of a gateway: its routes, services and workspaces.
 
+#include "cactusgw/core/allowed_regions.hpp"
 #include "cactusgw/core/verdict.hpp"
 
 #include <cstdint>
@@ -63,8 +64,8 @@
   std::uint32_t mMaxAttempts = 1;
   /// Whether requests need no API key.
   bool mIsPublic = false;
-  /// Regions whose upstreams may serve the route; empty means all.
-  std::vector<std::string> mRegions;
+  /// Regions whose upstreams may serve the route.
+  AllowedRegions mRegions = AllowedRegions::Everywhere();
 };
 
 /// Capacity and features of the upstreams that run a model engine.
@@ -107,7 +108,8 @@
   std::vector<std::string> mKeys;
   /// Overrides the priority of the route.
   std::optional<std::uint32_t> mRank;
-  std::vector<std::string> mRegions;
+  /// Regions whose upstreams may serve the workspace's requests.
+  AllowedRegions mRegions = AllowedRegions::Everywhere();
 };
 
 /// One complete version of the configuration.
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -67,6 +67,13 @@
   mFreshness.SetLimit(FreshnessLimit(aSettings.mBounds));
 }
 
+SendGate
+GatewayState::Gate() const
+{
+  return SendGate{ SendFacts{
+    mTable.get(), mFreshness.IsUsable(), mDirectory, mSettings.mRegions } };
+}
+
 std::string
 GatewayState::RegionOf(std::string_view aDataCentre) const
 {
@@ -115,12 +122,10 @@
                          Instant aNow) const
 {
   std::vector<Candidate> candidates;
+  const SendGate gate = Gate();
   for (const KnownUpstream* const known : mDirectory.Serving(aService.mName)) {
     const UpstreamRecord& record = known->mRecord;
-    const auto region = mSettings.mRegions.find(record.mDataCentre);
-    const bool isAllowed =
-      aFilter.mRegions.empty() || (region != mSettings.mRegions.end() &&
-                                   Contains(aFilter.mRegions, region->second));
+    const bool isAllowed = gate.IsWithin(aFilter.mRegions, record);
     const bool isLimited =
       aService.mColdPerSecond > 0 && IsCold(*known, aNow) &&
       !mColdStartLimiter.Allows(record.mId, ColdStartShare(aService), aNow);
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -14,6 +14,7 @@
 #include "cactusgw/gateway/header_names.hpp"
 #include "cactusgw/gateway/load_table.hpp"
 #include "cactusgw/gateway/routing_table.hpp"
+#include "cactusgw/gateway/send_gate.hpp"
 #include "cactusgw/gateway/shared_retry_budget.hpp"
 #include "cactusgw/gateway/store_freshness.hpp"
 #include "cactusgw/gateway/upstream_choice.hpp"
@@ -36,8 +37,7 @@
 /// Restricts the upstreams for a request or a migrated generation.
 struct CandidateFilter
 {
-  /// Allowed regions; empty means all.
-  std::span<const std::string> mRegions;
+  AllowedRegions mRegions = AllowedRegions::Everywhere();
   /// Upstreams to skip.
   std::span<const std::string> mExcluded;
   /// Distances are measured from this data centre.
@@ -83,6 +83,8 @@
   /// registered anew.
   void Forget(const std::string& aUpstream);
 
+  /// Decides by the state of this moment; don't keep it while waiting.
+  SendGate Gate() const;
   /// Returns the region of a data centre, or "unknown".
   std::string RegionOf(std::string_view aDataCentre) const;
   Distance DistanceBetween(std::string_view aFrom, std::string_view aTo) const;
--- a/src/cactusgw/gateway/generation_migrator.cpp
+++ b/src/cactusgw/gateway/generation_migrator.cpp
@@ -1,7 +1,6 @@
 #include "cactusgw/gateway/generation_migrator.hpp"
 
 #include "cactusgw/gateway/gateway_state.hpp"
-#include "cactusgw/gateway/message_headers.hpp"
 #include "cactusgw/net/steady_now.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -216,7 +215,7 @@
     return nullptr;
   }
   const std::array<std::string, 1> excluded{ aIdentity.mUpstream };
-  const CandidateFilter filter{ aIdentity.mRegions,
+  const CandidateFilter filter{ mState.Gate().RegionsFor(aIdentity.mOrigin),
                                 excluded,
                                 aIdentity.mDataCentre };
   std::vector<Candidate> candidates =
@@ -247,40 +246,67 @@
   }
   const KnownUpstream target = *found;
   const std::string& targetId = target.mRecord.mId;
+  Result<SendClearance> clearance = Clear(identity, target);
+  if (!clearance) {
+    co_return false;
+  }
   const Instant begun = SteadyNow();
   const UpstreamLoad load{ 1, identity.mNeed.mTotal, 0, 0 };
   mState.mMetrics.mMigrationsStarted.Add();
   mState.mLoads.Add(targetId, load);
   Log("move-started", identity, targetId, "none", begun);
   CopyOrder order{
-    identity.mAddress, identity.mRequestId, target.mRecord.mAddress, false
+    identity.mAddress, identity.mRequestId, std::move(clearance.value()), false
   };
   const CopyReply copied = co_await mControl.mCopy(std::move(order));
   const bool isGone = aGeneration->State() != GenerationState::Running;
-  if (copied.mOutcome == CopyOutcome::Copied && isGone) {
+  Result<SendClearance> stillCleared = Clear(identity, target);
+  const bool isUsable = !isGone && stillCleared;
+  if (copied.mOutcome == CopyOutcome::Copied && !isUsable) {
     Free({ targetId, identity.mAddress, copied.mHandle });
   }
-  if (copied.mOutcome == CopyOutcome::Copied && !isGone) {
+  if (copied.mOutcome == CopyOutcome::Copied && isUsable) {
     aGeneration->SetCopy({ targetId, identity.mAddress, copied.mHandle });
-    const CopyOutcome outcome = co_await StopAndCopy(aGeneration, target);
+    const CopyOutcome outcome =
+      co_await StopAndCopy(aGeneration, std::move(stillCleared.value()));
     Log("move-ended", identity, targetId, ToString(outcome), begun);
   } else {
     Log("move-not-begun", identity, targetId, ToString(copied.mOutcome), begun);
   }
   mState.mLoads.Subtract(targetId, load);
+  if (!isGone && !stillCleared) {
+    co_return false;
+  }
   co_return isGone || copied.mOutcome == CopyOutcome::Copied ||
     copied.mOutcome == CopyOutcome::Unknown;
 }
 
+Result<SendClearance>
+GenerationMigrator::Clear(const GenerationIdentity& aIdentity,
+                          const KnownUpstream& aTarget) const
+{
+  Result<SendClearance> clearance = mState.Gate().Clear(
+    aIdentity.mOrigin, TargetOf(aTarget.mRecord), SendPurpose::NewWork);
+  if (!clearance) {
+    Log("move-refused",
+        aIdentity,
+        aTarget.mRecord.mId,
+        ToString(clearance.error().mCode),
+        SteadyNow());
+  }
+  return clearance;
+}
+
 Task<CopyOutcome>
 GenerationMigrator::StopAndCopy(
   const std::shared_ptr<MigratableGeneration>& aGeneration,
-  const KnownUpstream& aTarget)
+  SendClearance aTarget)
 {
   const GenerationIdentity& identity = aGeneration->Identity();
+  const std::string targetId = aTarget.Target().mId;
   aGeneration->SetState(GenerationState::Stopping);
   CopyOrder order{
-    identity.mAddress, identity.mRequestId, aTarget.mRecord.mAddress, true
+    identity.mAddress, identity.mRequestId, std::move(aTarget), true
   };
   const CopyReply stopped = co_await mControl.mCopy(std::move(order));
   const bool isStopped =
@@ -297,7 +323,7 @@
   const bool isCopied = stopped.mOutcome == CopyOutcome::Copied;
   // Without room at the target, the source keeps the memory, and the generation
   // continues there.
-  Continuation next{ isCopied ? aTarget.mRecord.mId : identity.mUpstream,
+  Continuation next{ isCopied ? targetId : identity.mUpstream,
                      identity.mAddress,
                      stopped.mHandle };
   if (aGeneration->State() == GenerationState::Stopping) {
@@ -333,8 +359,7 @@
       { "region",
         target == nullptr ? "unknown"
                           : mState.RegionOf(target->mRecord.mDataCentre) },
-      { "homes",
-        aIdentity.mRegions.empty() ? "any" : JoinParts(aIdentity.mRegions) },
+      { "homes", mState.Gate().RegionsFor(aIdentity.mOrigin).Text() },
       { "outcome", aOutcome },
       { "tokens", static_cast<std::int64_t>(aIdentity.mNeed.mTotal) },
       { "tookMs",
--- a/src/cactusgw/gateway/generation_migrator.hpp
+++ b/src/cactusgw/gateway/generation_migrator.hpp
@@ -57,7 +57,10 @@
   Task<bool> Migrate(const std::shared_ptr<MigratableGeneration>& aGeneration);
   Task<CopyOutcome> StopAndCopy(
     const std::shared_ptr<MigratableGeneration>& aGeneration,
-    const KnownUpstream& aTarget);
+    SendClearance aTarget);
+  /// Clears a copy of the generation's state to the target.
+  Result<SendClearance> Clear(const GenerationIdentity& aIdentity,
+                              const KnownUpstream& aTarget) const;
   /// Longest time to wait for the migrations of other gateways that precede
   /// those of this one.
   Milliseconds EarlierMigrationsTime(const std::string& aUpstream,
--- a/src/cactusgw/gateway/migratable_generation.hpp
+++ b/src/cactusgw/gateway/migratable_generation.hpp
@@ -4,6 +4,7 @@
 /// State of a generation in progress at an upstream, shared by the call that
 /// forwards its events and the migrator that may move it to another upstream.
 
+#include "cactusgw/gateway/send_gate.hpp"
 #include "cactusgw/gateway/upstream_choice.hpp"
 #include "cactusgw/net/http_types.hpp"
 
@@ -33,7 +34,7 @@
 {
   std::string mRequestId;
   std::string mService;
-  std::vector<std::string> mRegions;
+  RequestOrigin mOrigin;
   std::string mUpstream;
   std::string mAddress;
   std::string mDataCentre;
--- a/src/cactusgw/gateway/response_relay.cpp
+++ b/src/cactusgw/gateway/response_relay.cpp
@@ -64,7 +64,7 @@
 }
 
 ResponseRelay::ResponseRelay(HttpExchange& aExchange,
-                             HttpConnection& aConnection,
+                             UpstreamConnection& aConnection,
                              GatewayMetrics& aMetrics,
                              StreamProgress& aProgress,
                              ResponseRelayEvents aEvents)
@@ -79,7 +79,7 @@
 Task<Result<void>>
 ResponseRelay::Relay(ResponseRelayRules aRules, Instant aUntil)
 {
-  if (IsSuccess(mConnection.Status()) && IsStream(aRules.mKind)) {
+  if (IsSuccess(mConnection.Response().Status()) && IsStream(aRules.mKind)) {
     co_return co_await RelayStream(aUntil);
   }
   co_return co_await RelayBuffered(aRules, aUntil);
@@ -106,8 +106,8 @@
   if (!usable) {
     co_return usable;
   }
-  HttpResponse response =
-    ForwardedHeader(mConnection.Status(), mConnection.Fields());
+  HttpResponse response = ForwardedHeader(mConnection.Response().Status(),
+                                          mConnection.Response().Fields());
   response.body() = std::move(body);
   mEvents.mOnComplete();
   co_return co_await mExchange.Send(std::move(response));
@@ -116,7 +116,7 @@
 Result<void>
 ResponseRelay::CheckBuffered(ResponseRelayRules aRules) const
 {
-  const unsigned status = mConnection.Status();
+  const unsigned status = mConnection.Response().Status();
   if (IsServerError(status) && aRules.mReportsServerErrors) {
     return MayHaveRun(FailureCode::UpstreamBroke,
                       "the upstream failed with status " +
@@ -133,8 +133,8 @@
 Task<Result<void>>
 ResponseRelay::RelayUnbuffered(std::string aBegin, Instant aUntil)
 {
-  Result<void> passed = co_await mExchange.Begin(
-    ForwardedHeader(mConnection.Status(), mConnection.Fields()));
+  Result<void> passed = co_await mExchange.Begin(ForwardedHeader(
+    mConnection.Response().Status(), mConnection.Response().Fields()));
   std::string piece = std::move(aBegin);
   while (passed && !piece.empty()) {
     passed = co_await mExchange.Write(piece);
@@ -188,7 +188,7 @@
   }
   // The framing of such a stream doesn't tell that its upstream has crashed.
   const bool isEmpty =
-    mConnection.IsCloseDelimited() && splitter.LastId().empty();
+    mConnection.Response().IsCloseDelimited() && splitter.LastId().empty();
   if (!splitter.Remainder().empty() || isEmpty) {
     co_return MayHaveRun(FailureCode::UpstreamClosed,
                          isEmpty ? "the stream ended before its first event"
@@ -207,8 +207,8 @@
 {
   const Instant now = SteadyNow();
   if (!mExchange.HasBegun()) {
-    const Result<void> begun = co_await mExchange.Begin(
-      ForwardedHeader(mConnection.Status(), mConnection.Fields()));
+    const Result<void> begun = co_await mExchange.Begin(ForwardedHeader(
+      mConnection.Response().Status(), mConnection.Response().Fields()));
     if (!begun) {
       co_return begun;
     }
--- a/src/cactusgw/gateway/response_relay.hpp
+++ b/src/cactusgw/gateway/response_relay.hpp
@@ -7,7 +7,7 @@
 #include "cactusgw/gateway/gateway_config.hpp"
 #include "cactusgw/gateway/gateway_metrics.hpp"
 #include "cactusgw/gateway/header_names.hpp"
-#include "cactusgw/net/http_connection.hpp"
+#include "cactusgw/gateway/upstream_connection.hpp"
 #include "cactusgw/net/http_server.hpp"
 
 #include <functional>
@@ -63,7 +63,7 @@
 {
 public:
   ResponseRelay(HttpExchange& aExchange,
-                HttpConnection& aConnection,
+                UpstreamConnection& aConnection,
                 GatewayMetrics& aMetrics,
                 StreamProgress& aProgress,
                 ResponseRelayEvents aEvents);
@@ -79,7 +79,7 @@
   Result<void> CheckBuffered(ResponseRelayRules aRules) const;
 
   HttpExchange& mExchange;
-  HttpConnection& mConnection;
+  UpstreamConnection& mConnection;
   GatewayMetrics& mMetrics;
   StreamProgress& mProgress;
   ResponseRelayEvents mEvents;
--- a/src/cactusgw/gateway/routing_table.cpp
+++ b/src/cactusgw/gateway/routing_table.cpp
@@ -38,6 +38,7 @@
     mServices.emplace(service.mName, &service);
   }
   for (const Workspace& workspace : mConfig.mWorkspaces) {
+    mWorkspaces.emplace(workspace.mName, &workspace);
     for (const std::string& key : workspace.mKeys) {
       mKeys.emplace(key, &workspace);
     }
@@ -77,4 +78,11 @@
   return it == mKeys.end() ? nullptr : it->second;
 }
 
+const Workspace*
+RoutingTable::FindWorkspaceByName(std::string_view aName) const
+{
+  const auto it = mWorkspaces.find(std::string{ aName });
+  return it == mWorkspaces.end() ? nullptr : it->second;
+}
+
 } // namespace cactusgw
--- a/src/cactusgw/gateway/routing_table.hpp
+++ b/src/cactusgw/gateway/routing_table.hpp
@@ -28,6 +28,8 @@
   const GatewayService* FindService(std::string_view aName) const;
   /// Returns the workspace that the key belongs to, or null.
   const Workspace* FindWorkspace(std::string_view aKey) const;
+  /// Returns the workspace of this name, or null.
+  const Workspace* FindWorkspaceByName(std::string_view aName) const;
   /// Whether requests to routes that are not public need a key.
   bool NeedsKeys() const { return !mConfig.mWorkspaces.empty(); }
 
@@ -42,6 +44,7 @@
   std::unordered_map<std::string, const GatewayRoute*> mRoutes;
   std::unordered_map<std::string, const GatewayService*> mServices;
   std::unordered_map<std::string, const Workspace*> mKeys;
+  std::unordered_map<std::string, const Workspace*> mWorkspaces;
 };
 
 } // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/gateway/send_gate.cpp
@@ -0,0 +1,104 @@
+#include "cactusgw/gateway/send_gate.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace cactusgw {
+
+namespace {
+
+const Workspace*
+FindWorkspace(const RoutingTable& aTable, const RequestOrigin& aOrigin)
+{
+  // A workspace keeps its requests when their key is taken away.
+  return aOrigin.mWorkspace.empty()
+           ? aTable.FindWorkspace(aOrigin.mKey)
+           : aTable.FindWorkspaceByName(aOrigin.mWorkspace);
+}
+
+} // namespace
+
+UpstreamTarget
+TargetOf(const UpstreamRecord& aUpstream)
+{
+  return { aUpstream.mId, aUpstream.mAddress, aUpstream.mStartedMs };
+}
+
+AllowedRegions
+SendGate::RegionsFor(const RequestOrigin& aOrigin) const
+{
+  if (mFacts.mTable == nullptr || !mFacts.mIsTableNewest) {
+    return AllowedRegions::Unreadable();
+  }
+  const RoutingTable& table = *mFacts.mTable;
+  const GatewayRoute* const route =
+    table.FindRoute(aOrigin.mHost, aOrigin.mPath);
+  const Workspace* const workspace = FindWorkspace(table, aOrigin);
+  const AllowedRegions& ofRoute =
+    route == nullptr ? aOrigin.mRouteRegions : route->mRegions;
+  const AllowedRegions& ofWorkspace =
+    workspace == nullptr ? aOrigin.mWorkspaceRegions : workspace->mRegions;
+  return ofRoute.Intersect(ofWorkspace);
+}
+
+bool
+SendGate::HasDataCentre(const AllowedRegions& aRegions) const
+{
+  return std::any_of(
+    mFacts.mRegions.begin(), mFacts.mRegions.end(), [&](const auto& aEntry) {
+      return aRegions.Allows(aEntry.second);
+    });
+}
+
+bool
+SendGate::IsWithin(const AllowedRegions& aRegions,
+                   const UpstreamRecord& aUpstream) const
+{
+  if (!aRegions.IsRestricted()) {
+    return true;
+  }
+  const std::vector<const KnownUpstream*> holders =
+    mFacts.mDirectory.AtAddress(aUpstream.mAddress);
+  return std::all_of(
+    holders.begin(), holders.end(), [&](const KnownUpstream* aHolder) {
+      const auto region = mFacts.mRegions.find(aHolder->mRecord.mDataCentre);
+      return region != mFacts.mRegions.end() && aRegions.Allows(region->second);
+    });
+}
+
+Result<SendClearance>
+SendGate::Clear(const RequestOrigin& aOrigin,
+                const UpstreamTarget& aTarget,
+                SendPurpose aPurpose) const
+{
+  const KnownUpstream* const known = mFacts.mDirectory.Find(aTarget.mId);
+  if (known == nullptr || TargetOf(known->mRecord) != aTarget) {
+    return NotRun(FailureCode::UpstreamUnreachable,
+                  "upstream " + aTarget.mId + " has left, restarted or moved");
+  }
+  const UpstreamRecord& record = known->mRecord;
+  const bool acceptsWork =
+    !record.mIsDraining && !mFacts.mDirectory.IsDrained(record.mDataCentre);
+  if (aPurpose == SendPurpose::NewWork && !acceptsWork) {
+    return NotRun(FailureCode::UpstreamUnreachable,
+                  "upstream " + aTarget.mId + " accepts no new requests");
+  }
+  const AllowedRegions regions = RegionsFor(aOrigin);
+  if (!IsWithin(regions, record)) {
+    return NotRun(FailureCode::OutsideHomeRegions,
+                  "upstream " + aTarget.mId + " in region " +
+                    RegionOf(record.mDataCentre) +
+                    " is outside the allowed regions: " + regions.Text());
+  }
+  return SendClearance{ aTarget };
+}
+
+std::string
+SendGate::RegionOf(std::string_view aDataCentre) const
+{
+  const auto it = mFacts.mRegions.find(aDataCentre);
+  return it == mFacts.mRegions.end() ? "unknown" : it->second;
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/gateway/send_gate.hpp
@@ -0,0 +1,97 @@
+#ifndef CACTUSGW_GATEWAY_SEND_GATE_HPP
+#define CACTUSGW_GATEWAY_SEND_GATE_HPP
+
+/// Decides whether a request, or the state of one, may go to an upstream. The
+/// decision holds for one moment: routes, workspaces, regions and upstreams may
+/// change while a request waits, and it is made anew for each send.
+
+#include "cactusgw/config/process_settings.hpp"
+#include "cactusgw/core/allowed_regions.hpp"
+#include "cactusgw/core/send_clearance.hpp"
+#include "cactusgw/core/verdict.hpp"
+#include "cactusgw/gateway/routing_table.hpp"
+#include "cactusgw/gateway/upstream_directory.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace cactusgw {
+
+/// What a request's regions are derived from. It stays with the request, so
+/// that they can be derived from each version of the configuration.
+struct RequestOrigin
+{
+  std::string mHost;
+  std::string mPath;
+  /// API key, also on routes that need none; empty if the client sent none.
+  std::string mKey;
+  /// Workspace that the key belonged to at admission; empty if to none.
+  std::string mWorkspace;
+  /// Restrictions at admission. They stay in force when a later version does
+  /// not contain the route or the workspace.
+  AllowedRegions mRouteRegions = AllowedRegions::Everywhere();
+  AllowedRegions mWorkspaceRegions = AllowedRegions::Everywhere();
+};
+
+enum class SendPurpose
+{
+  /// Needs an upstream that accepts new requests.
+  NewWork,
+  /// Continues a generation where its state is already; the upstream may be
+  /// draining.
+  Continuation,
+};
+
+/// What the gate decides by, as it is at one moment. Refers to the state of the
+/// gateway and must not outlive a function that waits for nothing.
+struct SendFacts
+{
+  /// The newest configuration; null before the first one.
+  const RoutingTable* mTable = nullptr;
+  /// Whether the newest version in the store could be decoded.
+  bool mIsTableNewest = true;
+  const UpstreamDirectory& mDirectory;
+  const RegionMap& mRegions;
+};
+
+/// Cheap to make. Not thread-safe.
+class SendGate
+{
+public:
+  explicit SendGate(const SendFacts& aFacts)
+    : mFacts(aFacts)
+  {
+  }
+
+  /// Regions in which the newest configuration allows the request: those that
+  /// both its route and its workspace allow.
+  AllowedRegions RegionsFor(const RequestOrigin& aOrigin) const;
+
+  /// Whether some data centre lies in these regions. Without one, no wait can
+  /// help the request.
+  bool HasDataCentre(const AllowedRegions& aRegions) const;
+
+  /// Whether the upstream is known to be in these regions. An upstream whose
+  /// region is unknown, or whose address is also registered by an upstream
+  /// elsewhere, is in no particular region.
+  bool IsWithin(const AllowedRegions& aRegions,
+                const UpstreamRecord& aUpstream) const;
+
+  /// Clears one send. Errors, all NotRun: UpstreamUnreachable when the upstream
+  /// has left, restarted or moved, or accepts no new work; OutsideHomeRegions.
+  Result<SendClearance> Clear(const RequestOrigin& aOrigin,
+                              const UpstreamTarget& aTarget,
+                              SendPurpose aPurpose) const;
+
+private:
+  std::string RegionOf(std::string_view aDataCentre) const;
+
+  SendFacts mFacts;
+};
+
+/// The start and address at which an upstream is registered.
+UpstreamTarget TargetOf(const UpstreamRecord& aUpstream);
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_GATEWAY_SEND_GATE_HPP
--- a/src/cactusgw/gateway/store_freshness.hpp
+++ b/src/cactusgw/gateway/store_freshness.hpp
@@ -36,6 +36,7 @@
   /// is not, confirmations don't reset the age of the version in use.
   void SetUsable(bool aIsUsable) { mIsUsable = aIsUsable; }
 
+  bool IsUsable() const { return mIsUsable; }
   /// Whether the configuration has been confirmed at least once.
   bool IsKnown() const { return mIsKnown; }
   bool IsFresh(BootTime aNow) const;
--- a/src/cactusgw/gateway/upstream_connection_pool.cpp
+++ b/src/cactusgw/gateway/upstream_connection_pool.cpp
@@ -4,10 +4,10 @@
 
 namespace cactusgw {
 
-std::unique_ptr<HttpConnection>
-UpstreamConnectionPool::Acquire(const std::string& aUpstream, Instant aNow)
+std::unique_ptr<UpstreamConnection>
+UpstreamConnectionPool::Acquire(const UpstreamTarget& aTarget, Instant aNow)
 {
-  const auto it = mIdle.find(aUpstream);
+  const auto it = mIdle.find(aTarget.mId);
   if (it == mIdle.end()) {
     return nullptr;
   }
@@ -16,7 +16,8 @@
   while (!idle.empty()) {
     IdleConnection newest = std::move(idle.back());
     idle.pop_back();
-    if (aNow < newest.mExpiresAt && newest.mConnection->IsIdle()) {
+    if (aNow < newest.mExpiresAt && newest.mConnection->Target() == aTarget &&
+        newest.mConnection->IsIdle()) {
       return std::move(newest.mConnection);
     }
   }
@@ -24,19 +25,19 @@
 }
 
 void
-UpstreamConnectionPool::Release(const std::string& aUpstream,
-                                std::unique_ptr<HttpConnection> aConnection,
+UpstreamConnectionPool::Release(std::unique_ptr<UpstreamConnection> aConnection,
                                 Instant aNow)
 {
-  if (!aConnection->IsReusable()) {
+  const HttpConnection& last = aConnection->Response();
+  if (!last.IsReusable()) {
     return;
   }
   const Milliseconds idleTime =
-    aConnection->KeepAliveTimeout().value_or(kDefaultIdleTimeout);
+    last.KeepAliveTimeout().value_or(kDefaultIdleTimeout);
   if (idleTime <= kCloseMargin) {
     return;
   }
-  std::vector<IdleConnection>& idle = mIdle[aUpstream];
+  std::vector<IdleConnection>& idle = mIdle[aConnection->Target().mId];
   if (idle.size() < kMaxIdle) {
     idle.push_back(
       IdleConnection{ std::move(aConnection), aNow + idleTime - kCloseMargin });
--- a/src/cactusgw/gateway/upstream_connection_pool.hpp
+++ b/src/cactusgw/gateway/upstream_connection_pool.hpp
@@ -4,7 +4,7 @@
 /// Pool of idle connections to upstreams. Only connections that are certain to
 /// be reusable are returned to it.
 
-#include "cactusgw/net/http_connection.hpp"
+#include "cactusgw/gateway/upstream_connection.hpp"
 
 #include <map>
 #include <memory>
@@ -27,14 +27,12 @@
 
   static UpstreamConnectionPool Create() { return UpstreamConnectionPool{}; }
 
-  /// Returns an idle connection to the upstream, or null.
-  std::unique_ptr<HttpConnection> Acquire(const std::string& aUpstream,
-                                          Instant aNow);
+  /// Returns an idle connection to this start of the upstream, or null.
+  std::unique_ptr<UpstreamConnection> Acquire(const UpstreamTarget& aTarget,
+                                              Instant aNow);
   /// Returns a connection to the pool; closes it if it can't be reused or if
   /// the pool holds kMaxIdle connections to the upstream.
-  void Release(const std::string& aUpstream,
-               std::unique_ptr<HttpConnection> aConnection,
-               Instant aNow);
+  void Release(std::unique_ptr<UpstreamConnection> aConnection, Instant aNow);
   /// Closes all connections to an upstream that was removed or is draining.
   void Forget(const std::string& aUpstream);
   /// Closes connections whose idle timeout has expired.
@@ -43,7 +41,7 @@
 private:
   struct IdleConnection
   {
-    std::unique_ptr<HttpConnection> mConnection;
+    std::unique_ptr<UpstreamConnection> mConnection;
     Instant mExpiresAt;
   };
 
--- a/src/cactusgw/gateway/upstream_directory.cpp
+++ b/src/cactusgw/gateway/upstream_directory.cpp
@@ -19,7 +19,8 @@
   }
   KnownUpstream& known = it->second;
   const bool hasRestarted = known.mRecord.mStartedMs != aRecord.mStartedMs ||
-                            known.mRecord.mAddress != aRecord.mAddress;
+                            known.mRecord.mAddress != aRecord.mAddress ||
+                            known.mRecord.mDataCentre != aRecord.mDataCentre;
   const bool startsDraining = aRecord.mIsDraining && !known.mRecord.mIsDraining;
   known.mRecord = std::move(aRecord);
   known.mColdUntil = coldUntil;
@@ -96,6 +97,18 @@
   return it == mUpstreams.end() ? nullptr : &it->second;
 }
 
+std::vector<const KnownUpstream*>
+UpstreamDirectory::AtAddress(std::string_view aAddress) const
+{
+  std::vector<const KnownUpstream*> holders;
+  for (const auto& [id, known] : mUpstreams) {
+    if (known.mRecord.mAddress == aAddress) {
+      holders.push_back(&known);
+    }
+  }
+  return holders;
+}
+
 std::vector<const KnownUpstream*>
 UpstreamDirectory::Serving(std::string_view aService) const
 {
--- a/src/cactusgw/gateway/upstream_directory.hpp
+++ b/src/cactusgw/gateway/upstream_directory.hpp
@@ -104,6 +104,9 @@
   /// The upstreams of a service that accept new requests: neither draining nor
   /// in a drained data centre.
   std::vector<const KnownUpstream*> Serving(std::string_view aService) const;
+  /// The upstreams that are registered at an address. There are several when
+  /// one took over the address of another that has not expired yet.
+  std::vector<const KnownUpstream*> AtAddress(std::string_view aAddress) const;
   std::size_t Size() const { return mUpstreams.size(); }
 
 private:
--- a/src/cactusgw/gateway/upstream_selector.cpp
+++ b/src/cactusgw/gateway/upstream_selector.cpp
@@ -47,7 +47,7 @@
 UpstreamSelector::SelectAvailable(const AdmittedRequest& aRequest,
                                   std::span<const std::string> aTried) const
 {
-  const CandidateFilter filter{ aRequest.mRegions,
+  const CandidateFilter filter{ mState.Gate().RegionsFor(aRequest.mOrigin),
                                 aTried,
                                 mState.mSettings.mPlace.mDataCentre,
                                 mWaitEntry != nullptr };
@@ -73,18 +73,23 @@
   };
   mWaitEntry = &entry;
   std::string found;
-  while (found.empty() && !mIsCancelled && SteadyNow() < waitEnd) {
+  Result<void> homes = boost::outcome_v2::success();
+  while (found.empty() && homes && !mIsCancelled && SteadyNow() < waitEnd) {
     if (entry.IsFirst()) {
       found = SelectAvailable(aRequest, aTried);
     }
     if (found.empty()) {
       co_await entry.Wait(std::min(waitEnd, SteadyNow() + kRecheckInterval));
+      homes = CheckHomes(mState, aRequest.mOrigin);
     }
   }
   mWaitEntry = nullptr;
   if (!found.empty()) {
     co_return found;
   }
+  if (!homes) {
+    co_return homes.error();
+  }
   const std::size_t known = mState.mDirectory.Serving(service).size();
   co_return NotRun(FailureCode::Busy,
                    "none of " + std::to_string(known) + " upstreams has room");
--- a/src/cactusgw/interfaces/generation_control.hpp
+++ b/src/cactusgw/interfaces/generation_control.hpp
@@ -3,6 +3,7 @@
 
 /// Requests to model engines that control running generations.
 
+#include "cactusgw/core/send_clearance.hpp"
 #include "cactusgw/core/verdict.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -20,8 +21,8 @@
   /// `IP:port` of the upstream that runs it.
   std::string mSource;
   std::string mRequestId;
-  /// `IP:port` of the upstream that gets the copy.
-  std::string mTarget;
+  /// The upstream that gets the copy.
+  SendClearance mTarget;
   /// Whether the generation is stopped first, which ends its stream
   /// unfinished. Otherwise it continues, and a later request copies the memory
   /// that was added since.
--- a/src/cactusgw/net/problem.cpp
+++ b/src/cactusgw/net/problem.cpp
@@ -60,6 +60,7 @@
     case FailureCode::StoreUnavailable:
     case FailureCode::HistoryCompacted:
     case FailureCode::UpstreamUnreachable:
+    case FailureCode::OutsideHomeRegions:
     case FailureCode::UpstreamRefused:
       return http::status::service_unavailable;
     case FailureCode::ClientDisconnected:
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -65,7 +65,7 @@
   mSettings.mUnreadyTime = Milliseconds{ 10 };
   mSettings.mStopTime = Milliseconds{ 5000 };
   mControl.mCopy = [this](CopyOrder aOrder) -> Task<CopyReply> {
-    mCopies.push_back(aOrder);
+    mCopies.push_back(std::move(aOrder));
     co_return CopyReply{ CopyOutcome::Copied, "handle" };
   };
   mControl.mIsDraining = [](std::string) -> Task<Result<bool>> {
@@ -94,7 +94,10 @@
   engine.mName = "engine";
   engine.mEngine = EngineProfile{ 8, 10'000, 1000, 1000.0, true };
   config.mServices = { app, engine };
-  config.mWorkspaces = { { "workspace", { "key" }, std::nullopt, {} } };
+  Workspace workspace;
+  workspace.mName = "workspace";
+  workspace.mKeys = { "key" };
+  config.mWorkspaces = { workspace };
   return config;
 }
 
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -49,7 +49,7 @@
   template<typename T>
   static void SetHomes(T& aItem, std::vector<std::string> aRegions)
   {
-    aItem.mRegions = std::move(aRegions);
+    aItem.mRegions = AllowedRegions::Only(std::move(aRegions));
   }
   /// Restricts all routes to regions.
   static void SetAllHomes(GatewayConfig& aConfig,
--- a/tests/gateway/moved_generation_test.cpp
+++ b/tests/gateway/moved_generation_test.cpp
@@ -130,7 +130,7 @@
 TEST_F(MovedGenerationTest, StreamIsTruncatedWithoutAMigration)
 {
   mControl.mCopy = [this](CopyOrder aOrder) -> Task<CopyReply> {
-    mCopies.push_back(aOrder);
+    mCopies.push_back(std::move(aOrder));
     mCopies.back().mStops = true;
     co_return CopyReply{ CopyOutcome::NotRunning, "" };
   };
@@ -152,10 +152,10 @@
 TEST_F(MovedGenerationTest, FallsBackToTheEarlierCopyIfTheSourceFails)
 {
   mControl.mCopy = [this](CopyOrder aOrder) -> Task<CopyReply> {
-    mCopies.push_back(aOrder);
-    const CopyOutcome outcome =
-      aOrder.mStops ? CopyOutcome::Unknown : CopyOutcome::Copied;
-    co_return CopyReply{ outcome, aOrder.mStops ? "" : "older" };
+    const bool stops = aOrder.mStops;
+    mCopies.push_back(std::move(aOrder));
+    co_return CopyReply{ stops ? CopyOutcome::Unknown : CopyOutcome::Copied,
+                         stops ? "" : "older" };
   };
   AddSource([](ScriptedExchange& aExchange) -> Task<void> {
     aExchange.Close(true);
