Trust homes, and any configuration, only up to an age

What callers saw: a gateway that had been cut off or suspended sent requests by homes that had been replaced meanwhile.

Cause: only API keys had a maximum age. Routes that need no key were served by a configuration of any age, and their homes with it.

Fix: requests that are restricted to regions need a configuration younger than nine tenths of bounds.homeFreshnessMs, the time within which a change has to be in force; all other requests need one that is fresh enough for keys, whether they have a key or not, since a route without homes may have been given some. The gate checks both at each send, so that a gateway that wakes from a suspension sends nothing that was admitted before it.

The same cause elsewhere: when the newest version leads a request to another route or service than at its admission, the former and the newest regions both bind; a lookup alone fell back to a shorter prefix without homes, or opened the former service in the new region. Requests wait in a queue for each service and set of regions: one that waited for a region held up the others. What the gate holds back counts neither as a failure of the upstream nor as a retry, and frees the state of a continuation.

Tests: HomesOfAnOldConfigurationAreNotTrusted, NothingIsSentByAConfigurationThatIsTooOld, HomesOfARemovedRouteOutliveIt, HomesOfAnotherServiceDontOpenTheFormerOne, AWaitForOneRegionHoldsUpNoOtherRequests.

--- a/benchmarks/core_bench.cpp
+++ b/benchmarks/core_bench.cpp
@@ -7,6 +7,7 @@
 #include "cactusgw/core/limit_pacer.hpp"
 #include "cactusgw/core/ownership.hpp"
 #include "cactusgw/core/stream_assembler.hpp"
+#include "cactusgw/gateway/send_gate.hpp"
 
 #include <benchmark/benchmark.h>
 #include <boost/json/array.hpp>
@@ -260,6 +261,49 @@
   ->Arg(700)
   ->Unit(benchmark::kMicrosecond);
 
+/// A clearance at the size that the system is designed for: 1,300 workspaces,
+/// and a route restricted to one of two regions.
+void
+ClearSend(benchmark::State& aState)
+{
+  constexpr int kWorkspaces = 1300;
+  GatewayConfig config;
+  config.mVersion = 1;
+  GatewayRoute route;
+  route.mHost = "host.test";
+  route.mPathPrefix = "/a/";
+  route.mRegions = AllowedRegions::Only({ "r1" });
+  config.mRoutes.push_back(route);
+  for (int i = 0; i < kWorkspaces; ++i) {
+    Workspace workspace;
+    workspace.mName = "workspace-" + std::to_string(i);
+    workspace.mKeys = { "key-" + std::to_string(i) };
+    config.mWorkspaces.push_back(std::move(workspace));
+  }
+  const RoutingTable table = RoutingTable::Create(std::move(config));
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  for (int i = 0; i < aState.range(0); ++i) {
+    UpstreamRecord record;
+    record.mId = "upstream-" + std::to_string(i);
+    record.mAddress = "10.1.0.1:" + std::to_string(1000 + i);
+    record.mDataCentre = "dc";
+    directory.Put(std::move(record), Instant{});
+  }
+  const RegionMap regions{ { "dc", "r1" }, { "dc-2", "r2" } };
+  const SendGate gate{ SendFacts{
+    &table, true, true, true, directory, regions } };
+  RequestOrigin origin;
+  origin.mHost = "host.test";
+  origin.mPath = "/a/b";
+  origin.mWorkspace = "workspace-7";
+  const UpstreamTarget target = TargetOf(directory.Find("upstream-1")->mRecord);
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(
+      gate.Clear(origin, target, SendPurpose::Request).has_value());
+  }
+}
+BENCHMARK(ClearSend)->ArgName("upstreams")->Arg(57)->Arg(700);
+
 } // namespace
 
 BENCHMARK_MAIN();
--- a/src/cactusgw/config/process_settings.cpp
+++ b/src/cactusgw/config/process_settings.cpp
@@ -80,6 +80,8 @@
   aReader.ObjectOr("bounds", [&](ObjectReader& aMember) {
     bounds.mKeyFreshness =
       Milliseconds{ aMember.IntegerOr("keyFreshnessMs", kFreshnessRange, 0) };
+    bounds.mHomeFreshness =
+      Milliseconds{ aMember.IntegerOr("homeFreshnessMs", kFreshnessRange, 0) };
     bounds.mRetryRatio = aMember.NumberOr("retryRatio", kRatioRange, 0.1);
     bounds.mRetryExtra = static_cast<std::uint32_t>(
       aMember.IntegerOr("retryExtra", kCountRange, 10));
--- a/src/cactusgw/config/process_settings.hpp
+++ b/src/cactusgw/config/process_settings.hpp
@@ -70,6 +70,9 @@
 {
   /// Age of the configuration up to which keys are accepted; zero: any age.
   Milliseconds mKeyFreshness{ 0 };
+  /// Age of the configuration up to which its restrictions to regions are
+  /// trusted; zero: any age.
+  Milliseconds mHomeFreshness{ 0 };
   /// Repeats allowed per first send, and the repeats allowed beyond that in
   /// one window, by all gateways together.
   double mRetryRatio = 0;
--- a/src/cactusgw/gateway/call_admission.cpp
+++ b/src/cactusgw/gateway/call_admission.cpp
@@ -16,19 +16,24 @@
 /// change the configuration, which then takes effect within seconds.
 constexpr Milliseconds kHomesRetryAfter{ 5000 };
 
+/// Keys may have been taken away, and routes been given regions, since the
+/// configuration was last confirmed.
 Result<void>
-Authenticate(const GatewayState& aState,
-             const RoutingTable& aTable,
-             AdmittedRequest& aRequest)
+CheckFreshness(const StoreFreshness& aFreshness, BootTime aNow)
 {
-  if (aRequest.mRoute->mIsPublic || !aTable.NeedsKeys()) {
+  if (aFreshness.IsFresh(aNow)) {
     return boost::outcome_v2::success();
   }
-  const BootTime now = BootNow();
-  if (!aState.mFreshness.IsFresh(now)) {
-    return NotRun(FailureCode::StoreUnavailable,
-                  "the keys are too old: " +
-                    std::to_string(aState.mFreshness.Age(now).count()) + " ms");
+  return NotRun(FailureCode::StoreUnavailable,
+                "the configuration is too old: " +
+                  std::to_string(aFreshness.Age(aNow).count()) + " ms");
+}
+
+Result<void>
+Authenticate(const RoutingTable& aTable, AdmittedRequest& aRequest)
+{
+  if (aRequest.mRoute->mIsPublic || !aTable.NeedsKeys()) {
+    return boost::outcome_v2::success();
   }
   aRequest.mWorkspace = aTable.FindWorkspace(aRequest.mOrigin.mKey);
   if (aRequest.mWorkspace == nullptr) {
@@ -40,14 +45,18 @@
 
 RequestOrigin
 OriginOf(const RoutingTable& aTable,
-         const GatewayRoute& aRoute,
+         const AdmittedRequest& aRequest,
          const HttpExchange& aExchange)
 {
   RequestOrigin origin;
   origin.mHost = aExchange.Header("Host");
   origin.mPath = aExchange.Path();
   origin.mKey = BearerKey(aExchange.Header("Authorization"));
-  origin.mRouteRegions = aRoute.mRegions;
+  origin.mRoutePrefix = aRequest.mRoute->mPathPrefix;
+  origin.mRouteRegions = aRequest.mRoute->mRegions;
+  if (aRequest.mService != nullptr) {
+    origin.mService = aRequest.mService->mName;
+  }
   // A key binds its workspace's regions also on routes that need none.
   const Workspace* const workspace = aTable.FindWorkspace(origin.mKey);
   if (workspace != nullptr) {
@@ -98,13 +107,17 @@
 Result<void>
 CheckHomes(const GatewayState& aState, const RequestOrigin& aOrigin)
 {
-  const SendGate gate = aState.Gate();
-  const AllowedRegions regions = gate.RegionsFor(aOrigin);
-  if (gate.HasDataCentre(regions)) {
+  const SendGate gate = aState.Gate(BootNow());
+  const Result<AllowedRegions> regions = gate.TrustedRegionsFor(aOrigin);
+  if (!regions) {
+    return regions.error();
+  }
+  if (gate.HasDataCentre(regions.value())) {
     return boost::outcome_v2::success();
   }
   return NotRun(FailureCode::OutsideHomeRegions,
-                "no data centre is in the allowed regions: " + regions.Text(),
+                "no data centre is in the allowed regions: " +
+                  regions.value().Text(),
                 kHomesRetryAfter);
 }
 
@@ -129,8 +142,13 @@
     return NotRun(FailureCode::InvalidInput, "the request's id is missing");
   }
   request.mRank = request.mRoute->mRank;
-  request.mOrigin = OriginOf(*aTable, *request.mRoute, aExchange);
-  const Result<void> key = Authenticate(aState, *aTable, request);
+  request.mService = SelectService(*aTable, *request.mRoute, id);
+  request.mOrigin = OriginOf(*aTable, request, aExchange);
+  const Result<void> fresh = CheckFreshness(aState.mFreshness, BootNow());
+  if (!fresh) {
+    return fresh.error();
+  }
+  const Result<void> key = Authenticate(*aTable, request);
   if (!key) {
     return key.error();
   }
@@ -138,7 +156,6 @@
   if (!homes) {
     return homes.error();
   }
-  request.mService = SelectService(*aTable, *request.mRoute, id);
   request.mTokenNeed = EstimateTokens(aExchange, names);
   request.mSharedParts = ParseSharedParts(aExchange.Header(names.mPromptParts));
   const std::optional<std::uint64_t> timeLeft =
--- a/src/cactusgw/gateway/call_admission.hpp
+++ b/src/cactusgw/gateway/call_admission.hpp
@@ -33,8 +33,9 @@
   Instant mClientDeadline;
 };
 
-/// Refuses a request that the newest configuration allows in no data centre.
-/// Errors: NotRun with OutsideHomeRegions.
+/// Refuses a request that the newest configuration allows in no data centre, or
+/// restricts but is too old to be trusted. Errors: NotRun with
+/// OutsideHomeRegions or StoreUnavailable.
 Result<void> CheckHomes(const GatewayState& aState,
                         const RequestOrigin& aOrigin);
 
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -131,7 +131,7 @@
     if (sent || mHasClientDisconnected) {
       break;
     }
-    DropContinuation(sent.error());
+    DropContinuation();
     migrationTarget = TakeMigrationTarget();
     if (migrationTarget) {
       continue;
@@ -195,6 +195,7 @@
   mState.OnSelected(aUpstream, SteadyNow());
   mFirstEventAt.reset();
   mIsServed = false;
+  mIsHeldBack = false;
   mPendingPromptTokens = mContinuation ? 0 : mAdmitted.mTokenNeed.mPrompt;
   UpstreamLoad load{ 1, mAdmitted.mTokenNeed.mTotal, mPendingPromptTokens, 0 };
   mState.mLoads.Add(mUpstream, load);
@@ -229,11 +230,12 @@
 GatewayCall::SendAndRelay(const KnownUpstream& aUpstream)
 {
   // Nothing may be awaited between the clearance and the send.
-  Result<SendClearance> clearance = mState.Gate().Clear(
+  Result<SendClearance> clearance = mState.Gate(BootNow()).Clear(
     mAdmitted.mOrigin,
     mConnection->Target(),
-    mContinuation ? SendPurpose::Continuation : SendPurpose::NewWork);
+    mContinuation ? SendPurpose::Continuation : SendPurpose::Request);
   if (!clearance) {
+    mIsHeldBack = true;
     co_return clearance.error();
   }
   const Instant now = SteadyNow();
@@ -249,7 +251,7 @@
       { "upstream", mUpstream },
       { "dataCentre", aUpstream.mRecord.mDataCentre },
       { "region", mState.RegionOf(aUpstream.mRecord.mDataCentre) },
-      { "homes", mState.Gate().RegionsFor(mAdmitted.mOrigin).Text() },
+      { "homes", mState.Gate(BootNow()).RegionsFor(mAdmitted.mOrigin).Text() },
       { "newestVersion",
         static_cast<std::int64_t>(mState.mTable->Config().mVersion) },
       { "attempt", static_cast<std::int64_t>(mAttempts) },
@@ -489,9 +491,9 @@
 }
 
 void
-GatewayCall::DropContinuation(const Failure& aFailure)
+GatewayCall::DropContinuation()
 {
-  if (mContinuation && aFailure.mCode == FailureCode::OutsideHomeRegions) {
+  if (mContinuation && mIsHeldBack) {
     mState.mMigrator->Free(*mContinuation);
   }
 }
@@ -504,7 +506,7 @@
     mMayHaveRun = true;
     ++mPossibleRuns;
   }
-  if (aFailure.mCode != FailureCode::OutsideHomeRegions) {
+  if (!mIsHeldBack) {
     mState.mHealth.OnFailure(mUpstream, 1, now);
   }
   mState.mLog.Write(
@@ -527,15 +529,17 @@
   const bool isAllowed =
     hasNotRun || (IsRetryable(mAdmitted.mRoute->mKind) &&
                   mPossibleRuns < mAdmitted.mRoute->mMaxAttempts);
+  // The configuration is as old for each other upstream.
+  const bool isBlind = aFailure.mCode == FailureCode::StoreUnavailable;
   const bool isLate = SteadyNow() >= mAdmitted.mDeadline;
   const bool canContinue =
     !mExchange.HasBegun() || !mProgress.mLastEventId.empty();
-  if (!isAllowed || isLate || !canContinue || mAttempts >= kMaxAttempts) {
+  if (!isAllowed || isBlind || isLate || !canContinue ||
+      mAttempts >= kMaxAttempts) {
     return false;
   }
   // Nothing was sent, so the retry does not count towards the budget.
-  if (aFailure.mCode == FailureCode::UpstreamUnreachable ||
-      aFailure.mCode == FailureCode::OutsideHomeRegions) {
+  if (mIsHeldBack || aFailure.mCode == FailureCode::UpstreamUnreachable) {
     return true;
   }
   if (!mState.RetryBudgetFor(mAdmitted.mService->mName)
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -59,8 +59,8 @@
   void ReportCrash(const Failure& aFailure);
   void OnServed();
   void OnAttemptFailed(const Failure& aFailure);
-  /// Frees the state of a generation that can't be continued in its regions.
-  void DropContinuation(const Failure& aFailure);
+  /// Frees the state of a generation whose continuation was held back.
+  void DropContinuation();
   bool TryRetry(const Failure& aFailure);
   Instant AttemptDeadline(Instant aNow) const;
   Task<void> Refuse(const Failure& aFailure);
@@ -100,6 +100,8 @@
   std::optional<Instant> mFirstEventAt;
   /// Whether the current attempt counts as served in the evidence of crashes.
   bool mIsServed = false;
+  /// Whether the gate held the current attempt back, so that nothing was sent.
+  bool mIsHeldBack = false;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/gateway_metrics.cpp
+++ b/src/cactusgw/gateway/gateway_metrics.cpp
@@ -47,6 +47,11 @@
   , mContinued(mRegistry.AddCounter({ "cactusgw_streams_continued_total",
                                       "Streams continued by an upstream.",
                                       "" }))
+  , mHomeRefusals(
+      mRegistry.AddCounter({ "cactusgw_home_refusals_total",
+                             "Requests refused for want of an upstream in the "
+                             "regions that they are allowed in.",
+                             "" }))
   , mCrashSuspects(
       mRegistry.AddCounter({ "cactusgw_crash_suspects_total",
                              "Requests whose connection the upstream closed "
@@ -84,6 +89,9 @@
 void
 GatewayMetrics::CountFailure(const Failure& aFailure)
 {
+  if (aFailure.mCode == FailureCode::OutsideHomeRegions) {
+    mHomeRefusals.Add();
+  }
   switch (aFailure.mVerdict) {
     case Verdict::NotRun:
       mNotRun.Add();
--- a/src/cactusgw/gateway/gateway_metrics.hpp
+++ b/src/cactusgw/gateway/gateway_metrics.hpp
@@ -34,6 +34,7 @@
   Counter& mMigrationsCompleted;
   Counter& mMigrationsFailed;
   Counter& mContinued;
+  Counter& mHomeRefusals;
   Counter& mCrashSuspects;
   Counter& mQuarantinedRequests;
   Gauge& mQuarantines;
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -12,15 +12,15 @@
 /// Fraction of a shared limit that is used, so that small differences between
 /// the counts of the two sides can't exceed the limit.
 constexpr double kUsedFraction = 0.8;
-/// Fraction of the maximum age of API keys up to which they are accepted. The
-/// rest covers the time between the check and the send to the upstream.
+/// Fraction of the maximum age of API keys and of regions up to which they are
+/// accepted. The rest covers the time between the check and the send to the
+/// upstream.
 constexpr double kFreshnessFraction = 0.9;
 
 Milliseconds
-FreshnessLimit(const GatewayBounds& aBounds)
+FreshnessLimit(Milliseconds aBound)
 {
-  return std::chrono::duration_cast<Milliseconds>(aBounds.mKeyFreshness *
-                                                  kFreshnessFraction);
+  return std::chrono::duration_cast<Milliseconds>(aBound * kFreshnessFraction);
 }
 
 double
@@ -51,7 +51,8 @@
   , mColdStartLimiter(ColdStartLimiter::Create())
   , mPool(UpstreamConnectionPool::Create())
   , mWaitQueue(WaitQueue::Create())
-  , mFreshness(StoreFreshness::Create(FreshnessLimit(mSettings.mBounds)))
+  , mFreshness(
+      StoreFreshness::Create(FreshnessLimit(mSettings.mBounds.mKeyFreshness)))
   , mRecorder(mSettings.mPlace.mVm + "/gateway")
   , mLog("gateway")
 {
@@ -64,14 +65,20 @@
   mSettings.mRegions = aSettings.mRegions;
   mSettings.mUnreadyTime = aSettings.mUnreadyTime;
   mSettings.mStopTime = aSettings.mStopTime;
-  mFreshness.SetLimit(FreshnessLimit(aSettings.mBounds));
+  mFreshness.SetLimit(FreshnessLimit(aSettings.mBounds.mKeyFreshness));
 }
 
 SendGate
-GatewayState::Gate() const
+GatewayState::Gate(BootTime aNow) const
 {
   return SendGate{ SendFacts{
-    mTable.get(), mFreshness.IsUsable(), mDirectory, mSettings.mRegions } };
+    mTable.get(),
+    mFreshness.IsUsable(),
+    mFreshness.IsFresh(aNow),
+    mFreshness.IsYoungerThan(FreshnessLimit(mSettings.mBounds.mHomeFreshness),
+                             aNow),
+    mDirectory,
+    mSettings.mRegions } };
 }
 
 std::string
@@ -122,7 +129,8 @@
                          Instant aNow) const
 {
   std::vector<Candidate> candidates;
-  const SendGate gate = Gate();
+  // Decides by regions that the caller has derived, whatever their age.
+  const SendGate gate = Gate(BootNow());
   for (const KnownUpstream* const known : mDirectory.Serving(aService.mName)) {
     const UpstreamRecord& record = known->mRecord;
     const bool isAllowed = gate.IsWithin(aFilter.mRegions, record);
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -84,7 +84,7 @@
   void Forget(const std::string& aUpstream);
 
   /// Decides by the state of this moment; don't keep it while waiting.
-  SendGate Gate() const;
+  SendGate Gate(BootTime aNow) const;
   /// Returns the region of a data centre, or "unknown".
   std::string RegionOf(std::string_view aDataCentre) const;
   Distance DistanceBetween(std::string_view aFrom, std::string_view aTo) const;
--- a/src/cactusgw/gateway/generation_migrator.cpp
+++ b/src/cactusgw/gateway/generation_migrator.cpp
@@ -214,8 +214,14 @@
   if (service == nullptr) {
     return nullptr;
   }
+  const Result<AllowedRegions> regions =
+    mState.Gate(BootNow()).TrustedRegionsFor(aIdentity.mOrigin);
+  if (!regions) {
+    return nullptr;
+  }
   const std::array<std::string, 1> excluded{ aIdentity.mUpstream };
-  const CandidateFilter filter{ mState.Gate().RegionsFor(aIdentity.mOrigin),
+  const CandidateFilter filter{ mState.Gate(BootNow()).RegionsFor(
+                                  aIdentity.mOrigin),
                                 excluded,
                                 aIdentity.mDataCentre };
   std::vector<Candidate> candidates =
@@ -285,8 +291,8 @@
 GenerationMigrator::Clear(const GenerationIdentity& aIdentity,
                           const KnownUpstream& aTarget) const
 {
-  Result<SendClearance> clearance = mState.Gate().Clear(
-    aIdentity.mOrigin, TargetOf(aTarget.mRecord), SendPurpose::NewWork);
+  Result<SendClearance> clearance = mState.Gate(BootNow()).Clear(
+    aIdentity.mOrigin, TargetOf(aTarget.mRecord), SendPurpose::Copy);
   if (!clearance) {
     Log("move-refused",
         aIdentity,
@@ -359,7 +365,7 @@
       { "region",
         target == nullptr ? "unknown"
                           : mState.RegionOf(target->mRecord.mDataCentre) },
-      { "homes", mState.Gate().RegionsFor(aIdentity.mOrigin).Text() },
+      { "homes", mState.Gate(BootNow()).RegionsFor(aIdentity.mOrigin).Text() },
       { "outcome", aOutcome },
       { "tokens", static_cast<std::int64_t>(aIdentity.mNeed.mTotal) },
       { "tookMs",
--- a/src/cactusgw/gateway/send_gate.cpp
+++ b/src/cactusgw/gateway/send_gate.cpp
@@ -35,13 +35,28 @@
   const GatewayRoute* const route =
     table.FindRoute(aOrigin.mHost, aOrigin.mPath);
   const Workspace* const workspace = FindWorkspace(table, aOrigin);
-  const AllowedRegions& ofRoute =
-    route == nullptr ? aOrigin.mRouteRegions : route->mRegions;
+  const AllowedRegions newest =
+    route == nullptr ? AllowedRegions::Everywhere() : route->mRegions;
+  const bool isRouteKept = route != nullptr && IsRouteOf(*route, aOrigin);
+  const AllowedRegions ofRoute =
+    isRouteKept ? newest : newest.Intersect(aOrigin.mRouteRegions);
   const AllowedRegions& ofWorkspace =
     workspace == nullptr ? aOrigin.mWorkspaceRegions : workspace->mRegions;
   return ofRoute.Intersect(ofWorkspace);
 }
 
+Result<AllowedRegions>
+SendGate::TrustedRegionsFor(const RequestOrigin& aOrigin) const
+{
+  AllowedRegions regions = RegionsFor(aOrigin);
+  if (regions.IsRestricted() && !mFacts.mAreRegionsFresh) {
+    return NotRun(FailureCode::StoreUnavailable,
+                  "the configuration is too old to trust its regions: " +
+                    regions.Text());
+  }
+  return regions;
+}
+
 bool
 SendGate::HasDataCentre(const AllowedRegions& aRegions) const
 {
@@ -60,11 +75,26 @@
   }
   const std::vector<const KnownUpstream*> holders =
     mFacts.mDirectory.AtAddress(aUpstream.mAddress);
-  return std::all_of(
-    holders.begin(), holders.end(), [&](const KnownUpstream* aHolder) {
-      const auto region = mFacts.mRegions.find(aHolder->mRecord.mDataCentre);
-      return region != mFacts.mRegions.end() && aRegions.Allows(region->second);
-    });
+  const auto isAllowed = [&](std::string_view aDataCentre) {
+    const auto region = mFacts.mRegions.find(aDataCentre);
+    return region != mFacts.mRegions.end() && aRegions.Allows(region->second);
+  };
+  return isAllowed(aUpstream.mDataCentre) &&
+         std::all_of(
+           holders.begin(), holders.end(), [&](const KnownUpstream* aHolder) {
+             return isAllowed(aHolder->mRecord.mDataCentre);
+           });
+}
+
+bool
+SendGate::IsRouteOf(const GatewayRoute& aRoute, const RequestOrigin& aOrigin)
+{
+  return aRoute.mPathPrefix == aOrigin.mRoutePrefix &&
+         std::any_of(aRoute.mTargets.begin(),
+                     aRoute.mTargets.end(),
+                     [&](const RouteTarget& aTarget) {
+                       return aTarget.mService == aOrigin.mService;
+                     });
 }
 
 Result<SendClearance>
@@ -80,16 +110,23 @@
   const UpstreamRecord& record = known->mRecord;
   const bool acceptsWork =
     !record.mIsDraining && !mFacts.mDirectory.IsDrained(record.mDataCentre);
-  if (aPurpose == SendPurpose::NewWork && !acceptsWork) {
+  if (aPurpose == SendPurpose::Request && !mFacts.mIsTableFresh) {
+    return NotRun(FailureCode::StoreUnavailable,
+                  "the configuration is too old");
+  }
+  if (aPurpose != SendPurpose::Continuation && !acceptsWork) {
     return NotRun(FailureCode::UpstreamUnreachable,
                   "upstream " + aTarget.mId + " accepts no new requests");
   }
-  const AllowedRegions regions = RegionsFor(aOrigin);
-  if (!IsWithin(regions, record)) {
-    return NotRun(FailureCode::OutsideHomeRegions,
-                  "upstream " + aTarget.mId + " in region " +
-                    RegionOf(record.mDataCentre) +
-                    " is outside the allowed regions: " + regions.Text());
+  const Result<AllowedRegions> regions = TrustedRegionsFor(aOrigin);
+  if (!regions) {
+    return regions.error();
+  }
+  if (!IsWithin(regions.value(), record)) {
+    return NotRun(
+      FailureCode::OutsideHomeRegions,
+      "upstream " + aTarget.mId + " in region " + RegionOf(record.mDataCentre) +
+        " is outside the allowed regions: " + regions.value().Text());
   }
   return SendClearance{ aTarget };
 }
--- a/src/cactusgw/gateway/send_gate.hpp
+++ b/src/cactusgw/gateway/send_gate.hpp
@@ -27,16 +27,21 @@
   std::string mKey;
   /// Workspace that the key belonged to at admission; empty if to none.
   std::string mWorkspace;
+  /// Prefix of the route and service that were selected at admission.
+  std::string mRoutePrefix;
+  std::string mService;
   /// Restrictions at admission. They stay in force when a later version does
-  /// not contain the route or the workspace.
+  /// not contain the route or the workspace, or leads to another service.
   AllowedRegions mRouteRegions = AllowedRegions::Everywhere();
   AllowedRegions mWorkspaceRegions = AllowedRegions::Everywhere();
 };
 
 enum class SendPurpose
 {
-  /// Needs an upstream that accepts new requests.
-  NewWork,
+  /// Sends the request, for the first time or again.
+  Request,
+  /// Copies the state of its generation.
+  Copy,
   /// Continues a generation where its state is already; the upstream may be
   /// draining.
   Continuation,
@@ -50,6 +55,11 @@
   const RoutingTable* mTable = nullptr;
   /// Whether the newest version in the store could be decoded.
   bool mIsTableNewest = true;
+  /// Whether the configuration is young enough for requests to be sent by it,
+  /// and for its restrictions to regions to be trusted: a gateway that is cut
+  /// off from the store, or was suspended, doesn't know what has changed.
+  bool mIsTableFresh = true;
+  bool mAreRegionsFresh = true;
   const UpstreamDirectory& mDirectory;
   const RegionMap& mRegions;
 };
@@ -67,6 +77,10 @@
   /// both its route and its workspace allow.
   AllowedRegions RegionsFor(const RequestOrigin& aOrigin) const;
 
+  /// The same, for a decision. Errors: NotRun with StoreUnavailable when the
+  /// request is restricted by a configuration that is too old.
+  Result<AllowedRegions> TrustedRegionsFor(const RequestOrigin& aOrigin) const;
+
   /// Whether some data centre lies in these regions. Without one, no wait can
   /// help the request.
   bool HasDataCentre(const AllowedRegions& aRegions) const;
@@ -78,12 +92,16 @@
                 const UpstreamRecord& aUpstream) const;
 
   /// Clears one send. Errors, all NotRun: UpstreamUnreachable when the upstream
-  /// has left, restarted or moved, or accepts no new work; OutsideHomeRegions.
+  /// has left, restarted or moved, or accepts no new work; StoreUnavailable;
+  /// OutsideHomeRegions.
   Result<SendClearance> Clear(const RequestOrigin& aOrigin,
                               const UpstreamTarget& aTarget,
                               SendPurpose aPurpose) const;
 
 private:
+  /// Whether the newest configuration serves the request as at admission.
+  static bool IsRouteOf(const GatewayRoute& aRoute,
+                        const RequestOrigin& aOrigin);
   std::string RegionOf(std::string_view aDataCentre) const;
 
   SendFacts mFacts;
--- a/src/cactusgw/gateway/store_freshness.cpp
+++ b/src/cactusgw/gateway/store_freshness.cpp
@@ -25,9 +25,9 @@
 }
 
 bool
-StoreFreshness::IsFresh(BootTime aNow) const
+StoreFreshness::IsYoungerThan(Milliseconds aLimit, BootTime aNow) const
 {
-  return mIsKnown && (mLimit == Milliseconds::zero() || aNow - mAsOf < mLimit);
+  return mIsKnown && (aLimit == Milliseconds::zero() || aNow - mAsOf < aLimit);
 }
 
 Milliseconds
--- a/src/cactusgw/gateway/store_freshness.hpp
+++ b/src/cactusgw/gateway/store_freshness.hpp
@@ -39,7 +39,9 @@
   bool IsUsable() const { return mIsUsable; }
   /// Whether the configuration has been confirmed at least once.
   bool IsKnown() const { return mIsKnown; }
-  bool IsFresh(BootTime aNow) const;
+  bool IsFresh(BootTime aNow) const { return IsYoungerThan(mLimit, aNow); }
+  /// The same with another limit; zero means no limit.
+  bool IsYoungerThan(Milliseconds aLimit, BootTime aNow) const;
   /// Time since the configuration was last confirmed.
   Milliseconds Age(BootTime aNow) const;
 
--- a/src/cactusgw/gateway/upstream_directory.cpp
+++ b/src/cactusgw/gateway/upstream_directory.cpp
@@ -12,8 +12,12 @@
   if (it == mUpstreams.end()) {
     const bool isDraining = aRecord.mIsDraining;
     std::string id = aRecord.mId;
-    mUpstreams.emplace(
-      std::move(id), KnownUpstream{ std::move(aRecord), coldUntil, false, {} });
+    const KnownUpstream& added =
+      mUpstreams
+        .emplace(std::move(id),
+                 KnownUpstream{ std::move(aRecord), coldUntil, false, {} })
+        .first->second;
+    mByAddress.emplace(added.mRecord.mAddress, &added);
     return isDraining ? DirectoryChange::DrainingOrRemoved
                       : DirectoryChange::Added;
   }
@@ -22,7 +26,9 @@
                             known.mRecord.mAddress != aRecord.mAddress ||
                             known.mRecord.mDataCentre != aRecord.mDataCentre;
   const bool startsDraining = aRecord.mIsDraining && !known.mRecord.mIsDraining;
+  RemoveFromAddress(known);
   known.mRecord = std::move(aRecord);
+  mByAddress.emplace(known.mRecord.mAddress, &known);
   known.mColdUntil = coldUntil;
   known.mIsMissing = false;
   if (hasRestarted && !known.mRecord.mIsDraining) {
@@ -46,7 +52,7 @@
     }
     return DirectoryChange::Updated;
   }
-  mUpstreams.erase(it);
+  Erase(it);
   return DirectoryChange::DrainingOrRemoved;
 }
 
@@ -72,7 +78,7 @@
   for (auto it = mUpstreams.begin(); it != mUpstreams.end();) {
     if (it->second.mIsMissing) {
       removed.push_back(it->first);
-      it = mUpstreams.erase(it);
+      it = Erase(it);
     } else {
       ++it;
     }
@@ -101,14 +107,32 @@
 UpstreamDirectory::AtAddress(std::string_view aAddress) const
 {
   std::vector<const KnownUpstream*> holders;
-  for (const auto& [id, known] : mUpstreams) {
-    if (known.mRecord.mAddress == aAddress) {
-      holders.push_back(&known);
-    }
+  const auto range = mByAddress.equal_range(std::string{ aAddress });
+  for (auto it = range.first; it != range.second; ++it) {
+    holders.push_back(it->second);
   }
   return holders;
 }
 
+UpstreamDirectory::Upstreams::iterator
+UpstreamDirectory::Erase(Upstreams::iterator aAt)
+{
+  RemoveFromAddress(aAt->second);
+  return mUpstreams.erase(aAt);
+}
+
+void
+UpstreamDirectory::RemoveFromAddress(const KnownUpstream& aUpstream)
+{
+  const auto range = mByAddress.equal_range(aUpstream.mRecord.mAddress);
+  for (auto it = range.first; it != range.second; ++it) {
+    if (it->second == &aUpstream) {
+      mByAddress.erase(it);
+      return;
+    }
+  }
+}
+
 std::vector<const KnownUpstream*>
 UpstreamDirectory::Serving(std::string_view aService) const
 {
--- a/src/cactusgw/gateway/upstream_directory.hpp
+++ b/src/cactusgw/gateway/upstream_directory.hpp
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace cactusgw {
@@ -59,6 +60,11 @@
 class UpstreamDirectory
 {
 public:
+  UpstreamDirectory(const UpstreamDirectory&) = delete;
+  UpstreamDirectory& operator=(const UpstreamDirectory&) = delete;
+  UpstreamDirectory(UpstreamDirectory&&) = default;
+  UpstreamDirectory& operator=(UpstreamDirectory&&) = default;
+
   /// How long registrations may be missing after the store recovered before
   /// their upstreams are removed: the platform registers live upstreams again
   /// within about two seconds.
@@ -110,9 +116,15 @@
   std::size_t Size() const { return mUpstreams.size(); }
 
 private:
+  using Upstreams = std::map<std::string, KnownUpstream, std::less<>>;
+
   UpstreamDirectory() = default;
+  Upstreams::iterator Erase(Upstreams::iterator aAt);
+  void RemoveFromAddress(const KnownUpstream& aUpstream);
 
-  std::map<std::string, KnownUpstream, std::less<>> mUpstreams;
+  Upstreams mUpstreams;
+  /// Points into mUpstreams, whose entries stay where they are.
+  std::unordered_multimap<std::string, const KnownUpstream*> mByAddress;
   std::set<std::string> mDrained;
   Instant mGraceUntil;
 };
--- a/src/cactusgw/gateway/upstream_selector.cpp
+++ b/src/cactusgw/gateway/upstream_selector.cpp
@@ -33,8 +33,11 @@
     co_return NotRun(FailureCode::UpstreamUnreachable,
                      "the route leads to no known service");
   }
-  if (!mState.mWaitQueue.HasWaiterAheadOf(aRequest.mService->mName,
-                                          aRequest.mRank)) {
+  const Result<void> homes = CheckHomes(mState, aRequest.mOrigin);
+  if (!homes) {
+    co_return homes.error();
+  }
+  if (!mState.mWaitQueue.HasWaiterAheadOf(QueueOf(aRequest), aRequest.mRank)) {
     std::string found = SelectAvailable(aRequest, aTried);
     if (!found.empty()) {
       co_return found;
@@ -43,11 +46,19 @@
   co_return co_await Wait(aRequest, aTried);
 }
 
+std::string
+UpstreamSelector::QueueOf(const AdmittedRequest& aRequest) const
+{
+  return aRequest.mService->mName + " " +
+         mState.Gate(BootNow()).RegionsFor(aRequest.mOrigin).Text();
+}
+
 std::string
 UpstreamSelector::SelectAvailable(const AdmittedRequest& aRequest,
                                   std::span<const std::string> aTried) const
 {
-  const CandidateFilter filter{ mState.Gate().RegionsFor(aRequest.mOrigin),
+  const CandidateFilter filter{ mState.Gate(BootNow()).RegionsFor(
+                                  aRequest.mOrigin),
                                 aTried,
                                 mState.mSettings.mPlace.mDataCentre,
                                 mWaitEntry != nullptr };
@@ -69,7 +80,7 @@
   const Instant waitEnd = std::min(aRequest.mDeadline, mStart + longest);
   const net::any_io_executor executor = co_await net::this_coro::executor;
   WaitQueue::Entry entry{
-    mState.mWaitQueue, service, aRequest.mRank, executor
+    mState.mWaitQueue, QueueOf(aRequest), aRequest.mRank, executor
   };
   mWaitEntry = &entry;
   std::string found;
--- a/src/cactusgw/gateway/upstream_selector.hpp
+++ b/src/cactusgw/gateway/upstream_selector.hpp
@@ -20,8 +20,8 @@
   /// it
   UpstreamSelector(GatewayState& aState, Instant aStart);
 
-  /// Returns the id of an upstream. Errors: NotRun with Busy or
-  /// UpstreamUnreachable.
+  /// Returns the id of an upstream. Errors: NotRun with Busy,
+  /// UpstreamUnreachable, OutsideHomeRegions or StoreUnavailable.
   /// @param aTried upstreams that the request was already sent to; excluded
   Task<Result<std::string>> Find(const AdmittedRequest& aRequest,
                                  std::span<const std::string> aTried);
@@ -31,6 +31,8 @@
 private:
   Task<Result<std::string>> Wait(const AdmittedRequest& aRequest,
                                  std::span<const std::string> aTried);
+  /// Name of the queue of requests that may use the same upstreams.
+  std::string QueueOf(const AdmittedRequest& aRequest) const;
   /// Returns an empty string when no upstream has free capacity.
   std::string SelectAvailable(const AdmittedRequest& aRequest,
                               std::span<const std::string> aTried) const;
--- a/src/cactusgw/gateway/wait_queue.cpp
+++ b/src/cactusgw/gateway/wait_queue.cpp
@@ -6,23 +6,23 @@
 namespace cactusgw {
 
 WaitQueue::Entry::Entry(WaitQueue& aQueue,
-                        const std::string& aService,
+                        const std::string& aQueueName,
                         std::uint32_t aRank,
                         const net::any_io_executor& aExecutor)
   : mQueue(aQueue)
-  , mService(aService)
+  , mQueueName(aQueueName)
   , mKey(aRank, aQueue.mNextSequence++)
   , mTimer(aExecutor)
 {
-  mQueue.mEntriesByService[mService].emplace(mKey, this);
+  mQueue.mEntriesByName[mQueueName].emplace(mKey, this);
 }
 
 WaitQueue::Entry::~Entry()
 {
-  const auto it = mQueue.mEntriesByService.find(mService);
+  const auto it = mQueue.mEntriesByName.find(mQueueName);
   it->second.erase(mKey);
   if (it->second.empty()) {
-    mQueue.mEntriesByService.erase(it);
+    mQueue.mEntriesByName.erase(it);
   } else {
     it->second.begin()->second->Wake();
   }
@@ -31,7 +31,7 @@
 bool
 WaitQueue::Entry::IsFirst() const
 {
-  return mQueue.mEntriesByService.at(mService).begin()->second == this;
+  return mQueue.mEntriesByName.at(mQueueName).begin()->second == this;
 }
 
 Task<void>
@@ -43,27 +43,26 @@
 }
 
 bool
-WaitQueue::HasWaiterAheadOf(const std::string& aService,
+WaitQueue::HasWaiterAheadOf(const std::string& aQueueName,
                             std::uint32_t aRank) const
 {
-  const auto it = mEntriesByService.find(aService);
-  return it != mEntriesByService.end() &&
-         it->second.begin()->first.first <= aRank;
+  const auto it = mEntriesByName.find(aQueueName);
+  return it != mEntriesByName.end() && it->second.begin()->first.first <= aRank;
 }
 
 void
 WaitQueue::WakeFirstWaiters()
 {
-  for (const auto& [service, entries] : mEntriesByService) {
+  for (const auto& [name, entries] : mEntriesByName) {
     entries.begin()->second->Wake();
   }
 }
 
 std::size_t
-WaitQueue::Length(const std::string& aService) const
+WaitQueue::Length(const std::string& aQueueName) const
 {
-  const auto it = mEntriesByService.find(aService);
-  return it == mEntriesByService.end() ? 0 : it->second.size();
+  const auto it = mEntriesByName.find(aQueueName);
+  return it == mEntriesByName.end() ? 0 : it->second.size();
 }
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/wait_queue.hpp
+++ b/src/cactusgw/gateway/wait_queue.hpp
@@ -1,8 +1,10 @@
 #ifndef CACTUSGW_GATEWAY_WAIT_QUEUE_HPP
 #define CACTUSGW_GATEWAY_WAIT_QUEUE_HPP
 
-/// Queues of requests that wait until an upstream of their service has free
-/// capacity, ordered by rank and then by arrival.
+/// Queues of requests that wait until an upstream has free capacity, ordered by
+/// rank and then by arrival. Requests that may use different upstreams, for
+/// their service or their regions, wait in different queues: one that waits for
+/// a full region must not hold up the others.
 
 #include "cactusgw/net/http_types.hpp"
 
@@ -19,19 +21,19 @@
 class WaitQueue
 {
 public:
-  /// A request's entry in the queue of its service; removed on destruction.
+  /// A request's entry in a queue; removed on destruction.
   class Entry
   {
   public:
     Entry(WaitQueue& aQueue,
-          const std::string& aService,
+          const std::string& aQueueName,
           std::uint32_t aRank,
           const net::any_io_executor& aExecutor);
     ~Entry();
     Entry(const Entry&) = delete;
     Entry& operator=(const Entry&) = delete;
 
-    /// Whether this entry is at the head of its service's queue.
+    /// Whether this entry is at the head of its queue.
     bool IsFirst() const;
     /// Waits for Wake(), at most until the given time.
     Task<void> Wait(Instant aUntil);
@@ -41,7 +43,7 @@
     using Key = std::pair<std::uint32_t, std::uint64_t>;
 
     WaitQueue& mQueue;
-    std::string mService;
+    std::string mQueueName;
     Key mKey;
     net::steady_timer mTimer;
   };
@@ -50,17 +52,18 @@
   WaitQueue(WaitQueue&&) = default;
 
   /// Whether a request of this or a more urgent rank is already queued.
-  bool HasWaiterAheadOf(const std::string& aService, std::uint32_t aRank) const;
+  bool HasWaiterAheadOf(const std::string& aQueueName,
+                        std::uint32_t aRank) const;
   /// Wakes the head of each queue to check for free capacity.
   void WakeFirstWaiters();
-  std::size_t Length(const std::string& aService) const;
+  std::size_t Length(const std::string& aQueueName) const;
 
 private:
   using Entries = std::map<std::pair<std::uint32_t, std::uint64_t>, Entry*>;
 
   WaitQueue() = default;
 
-  std::map<std::string, Entries> mEntriesByService;
+  std::map<std::string, Entries> mEntriesByName;
   std::uint64_t mNextSequence = 0;
 };
 
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -13,7 +13,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace cactusgw::test {
@@ -47,9 +46,9 @@
                  const std::function<void(GatewayConfig&)>& aEdit);
   /// Restricts a route or a workspace to regions.
   template<typename T>
-  static void SetHomes(T& aItem, std::vector<std::string> aRegions)
+  static void SetHomes(T& aItem, const std::vector<std::string>& aRegions)
   {
-    aItem.mRegions = AllowedRegions::Only(std::move(aRegions));
+    aItem.mRegions = AllowedRegions::Only(aRegions);
   }
   /// Restricts all routes to regions.
   static void SetAllHomes(GatewayConfig& aConfig,
--- a/tests/gateway/home_regions_test.cpp
+++ b/tests/gateway/home_regions_test.cpp
@@ -271,6 +271,131 @@
   EXPECT_TRUE(north.Requests().empty());
 }
 
+// A gateway that was cut off from the store or suspended sent by homes that had
+// changed meanwhile.
+TEST_P(HomeRegionsOfRouteTest, HomesOfAnOldConfigurationAreNotTrusted)
+{
+  mSettings.mBounds.mHomeFreshness = Milliseconds{ 4000 };
+  mConfigAge = Milliseconds{ 5000 };
+  ScriptedUpstream& north =
+    AddUpstream("north", GetParam().mService, &RespondWithEvents);
+  StartGateway();
+  Run([&]() -> Task<void> {
+    const ClientResponse unrestricted =
+      co_await Call(MakeRequest(http::verb::post, GetParam().mTarget));
+    EXPECT_EQ(unrestricted.mStatus, 200);
+    Configure(
+      2, [](GatewayConfig& aConfig) { SetAllHomes(aConfig, { "north" }); });
+    const ClientResponse old =
+      co_await Call(MakeRequest(http::verb::post, GetParam().mTarget));
+    EXPECT_EQ(old.mStatus, 503);
+    mGateway->OnConfigConfirmed(BootNow());
+    const ClientResponse confirmed =
+      co_await Call(MakeRequest(http::verb::post, GetParam().mTarget));
+    EXPECT_EQ(confirmed.mStatus, 200);
+  });
+  EXPECT_EQ(north.Requests().size(), 2U);
+}
+
+// A route that has lost its regions to a shorter prefix of the newest version
+// kept none of them.
+TEST_P(HomeRegionsOfRouteTest, HomesOfARemovedRouteOutliveIt)
+{
+  const std::string target = GetParam().mTarget;
+  AddUpstream("north",
+              GetParam().mService,
+              [this](ScriptedExchange& aExchange) -> Task<void> {
+                Configure(3, [](GatewayConfig& aConfig) {
+                  GatewayRoute all = aConfig.mRoutes[0];
+                  all.mPathPrefix = "/";
+                  aConfig.mRoutes = { all };
+                });
+                co_await RefuseAsNotRun(aExchange);
+              });
+  ScriptedUpstream& south =
+    AddUpstream("south", GetParam().mService, &RespondWithEvents, "dc-b");
+  StartGateway();
+  Configure(2,
+            [](GatewayConfig& aConfig) { SetAllHomes(aConfig, { "north" }); });
+  Run([&]() -> Task<void> {
+    co_await Call(MakeRequest(http::verb::post, target));
+  });
+  EXPECT_EQ(mUpstreams[0]->Requests().size(), 1U);
+  EXPECT_TRUE(south.Requests().empty());
+}
+
+// A route moved to another service and region at once; the request went to the
+// former service in the new region, which no version allows.
+TEST_P(HomeRegionsOfRouteTest, HomesOfAnotherServiceDontOpenTheFormerOne)
+{
+  ScriptedUpstream& south =
+    AddUpstream("south", GetParam().mService, &RespondWithEvents, "dc-b");
+  StartGateway();
+  Configure(2,
+            [](GatewayConfig& aConfig) { SetAllHomes(aConfig, { "north" }); });
+  Soon([this] {
+    Configure(3, [](GatewayConfig& aConfig) {
+      for (GatewayRoute& route : aConfig.mRoutes) {
+        route.mTargets = { { "other", 1 } };
+      }
+      SetAllHomes(aConfig, { "south" });
+    });
+  });
+  Run([&]() -> Task<void> {
+    const ClientResponse response =
+      co_await Call(MakeRequest(http::verb::post, GetParam().mTarget));
+    EXPECT_EQ(response.mStatus, 503);
+  });
+  EXPECT_TRUE(south.Requests().empty());
+}
+
+// A request that waited for its region held up requests that may go elsewhere.
+TEST_F(HomeRegionsTest, AWaitForOneRegionHoldsUpNoOtherRequests)
+{
+  ScriptedUpstream& south = AddUpstream("south", "app", &RespondOk, "dc-b");
+  StartGateway();
+  Configure(2, [](GatewayConfig& aConfig) {
+    SetHomes(aConfig.mRoutes[0], { "north" });
+  });
+  std::size_t served = 0;
+  Soon([&] {
+    net::co_spawn(
+      mContext,
+      [&]() -> Task<void> {
+        const ClientResponse free =
+          co_await Call(MakeRequest(http::verb::post, "/write/x"));
+        served += free.mStatus == 200 ? 1 : 0;
+      },
+      net::detached);
+  });
+  Run([&]() -> Task<void> {
+    const ClientResponse response =
+      co_await Call(MakeRequest(http::verb::get, "/read/x"));
+    EXPECT_EQ(response.mStatus, 503);
+    EXPECT_EQ(served, 1U);
+  });
+  EXPECT_EQ(south.Requests().size(), 1U);
+}
+
+// A gateway that was cut off didn't know that a route without homes had been
+// given some, and no age ended its service without a key.
+TEST_F(HomeRegionsTest, NothingIsSentByAConfigurationThatIsTooOld)
+{
+  mSettings.mBounds.mKeyFreshness = Milliseconds{ 4000 };
+  mConfigAge = Milliseconds{ 5000 };
+  ScriptedUpstream& north = AddUpstream("north", "app", &RespondOk);
+  StartGateway();
+  Configure(
+    2, [](GatewayConfig& aConfig) { aConfig.mRoutes[0].mIsPublic = true; });
+  Run([&]() -> Task<void> {
+    HttpRequest withoutKey = MakeRequest(http::verb::get, "/read/x");
+    withoutKey.erase(http::field::authorization);
+    const ClientResponse response = co_await Call(std::move(withoutKey));
+    EXPECT_EQ(response.mStatus, 503);
+  });
+  EXPECT_TRUE(north.Requests().empty());
+}
+
 // On a route that needs no key, the homes of the workspace whose key the client
 // sent were left out.
 TEST_F(HomeRegionsTest, AKeyBindsItsWorkspacesHomesOnAPublicRoute)
