Restrict services and workspaces of a deployment to regions

With entries and agents, operators could state only how far a service overflows. The regions of a customer's data couldn't be stated, and a request could get a permit for any upstream within the overflow scope.

Services and workspaces take a list "regions"; both bind. An empty list, an unknown region, a value that isn't a list of strings and a null in an overlay are faults, so that a malformed restriction never counts as none.

AdmissionControl derives the regions from the newest deployment at each decision: when a request arrives, when it leaves the queue and when credits are requested for it. A restriction at admission stays in force when the deployment no longer contains the service or workspace. A request whose regions contain no upstream of its target is refused at once with the outcome OutsideHomeRegions, also from the queue after a new deployment. A request no longer queues behind requests of the same target that wait for fewer regions than its own: they would hold it up although its upstreams are free.

A request whose only upstreams are in drained data centres was refused as UnknownTarget, which is 404 at the entry; it is Drained now.

--- a/src/cactusgw/agent/entry_port.cpp
+++ b/src/cactusgw/agent/entry_port.cpp
@@ -32,6 +32,8 @@
       return wire::ADMIT_DRAINED;
     case AdmissionOutcome::RetryBudgetSpent:
       return wire::ADMIT_RETRY_BUDGET;
+    case AdmissionOutcome::OutsideHomeRegions:
+      return wire::ADMIT_OUTSIDE_REGIONS;
   }
   return wire::ADMIT_BUSY;
 }
--- a/src/cactusgw/config/deployment.cpp
+++ b/src/cactusgw/config/deployment.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <set>
+#include <utility>
 
 namespace cactusgw {
 
@@ -58,6 +59,35 @@
   return Milliseconds{ aReader.IntegerOr(aName, kMillisecondsRange, aDefault) };
 }
 
+bool
+HasRegion(const Deployment& aDeployment, std::string_view aRegion)
+{
+  return std::any_of(
+    aDeployment.mDataCentres.begin(),
+    aDeployment.mDataCentres.end(),
+    [&](const DataCentreConfig& aIt) { return aIt.mRegion == aRegion; });
+}
+
+/// Reads a restriction to regions. The data centres must have been read.
+AllowedRegions
+ReadRegions(ObjectReader& aReader, const Deployment& aDeployment)
+{
+  constexpr std::string_view kName = "regions";
+  if (!aReader.Has(kName)) {
+    return AllowedRegions::Everywhere();
+  }
+  std::vector<std::string> regions = aReader.StringsOr(kName);
+  if (regions.empty()) {
+    aReader.Fault(kName, "must name at least one region");
+  }
+  for (const std::string& region : regions) {
+    if (!HasRegion(aDeployment, region)) {
+      aReader.Fault(kName, "unknown region \"" + region + "\"");
+    }
+  }
+  return AllowedRegions::Only(std::move(regions));
+}
+
 void
 ReadDataCentre(std::string_view aName,
                ObjectReader& aReader,
@@ -102,6 +132,7 @@
   service.mFirstByteTime =
     TimeOr(aReader, "firstByteMs", isModel ? 5000 : 30'000);
   service.mSilenceTime = TimeOr(aReader, "silenceMs", 5000);
+  service.mRegions = ReadRegions(aReader, aDeployment);
   aDeployment.mServices.push_back(std::move(service));
 }
 
@@ -164,6 +195,7 @@
   if (workspace.mKeyHashes.empty()) {
     aReader.Fault("keySha256", "must hold at least one key");
   }
+  workspace.mRegions = ReadRegions(aReader, aDeployment);
   aDeployment.mWorkspaces.push_back(std::move(workspace));
 }
 
@@ -316,6 +348,12 @@
   return FindByName(mUpstreams, aName);
 }
 
+const WorkspaceConfig*
+Deployment::FindWorkspace(std::string_view aName) const
+{
+  return FindByName(mWorkspaces, aName);
+}
+
 const WorkspaceConfig*
 Deployment::FindByKeyHash(std::string_view aHash) const
 {
--- a/src/cactusgw/config/deployment.hpp
+++ b/src/cactusgw/config/deployment.hpp
@@ -4,6 +4,7 @@
 /// The deployment as one data centre sees it: its overlay applied to the base.
 
 #include "cactusgw/config/fault.hpp"
+#include "cactusgw/core/allowed_regions.hpp"
 #include "cactusgw/core/verdict.hpp"
 #include "cactusgw/core/warmup_limit.hpp"
 
@@ -62,6 +63,8 @@
   Milliseconds mFirstByteTime{ 0 };
   /// Longest silence within a stream.
   Milliseconds mSilenceTime{ 0 };
+  /// Regions in which requests to the service may be served.
+  AllowedRegions mRegions = AllowedRegions::Everywhere();
 };
 
 struct ModelConfig
@@ -93,6 +96,8 @@
   std::uint32_t mPriority = 0;
   /// Requests in flight per entry VM.
   std::uint32_t mMaxInFlight = 0;
+  /// Regions in which requests of the workspace may be served.
+  AllowedRegions mRegions = AllowedRegions::Everywhere();
 };
 
 struct LimitsConfig
@@ -124,6 +129,7 @@
   const ServiceConfig* FindService(std::string_view aName) const;
   const ModelConfig* FindModel(std::string_view aName) const;
   const UpstreamConfig* FindUpstream(std::string_view aName) const;
+  const WorkspaceConfig* FindWorkspace(std::string_view aName) const;
   /// The workspace that accepts a key with this SHA-256, or null.
   const WorkspaceConfig* FindByKeyHash(std::string_view aHash) const;
 };
--- a/src/cactusgw/core/admission_control.cpp
+++ b/src/cactusgw/core/admission_control.cpp
@@ -73,6 +73,7 @@
       RetryBudget::Create(service.mRetryPercent, service.mRetryBurst));
   }
   mDeployment = aDeployment;
+  mHasNewDeployment = true;
 }
 
 void
@@ -117,9 +118,11 @@
     decisions.push_back(Refuse(aRequest, AdmissionOutcome::Drained));
     return decisions;
   }
-  const ServiceConfig* service = mDeployment.FindService(aRequest.mService);
-  if (service == nullptr || ServingUpstreams(aRequest).empty()) {
-    decisions.push_back(Refuse(aRequest, AdmissionOutcome::UnknownTarget));
+  aRequest.mHomes =
+    RequestHomes::Of(mDeployment, aRequest.mService, aRequest.mWorkspace);
+  const AdmissionOutcome target = CheckTarget(aRequest);
+  if (target != AdmissionOutcome::Granted) {
+    decisions.push_back(Refuse(aRequest, target));
     return decisions;
   }
   if (!ChargeRetryBudget(aRequest)) {
@@ -132,9 +135,10 @@
     return decisions;
   }
   // A new request must not overtake queued ones for its target.
-  if (!mQueue.HasSameTarget(aRequest) && TryPlace(aRequest, aNow, decisions)) {
+  if (!MustQueueBehind(aRequest) && TryPlace(aRequest, aNow, decisions)) {
     return decisions;
   }
+  const ServiceConfig* service = mDeployment.FindService(aRequest.mService);
   if (mQueue.Size() >= service->mQueueLength) {
     decisions.push_back(Refuse(aRequest, AdmissionOutcome::Busy));
     return decisions;
@@ -188,6 +192,7 @@
   Decisions decisions;
   ExpireAbandoned(aNow);
   ServeQueue(aNow, decisions);
+  RecheckQueue(decisions);
   ExpireQueue(aNow, decisions);
   return decisions;
 }
@@ -228,22 +233,66 @@
 }
 
 bool
-AdmissionControl::Serves(const UpstreamState& aState,
-                         const AdmissionRequest& aRequest) const
+AdmissionControl::Serves(const UpstreamConfig& aConfig,
+                         const AdmissionRequest& aRequest)
 {
-  const UpstreamConfig& config = aState.mConfig;
   const bool servesModel =
-    aRequest.mModel.empty() || Contains(config.mModels, aRequest.mModel);
-  return config.mService == aRequest.mService && servesModel &&
-         !mDrains.IsDrained(config.mDataCentre);
+    aRequest.mModel.empty() || Contains(aConfig.mModels, aRequest.mModel);
+  return aConfig.mService == aRequest.mService && servesModel;
+}
+
+bool
+AdmissionControl::IsOpen(const UpstreamConfig& aConfig,
+                         const AllowedRegions& aRegions) const
+{
+  return !mDrains.IsDrained(aConfig.mDataCentre) &&
+         IsWithin(mDeployment, aRegions, aConfig);
+}
+
+AdmissionOutcome
+AdmissionControl::CheckTarget(const AdmissionRequest& aRequest) const
+{
+  const AllowedRegions regions = aRequest.mHomes.RegionsIn(mDeployment);
+  AdmissionOutcome outcome = AdmissionOutcome::UnknownTarget;
+  for (const auto& [name, state] : mUpstreams) {
+    const UpstreamConfig& config = state.mConfig;
+    if (!Serves(config, aRequest)) {
+      continue;
+    }
+    if (IsOpen(config, regions)) {
+      return AdmissionOutcome::Granted;
+    }
+    // An upstream that is only drained comes back.
+    if (IsWithin(mDeployment, regions, config)) {
+      outcome = AdmissionOutcome::Drained;
+    } else if (outcome == AdmissionOutcome::UnknownTarget) {
+      outcome = AdmissionOutcome::OutsideHomeRegions;
+    }
+  }
+  return outcome;
+}
+
+bool
+AdmissionControl::MustQueueBehind(const AdmissionRequest& aRequest) const
+{
+  const AllowedRegions regions = aRequest.mHomes.RegionsIn(mDeployment);
+  const std::deque<QueuedRequest>& waiting = mQueue.Waiting();
+  return std::any_of(
+    waiting.begin(), waiting.end(), [&](const QueuedRequest& aWaiting) {
+      const AdmissionRequest& other = aWaiting.mRequest;
+      return other.mService == aRequest.mService &&
+             other.mModel == aRequest.mModel &&
+             regions.Intersect(other.mHomes.RegionsIn(mDeployment)) == regions;
+    });
 }
 
 std::vector<std::string_view>
 AdmissionControl::ServingUpstreams(const AdmissionRequest& aRequest) const
 {
+  const AllowedRegions regions = aRequest.mHomes.RegionsIn(mDeployment);
   std::vector<std::string_view> names;
   for (const auto& [name, state] : mUpstreams) {
-    if (Serves(state, aRequest)) {
+    if (Serves(state.mConfig, aRequest) && IsOpen(state.mConfig, regions)) {
       names.push_back(name);
     }
   }
@@ -323,7 +372,7 @@
 bool
 AdmissionControl::HasWorkspaceRoom(std::string_view aWorkspace) const
 {
-  const WorkspaceConfig* workspace = FindWorkspace(aWorkspace);
+  const WorkspaceConfig* workspace = mDeployment.FindWorkspace(aWorkspace);
   return workspace == nullptr ||
          mPermits.InFlight(aWorkspace) < workspace->mMaxInFlight;
 }
@@ -366,6 +415,21 @@
   }
 }
 
+void
+AdmissionControl::RecheckQueue(Decisions& aDecisions)
+{
+  if (!std::exchange(mHasNewDeployment, false)) {
+    return;
+  }
+  const std::vector<AdmissionRequest> refused =
+    mQueue.TakeIf([&](const AdmissionRequest& aRequest) {
+      return CheckTarget(aRequest) == AdmissionOutcome::OutsideHomeRegions;
+    });
+  for (const AdmissionRequest& request : refused) {
+    aDecisions.push_back(Refuse(request, AdmissionOutcome::OutsideHomeRegions));
+  }
+}
+
 void
 AdmissionControl::ExpireAbandoned(Instant aNow)
 {
@@ -461,21 +525,10 @@
   return report;
 }
 
-const WorkspaceConfig*
-AdmissionControl::FindWorkspace(std::string_view aWorkspace) const
-{
-  const auto it = std::find_if(mDeployment.mWorkspaces.begin(),
-                               mDeployment.mWorkspaces.end(),
-                               [&](const WorkspaceConfig& aConfig) {
-                                 return aConfig.mName == aWorkspace;
-                               });
-  return it == mDeployment.mWorkspaces.end() ? nullptr : &*it;
-}
-
 double
 AdmissionControl::WeightedInFlight(std::string_view aWorkspace) const
 {
-  const WorkspaceConfig* workspace = FindWorkspace(aWorkspace);
+  const WorkspaceConfig* workspace = mDeployment.FindWorkspace(aWorkspace);
   const std::uint32_t weight = workspace == nullptr ? 1 : workspace->mWeight;
   return static_cast<double>(mPermits.InFlight(aWorkspace)) / weight;
 }
--- a/src/cactusgw/core/admission_control.hpp
+++ b/src/cactusgw/core/admission_control.hpp
@@ -31,6 +31,9 @@
   UnknownTarget,
   Drained,
   RetryBudgetSpent,
+  /// No upstream of the target is in the regions in which the request may be
+  /// served.
+  OutsideHomeRegions,
 };
 
 struct AdmissionDecision
@@ -108,7 +111,8 @@
                     const CreditGrant& aGrant,
                     Instant aNow);
   /// Admits queued requests for which a credit is free, rejects those whose
-  /// queue time has passed and releases abandoned permits.
+  /// queue time has passed or that the newest deployment doesn't allow, and
+  /// releases abandoned permits.
   Decisions OnTick(Instant aNow);
 
   /// Reconciles the permits with those the entry reports in use: adopts
@@ -170,8 +174,16 @@
                    const Deployment& aDeployment,
                    Upstreams& aKept,
                    Instant aNow);
-  bool Serves(const UpstreamState& aState,
-              const AdmissionRequest& aRequest) const;
+  static bool Serves(const UpstreamConfig& aConfig,
+                     const AdmissionRequest& aRequest);
+  /// Whether the upstream is in these regions and its data centre is in
+  /// service.
+  bool IsOpen(const UpstreamConfig& aConfig,
+              const AllowedRegions& aRegions) const;
+  /// Why no wait can help the request, or Granted.
+  AdmissionOutcome CheckTarget(const AdmissionRequest& aRequest) const;
+  /// Whether a queued request could use every upstream that this one could.
+  bool MustQueueBehind(const AdmissionRequest& aRequest) const;
   std::vector<std::string_view> ServingUpstreams(
     const AdmissionRequest& aRequest) const;
   bool TryPlace(const AdmissionRequest& aRequest,
@@ -186,6 +198,8 @@
   bool ChargeRetryBudget(const AdmissionRequest& aRequest);
   void ServeQueue(Instant aNow, Decisions& aDecisions);
   void ExpireQueue(Instant aNow, Decisions& aDecisions);
+  /// Refuses queued requests that the newest deployment doesn't allow.
+  void RecheckQueue(Decisions& aDecisions);
   void ExpireAbandoned(Instant aNow);
   void UpdateWanted();
   void AddDemand(const AdmissionRequest& aRequest);
@@ -196,7 +210,6 @@
                             std::uint64_t aEpoch,
                             Instant aNow);
   void ReturnCredit(const Permit& aPermit);
-  const WorkspaceConfig* FindWorkspace(std::string_view aWorkspace) const;
   /// Requests in flight divided by the workspace's weight. The workspace with
   /// the lowest value is served first.
   double WeightedInFlight(std::string_view aWorkspace) const;
@@ -214,6 +227,7 @@
   PermitTable mPermits;
   AdmissionQueue mQueue;
   bool mReconciled = false;
+  bool mHasNewDeployment = false;
   BoundedAffinity mPlacement;
   AdmissionCounts mCounts;
 };
--- a/src/cactusgw/core/admission_queue.cpp
+++ b/src/cactusgw/core/admission_queue.cpp
@@ -8,16 +8,6 @@
   mWaiting.push_back({ std::move(aRequest), aDeadline });
 }
 
-bool
-AdmissionQueue::HasSameTarget(const AdmissionRequest& aRequest) const
-{
-  return std::any_of(
-    mWaiting.begin(), mWaiting.end(), [&](const QueuedRequest& aWaiting) {
-      return aWaiting.mRequest.mService == aRequest.mService &&
-             aWaiting.mRequest.mModel == aRequest.mModel;
-    });
-}
-
 std::vector<AdmissionRequest>
 AdmissionQueue::TakeExpired(Instant aNow)
 {
--- a/src/cactusgw/core/admission_queue.hpp
+++ b/src/cactusgw/core/admission_queue.hpp
@@ -4,6 +4,7 @@
 /// Queue of the requests on one VM that wait for a credit. Serving is fair
 /// between workspaces.
 
+#include "cactusgw/config/request_homes.hpp"
 #include "cactusgw/core/verdict.hpp"
 
 #include <algorithm>
@@ -31,6 +32,8 @@
   /// Upstreams to avoid as long as another one serves the request.
   std::vector<std::string> mExcluded;
   bool mIsRetry = false;
+  /// Set at admission.
+  RequestHomes mHomes;
 };
 
 struct QueuedRequest
@@ -45,9 +48,6 @@
 public:
   void Add(AdmissionRequest aRequest, Instant aDeadline);
 
-  /// Whether a request for the same service and model is queued.
-  bool HasSameTarget(const AdmissionRequest& aRequest) const;
-
   /// Offers queued requests to aTryServe and removes those for which it returns
   /// true. Requests of the workspace with the lowest share come first, and in
   /// order of arrival at equal shares. Shares are recomputed after each request
@@ -59,6 +59,9 @@
   /// Removes and returns the requests whose deadline has passed.
   std::vector<AdmissionRequest> TakeExpired(Instant aNow);
   std::vector<AdmissionRequest> TakeAll();
+  /// Removes and returns the requests for which the function returns true.
+  template<typename ShouldTake>
+  std::vector<AdmissionRequest> TakeIf(ShouldTake aShouldTake);
 
   const std::deque<QueuedRequest>& Waiting() const { return mWaiting; }
   std::size_t Size() const { return mWaiting.size(); }
@@ -87,6 +90,21 @@
   }
 }
 
+template<typename ShouldTake>
+std::vector<AdmissionRequest>
+AdmissionQueue::TakeIf(ShouldTake aShouldTake)
+{
+  std::vector<AdmissionRequest> taken;
+  std::erase_if(mWaiting, [&](QueuedRequest& aWaiting) {
+    const bool isTaken = aShouldTake(std::as_const(aWaiting.mRequest));
+    if (isTaken) {
+      taken.push_back(std::move(aWaiting.mRequest));
+    }
+    return isTaken;
+  });
+  return taken;
+}
+
 template<typename ShareOf>
 std::vector<std::size_t>
 AdmissionQueue::FairOrder(ShareOf aShareOf) const
--- a/src/cactusgw/entry/agent_link.cpp
+++ b/src/cactusgw/entry/agent_link.cpp
@@ -29,6 +29,10 @@
       return NotRun(FailureCode::RetryBudgetSpent,
                     "too many retries of this service",
                     retryAfter);
+    case wire::ADMIT_OUTSIDE_REGIONS:
+      return NotRun(FailureCode::OutsideHomeRegions,
+                    "no upstream is in the allowed regions",
+                    retryAfter);
     default:
       return NotRun(FailureCode::Busy, "all upstreams are full", retryAfter);
   }
--- a/src/cactusgw/entry/agent_link.hpp
+++ b/src/cactusgw/entry/agent_link.hpp
@@ -61,8 +61,8 @@
     const EntrySettings& aSettings,
     EventRecorder& aRecorder);
 
-  /// Asks for a permit. Errors, all NotRun: Busy, Drained, NotFound,
-  /// RetryBudgetSpent, Internal when the agent does not answer.
+  /// Asks for a permit. Errors, all NotRun: Busy, also when the agent does not
+  /// answer, Drained, NotFound, OutsideHomeRegions, RetryBudgetSpent.
   Task<Result<AdmissionPermit>> Admit(AdmissionTarget aTarget,
                                       std::vector<std::string> aExcluded,
                                       bool aIsRetry);
--- a/tests/config/config_test.cpp
+++ b/tests/config/config_test.cpp
@@ -100,6 +100,53 @@
               testing::HasSubstr("base: /models/m/service: unknown service"));
 }
 
+/// Faults of a document whose service "s" and workspace "w" are restricted to
+/// the given regions.
+std::string
+FaultsOfRegions(const json::value& aRegions)
+{
+  json::value document = Document("");
+  json::value& base = document.at("base");
+  base.at("services").at("s").get_object()["regions"] = aRegions;
+  base.at("workspaces").get_object()["w"] =
+    json::object{ { "keySha256", json::array{ std::string(64, '1') } },
+                  { "regions", aRegions } };
+  return ToString(CheckDocument(document, &FileOf, ""));
+}
+
+// A restriction that operators can't state.
+TEST(CheckDocument, AcceptsRegionsOfServicesAndWorkspaces)
+{
+  EXPECT_EQ(FaultsOfRegions(json::array{ "r" }), "");
+}
+
+// A malformed restriction that counts as none.
+TEST(CheckDocument, RefusesMalformedRegions)
+{
+  for (const json::value& regions :
+       { json::value(json::array{ "r", "nowhere" }),
+         json::value(json::array{}),
+         json::value(json::array{ "r", 1 }),
+         json::value("r"),
+         json::value(nullptr) }) {
+    const std::string faults = FaultsOfRegions(regions);
+    EXPECT_THAT(faults, testing::HasSubstr("base: /services/s/regions: "));
+    EXPECT_THAT(faults, testing::HasSubstr("base: /workspaces/w/regions: "));
+    EXPECT_THAT(faults, testing::Not(testing::HasSubstr("unknown member")));
+  }
+}
+
+// An overlay that lifts a restriction by a null.
+TEST(CheckDocument, RefusesAnOverlayThatRemovesRegions)
+{
+  json::value document =
+    Document(R"({ "a": { "services": { "s": { "regions": null } } } })");
+  json::value& base = document.at("base");
+  base.at("services").at("s").get_object()["regions"] = json::array{ "r" };
+  EXPECT_THAT(ToString(CheckDocument(document, &FileOf, "")),
+              testing::HasSubstr("overlay a: /services/s/regions: "));
+}
+
 TEST(MergeOverlay, ReplacesOnlyWhatTheOverlayStates)
 {
   const json::value merged =
--- a/tests/core/admission_control_test.cpp
+++ b/tests/core/admission_control_test.cpp
@@ -18,16 +18,22 @@
   "services": {
     "near": { "queueMs": 100, "queueLength": 4, "retryPercent": 0,
               "retryBurst": 1 },
-    "wide": { "overflow": "region" }
+    "wide": { "overflow": "region" },
+    "all": { "overflow": "any" }
   },
-  "models": { "m": { "service": "near" }, "w": { "service": "wide" } },
+  "models": { "m": { "service": "near" }, "w": { "service": "wide" },
+              "g": { "service": "all" } },
   "upstreams": {
     "u1": { "dataCentre": "a", "service": "near", "models": ["m"],
             "address": "127.0.0.1:2001", "coldLimit": 2, "warmLimit": 8 },
     "w2": { "dataCentre": "b", "service": "wide", "models": ["w"],
             "address": "127.0.0.1:2002", "coldLimit": 2, "warmLimit": 8 },
     "w3": { "dataCentre": "c", "service": "wide", "models": ["w"],
-            "address": "127.0.0.1:2003", "coldLimit": 2, "warmLimit": 8 }
+            "address": "127.0.0.1:2003", "coldLimit": 2, "warmLimit": 8 },
+    "g1": { "dataCentre": "a", "service": "all", "models": ["g"],
+            "address": "127.0.0.1:2004", "coldLimit": 2, "warmLimit": 8 },
+    "g3": { "dataCentre": "c", "service": "all", "models": ["g"],
+            "address": "127.0.0.1:2005", "coldLimit": 2, "warmLimit": 8 }
   },
   "workspaces": {
     "big": { "keySha256":
@@ -72,11 +78,76 @@
     return decisions[0];
   }
 
+  /// A request to a service that may overflow into all regions.
+  AdmissionRequest AskAnywhere(std::string aWorkspace)
+  {
+    AdmissionRequest ask = Ask(std::move(aWorkspace));
+    ask.mService = "all";
+    ask.mModel = "g";
+    return ask;
+  }
+
+  /// Puts a deployment in force that was changed by a function.
+  template<typename Edit>
+  void Configure(Edit aEdit)
+  {
+    boost::json::value document = boost::json::parse(kDocument);
+    aEdit(document.get_object());
+    ConfigFaults faults;
+    mDeployment = ReadDeployment(document, "test", faults);
+    EXPECT_EQ(ToString(faults), "");
+    mAdmission.SetDeployment(mDeployment, mNow);
+  }
+
+  /// Restricts a member of "services" or "workspaces" to one region.
+  static void SetHome(boost::json::object& aDocument,
+                      std::string_view aMembers,
+                      std::string_view aName,
+                      std::string_view aRegion)
+  {
+    aDocument.at(aMembers).at(aName).get_object()["regions"] =
+      boost::json::array{ aRegion };
+  }
+
+  /// Restricts a workspace to one region.
+  void SetWorkspaceHome(std::string_view aWorkspace, std::string_view aRegion)
+  {
+    Configure([&](boost::json::object& aDocument) {
+      SetHome(aDocument, "workspaces", aWorkspace, aRegion);
+    });
+  }
+
+  /// Grants the VM credits of an upstream in another data centre.
+  AdmissionControl::Decisions GrantCredits(std::string_view aUpstream,
+                                           std::uint32_t aAllotment)
+  {
+    std::uint64_t report = 0;
+    for (const OutgoingReport& it :
+         mAdmission.DueReports([](std::string_view) { return 1U; }, mNow)) {
+      report = it.mUpstream == aUpstream ? it.mReport.mReportSequence : report;
+    }
+    EXPECT_NE(report, 0U);
+    CreditGrant grant;
+    grant.mEpoch = 1;
+    grant.mGrantSequence = ++mGrantSequence;
+    grant.mAnswersReport = report;
+    grant.mAllotment = aAllotment;
+    return mAdmission.OnGrant(aUpstream, grant, mNow);
+  }
+
+  static AdmissionOutcome OutcomeOf(
+    const AdmissionControl::Decisions& aDecisions)
+  {
+    EXPECT_EQ(aDecisions.size(), 1U);
+    return aDecisions.empty() ? AdmissionOutcome::Busy : aDecisions[0].mOutcome;
+  }
+
   void AdvanceTime(int aMs) { mNow += Milliseconds{ aMs }; }
 
   Instant mNow = Instant{} + std::chrono::hours{ 1 };
   Deployment mDeployment;
   std::uint64_t mCall = 0;
+  std::uint64_t mGrantSequence = 0;
   AdmissionControl mAdmission =
     AdmissionControl::Create("vm-1", "a", 1, mNow, {});
 };
@@ -265,5 +336,132 @@
   EXPECT_EQ(wantedFar, 0U);
 }
 
+// A permit for the nearest upstream, although it is outside the regions.
+TEST_F(AdmissionControlTest, GrantsOnlyWithinTheRegionsOfTheWorkspace)
+{
+  SetWorkspaceHome("big", "r2");
+  GrantCredits("g3", 1);
+  const AdmissionControl::Decisions granted =
+    mAdmission.Admit(AskAnywhere("big"), mNow);
+  ASSERT_EQ(OutcomeOf(granted), AdmissionOutcome::Granted);
+  EXPECT_EQ(granted[0].mUpstream, "g3");
+  EXPECT_TRUE(mAdmission.Admit(AskAnywhere("big"), mNow).empty());
+}
+
+// The same with a restriction of the service.
+TEST_F(AdmissionControlTest, GrantsOnlyWithinTheRegionsOfTheService)
+{
+  Configure([](boost::json::object& aDocument) {
+    SetHome(aDocument, "services", "all", "r2");
+  });
+  GrantCredits("g3", 1);
+  const AdmissionControl::Decisions granted =
+    mAdmission.Admit(AskAnywhere("big"), mNow);
+  ASSERT_EQ(OutcomeOf(granted), AdmissionOutcome::Granted);
+  EXPECT_EQ(granted[0].mUpstream, "g3");
+  EXPECT_TRUE(mAdmission.Admit(AskAnywhere("big"), mNow).empty());
+}
+
+// One restriction lifting the other.
+TEST_F(AdmissionControlTest, AppliesTheRegionsOfServiceAndWorkspaceTogether)
+{
+  Configure([](boost::json::object& aDocument) {
+    SetHome(aDocument, "services", "all", "r1");
+    SetHome(aDocument, "workspaces", "big", "r2");
+  });
+  EXPECT_EQ(OutcomeOf(mAdmission.Admit(AskAnywhere("big"), mNow)),
+            AdmissionOutcome::OutsideHomeRegions);
+}
+
+// A wait until the queue time is over, although no wait can help.
+TEST_F(AdmissionControlTest, RefusesAtOnceWithoutAnUpstreamInTheRegions)
+{
+  SetWorkspaceHome("big", "r2");
+  EXPECT_EQ(OutcomeOf(mAdmission.Admit(Ask("big"), mNow)),
+            AdmissionOutcome::OutsideHomeRegions);
+}
+
+// A queued request that leaves the queue under the homes it entered with.
+TEST_F(AdmissionControlTest, JudgesQueuedRequestsByTheNewestHomes)
+{
+  const AdmissionDecision first =
+    mAdmission.Admit(AskAnywhere("big"), mNow).at(0);
+  mAdmission.Admit(AskAnywhere("big"), mNow);
+  EXPECT_TRUE(mAdmission.Admit(AskAnywhere("big"), mNow).empty());
+  SetWorkspaceHome("big", "r2");
+  EXPECT_TRUE(
+    mAdmission.OnRelease({ first.mPermit, true, false, false }, mNow).empty());
+  EXPECT_TRUE(mAdmission.OnTick(mNow).empty());
+  const AdmissionControl::Decisions granted = GrantCredits("g3", 1);
+  ASSERT_EQ(OutcomeOf(granted), AdmissionOutcome::Granted);
+  EXPECT_EQ(granted[0].mUpstream, "g3");
+}
+
+// A queued request that waits although its new homes have no upstream.
+TEST_F(AdmissionControlTest, RefusesQueuedRequestsWhenTheirHomesMoveAway)
+{
+  Grant("big");
+  Grant("big");
+  EXPECT_TRUE(mAdmission.Admit(Ask("big"), mNow).empty());
+  SetWorkspaceHome("big", "r2");
+  EXPECT_EQ(OutcomeOf(mAdmission.OnTick(mNow)),
+            AdmissionOutcome::OutsideHomeRegions);
+  EXPECT_EQ(mAdmission.QueueLength(), 0U);
+}
+
+// A queued request that goes to an upstream that has moved out of its homes.
+TEST_F(AdmissionControlTest, DoesNotFollowAnUpstreamOutOfTheRegions)
+{
+  SetWorkspaceHome("big", "r1");
+  const AdmissionDecision first =
+    mAdmission.Admit(AskAnywhere("big"), mNow).at(0);
+  mAdmission.Admit(AskAnywhere("big"), mNow);
+  EXPECT_TRUE(mAdmission.Admit(AskAnywhere("big"), mNow).empty());
+  Configure([](boost::json::object& aDocument) {
+    SetHome(aDocument, "workspaces", "big", "r1");
+    aDocument["upstreams"].at("g1").get_object()["dataCentre"] = "c";
+  });
+  EXPECT_TRUE(
+    mAdmission.OnRelease({ first.mPermit, true, false, false }, mNow).empty());
+  EXPECT_EQ(OutcomeOf(mAdmission.OnTick(mNow)),
+            AdmissionOutcome::OutsideHomeRegions);
+}
+
+// A restriction that is lost because its workspace is removed.
+TEST_F(AdmissionControlTest, KeepsTheHomesOfARemovedWorkspace)
+{
+  SetWorkspaceHome("big", "r1");
+  mAdmission.Admit(AskAnywhere("big"), mNow);
+  mAdmission.Admit(AskAnywhere("big"), mNow);
+  EXPECT_TRUE(mAdmission.Admit(AskAnywhere("big"), mNow).empty());
+  Configure([](boost::json::object& aDocument) {
+    aDocument["workspaces"].get_object().erase("big");
+  });
+  EXPECT_TRUE(GrantCredits("g3", 1).empty());
+  EXPECT_EQ(mAdmission.QueueLength(), 1U);
+}
+
+// A refusal as final while the homes are only drained.
+TEST_F(AdmissionControlTest, TellsDrainedHomesFromMissingOnes)
+{
+  SetWorkspaceHome("big", "r2");
+  DrainTable drains = DrainTable::Create();
+  drains.Merge({ "c", 1, true });
+  mAdmission.SetDrains(drains);
+  EXPECT_EQ(OutcomeOf(mAdmission.Admit(AskAnywhere("big"), mNow)),
+            AdmissionOutcome::Drained);
+}
+
+// Requests that wait for one region holding up those for another.
+TEST_F(AdmissionControlTest, DoesNotQueueBehindRequestsForOtherRegions)
+{
+  SetWorkspaceHome("big", "r2");
+  EXPECT_TRUE(mAdmission.Admit(AskAnywhere("big"), mNow).empty());
+  const AdmissionControl::Decisions granted =
+    mAdmission.Admit(AskAnywhere("small"), mNow);
+  ASSERT_EQ(OutcomeOf(granted), AdmissionOutcome::Granted);
+  EXPECT_EQ(granted[0].mUpstream, "g1");
+}
+
 } // namespace
 } // namespace cactusgw
