Check the home regions at each send of an entry

What callers saw: a request whose service or workspace is restricted to regions could still reach an upstream elsewhere. An entry sent to whatever address its permit named, and a permit may have been granted under an older configuration than the entry's, or before the homes changed. A stream that broke was resumed at its upstream without any decision.

Cause: the decision was made by the agent at the grant, and the send relied on it; the entry used the configuration of the request's start.

A permit now carries a CheckedAddress instead of a text. The check derives the regions from the entry's newest configuration and runs in the HTTP client between the connection and the send, with nothing awaited in between; first attempts, retries and resumes go through it, and the engine client takes no other address for them. A cancel carries no body and uses the address without the check, so that work outside the homes still ends. An upstream that the entry's configuration doesn't have at the permit's address is in no known region. A permit that is not used is returned as not run, and not as an unreachable upstream, which would make its owner count the upstream as cold.

--- a/src/cactusgw/engine/http_engine_client.cpp
+++ b/src/cactusgw/engine/http_engine_client.cpp
@@ -108,7 +108,7 @@
 }
 
 Task<Result<std::unique_ptr<HttpGenerationStream>>>
-HttpEngineClient::Start(std::string aAddress,
+HttpEngineClient::Start(CheckedAddress aAddress,
                         GenerationRequest aRequest,
                         EngineTimes aTimes)
 {
@@ -126,7 +126,7 @@
 }
 
 Task<Result<std::unique_ptr<HttpGenerationStream>>>
-HttpEngineClient::Resume(std::string aAddress,
+HttpEngineClient::Resume(CheckedAddress aAddress,
                          std::string aGeneration,
                          std::uint64_t aOffset,
                          EngineTimes aTimes)
@@ -139,7 +139,7 @@
 }
 
 Task<Result<std::unique_ptr<HttpGenerationStream>>>
-HttpEngineClient::OpenStream(std::string aAddress,
+HttpEngineClient::OpenStream(CheckedAddress aAddress,
                              HttpRequest aRequest,
                              EngineTimes aTimes)
 {
@@ -147,7 +147,8 @@
                              aTimes.mFirstByte,
                              aTimes.mSilence };
   Result<std::unique_ptr<HttpExchangeClient>> opened =
-    co_await HttpExchangeClient::Open(aAddress, std::move(aRequest), times);
+    co_await HttpExchangeClient::Open(
+      std::move(aAddress), std::move(aRequest), times);
   if (!opened) {
     co_return opened.error();
   }
--- a/src/cactusgw/engine/http_engine_client.hpp
+++ b/src/cactusgw/engine/http_engine_client.hpp
@@ -30,10 +30,10 @@
 public:
   using Stream = HttpGenerationStream;
 
-  Task<Result<std::unique_ptr<Stream>>> Start(std::string aAddress,
+  Task<Result<std::unique_ptr<Stream>>> Start(CheckedAddress aAddress,
                                               GenerationRequest aRequest,
                                               EngineTimes aTimes);
-  Task<Result<std::unique_ptr<Stream>>> Resume(std::string aAddress,
+  Task<Result<std::unique_ptr<Stream>>> Resume(CheckedAddress aAddress,
                                                std::string aGeneration,
                                                std::uint64_t aOffset,
                                                EngineTimes aTimes);
@@ -41,7 +41,7 @@
   Task<Result<EngineLoad>> Load(std::string aAddress);
 
 private:
-  Task<Result<std::unique_ptr<Stream>>> OpenStream(std::string aAddress,
+  Task<Result<std::unique_ptr<Stream>>> OpenStream(CheckedAddress aAddress,
                                                    HttpRequest aRequest,
                                                    EngineTimes aTimes);
 };
--- a/src/cactusgw/entry/agent_link.cpp
+++ b/src/cactusgw/entry/agent_link.cpp
@@ -106,13 +106,32 @@
   }
   const AdmissionPermit permit{ reply.permit(),
                                 reply.upstream(),
-                                reply.address(),
+                                AddressOf(reply, std::move(aTarget.mHomes)),
                                 SteadyNow() +
                                   Milliseconds{ reply.valid_ms() } };
   mPermits[permit.mId] = permit;
   co_return permit;
 }
 
+CheckedAddress
+AgentLink::AddressOf(const wire::AdmitReply& aReply, RequestHomes aHomes) const
+{
+  CheckedAddress::CheckFunction check = [this,
+                                         homes = std::move(aHomes),
+                                         upstream = aReply.upstream(),
+                                         address =
+                                           aReply.address()]() -> Result<void> {
+    const Result<void> allowed =
+      CheckSend(*mDeployment, homes, upstream, address);
+    if (!allowed) {
+      mLog.Warn("A permit for " + upstream +
+                " is not used: " + allowed.error().mDetail + ".");
+    }
+    return allowed;
+  };
+  return { aReply.address(), std::move(check) };
+}
+
 void
 AgentLink::Release(const AdmissionPermit& aPermit, wire::ReleasePermit aRelease)
 {
@@ -242,8 +261,7 @@
   }
   wire::ReleasePermit release;
   release.set_outcome(wire::OUTCOME_NOT_RUN);
-  Release({ aReply.permit(), aReply.upstream(), aReply.address(), {} },
-          release);
+  Release({ aReply.permit(), aReply.upstream(), {}, {} }, release);
 }
 
 Task<std::shared_ptr<AgentLink::Pending>>
--- a/src/cactusgw/entry/agent_link.hpp
+++ b/src/cactusgw/entry/agent_link.hpp
@@ -5,6 +5,8 @@
 
 #include "cactusgw/config/deployment.hpp"
 #include "cactusgw/config/process_settings.hpp"
+#include "cactusgw/config/request_homes.hpp"
+#include "cactusgw/core/checked_address.hpp"
 #include "cactusgw/core/crash_evidence.hpp"
 #include "cactusgw/messaging/envelope.hpp"
 #include "cactusgw/messaging/message_socket.hpp"
@@ -29,7 +31,8 @@
 {
   std::uint64_t mId = 0;
   std::string mUpstream;
-  std::string mAddress;
+  /// Allows a send while the newest configuration does.
+  CheckedAddress mAddress;
   /// The request must be sent before this time.
   Instant mUseBefore;
 };
@@ -42,6 +45,7 @@
   std::string mModel;
   std::string mWorkspace;
   std::uint64_t mPrefixHash = 0;
+  RequestHomes mHomes;
 };
 
 /// Not thread-safe; lives on one io_context.
@@ -61,8 +65,9 @@
     const EntrySettings& aSettings,
     EventRecorder& aRecorder);
 
-  /// Asks for a permit. Errors, all NotRun: Busy, also when the agent does not
-  /// answer, Drained, NotFound, OutsideHomeRegions, RetryBudgetSpent.
+  /// Asks for a permit, which must not outlive the link. Errors, all NotRun:
+  /// Busy, also when the agent does not answer, Drained, NotFound,
+  /// OutsideHomeRegions, RetryBudgetSpent.
   Task<Result<AdmissionPermit>> Admit(AdmissionTarget aTarget,
                                       std::vector<std::string> aExcluded,
                                       bool aIsRetry);
@@ -113,6 +118,10 @@
                                       Milliseconds aTime);
   void Send(wire::Envelope& aEnvelope);
   Milliseconds QueueTime(std::string_view aService) const;
+  /// The address of a granted permit. Agents may hold another version of the
+  /// configuration than the entry, and the homes may change before the send.
+  CheckedAddress AddressOf(const wire::AdmitReply& aReply,
+                           RequestHomes aHomes) const;
 
   boost::asio::io_context& mContext;
   std::uint64_t mIncarnation;
--- a/src/cactusgw/entry/entry_context.hpp
+++ b/src/cactusgw/entry/entry_context.hpp
@@ -32,7 +32,8 @@
   std::uint32_t mPriority = 0;
   /// Empty when the caller sent none.
   std::string mIdempotencyKey;
-  /// The configuration at the start of the request, used throughout.
+  /// The configuration at the start of the request, used throughout. Only the
+  /// homes are checked against the newest one, at each send.
   std::shared_ptr<const Deployment> mDeployment;
 };
 
--- a/src/cactusgw/entry/internal/generation_call_impl.hpp
+++ b/src/cactusgw/entry/internal/generation_call_impl.hpp
@@ -103,13 +103,16 @@
   if (!allowed) {
     co_return allowed.error();
   }
-  const AdmissionTarget target{ mScope.mRequestId,
-                                mService->mName,
-                                mRequest.mModel,
-                                mScope.mWorkspace,
-                                mPrefixHash };
+  AdmissionTarget target{
+    mScope.mRequestId,
+    mService->mName,
+    mRequest.mModel,
+    mScope.mWorkspace,
+    mPrefixHash,
+    RequestHomes::Of(*mScope.mDeployment, mService->mName, mScope.mWorkspace)
+  };
   Result<AdmissionPermit> permit =
-    co_await mContext.mLink.Admit(target, mExcluded, aIsRetry);
+    co_await mContext.mLink.Admit(std::move(target), mExcluded, aIsRetry);
   if (!permit) {
     co_return permit.error();
   }
@@ -331,7 +334,7 @@
                                          wire::ReleasePermit aRelease)
 {
   const Result<void> cancelled =
-    co_await mClient.Cancel(aPermit.mAddress, mScope.mRequestId);
+    co_await mClient.Cancel(aPermit.mAddress.WithoutCheck(), mScope.mRequestId);
   const bool isGone =
     !cancelled && cancelled.error().mVerdict == Verdict::NotRun;
   aRelease.set_unreachable(isGone);
--- a/src/cactusgw/entry/plain_call.cpp
+++ b/src/cactusgw/entry/plain_call.cpp
@@ -61,11 +61,16 @@
 PlainCall::RunOnce(bool aIsRetry)
 {
   mPermit = {};
-  const AdmissionTarget target{
-    mScope.mRequestId, mRequest.mService, {}, mScope.mWorkspace, 0
+  AdmissionTarget target{
+    mScope.mRequestId,
+    mRequest.mService,
+    {},
+    mScope.mWorkspace,
+    0,
+    RequestHomes::Of(*mScope.mDeployment, mRequest.mService, mScope.mWorkspace)
   };
   Result<AdmissionPermit> permit =
-    co_await mContext.mLink.Admit(target, mExcluded, aIsRetry);
+    co_await mContext.mLink.Admit(std::move(target), mExcluded, aIsRetry);
   if (!permit) {
     co_return permit.error();
   }
--- a/src/cactusgw/interfaces/engine_client.hpp
+++ b/src/cactusgw/interfaces/engine_client.hpp
@@ -3,6 +3,7 @@
 
 /// Interface of clients for model engines; see docs/contracts/engine.md.
 
+#include "cactusgw/core/checked_address.hpp"
 #include "cactusgw/core/verdict.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -72,18 +73,19 @@
 concept EngineClient = GenerationStream<typename Client::Stream> &&
   requires(Client& aClient,
            std::string aText,
+           CheckedAddress aAddress,
            GenerationRequest aRequest,
            EngineTimes aTimes,
            std::uint64_t aOffset)
 {
   /// Starts a generation. Errors: NotRun when it provably did not start.
   {
-    aClient.Start(aText, aRequest, aTimes)
+    aClient.Start(aAddress, aRequest, aTimes)
     } -> std::same_as<
       boost::asio::awaitable<Result<std::unique_ptr<typename Client::Stream>>>>;
   /// Continues a running generation from an offset on a new connection.
   {
-    aClient.Resume(aText, aText, aOffset, aTimes)
+    aClient.Resume(aAddress, aText, aOffset, aTimes)
     } -> std::same_as<
       boost::asio::awaitable<Result<std::unique_ptr<typename Client::Stream>>>>;
   /// Cancels the generation of a request; on success it has stopped.
--- a/src/cactusgw/net/http_client.cpp
+++ b/src/cactusgw/net/http_client.cpp
@@ -22,6 +22,14 @@
   return std::chrono::steady_clock::now() + aTime;
 }
 
+/// An address to which everything may be sent.
+CheckedAddress
+Unrestricted(std::string_view aAddress)
+{
+  return { std::string{ aAddress },
+           []() -> Result<void> { return boost::outcome_v2::success(); } };
+}
+
 } // namespace
 
 HttpExchangeClient::HttpExchangeClient(
@@ -36,14 +44,27 @@
 HttpExchangeClient::Open(std::string_view aAddress,
                          HttpRequest aRequest,
                          HttpCallTimes aTimes)
+{
+  CheckedAddress address = Unrestricted(aAddress);
+  co_return co_await Open(std::move(address), std::move(aRequest), aTimes);
+}
+
+Task<Result<std::unique_ptr<HttpExchangeClient>>>
+HttpExchangeClient::Open(CheckedAddress aAddress,
+                         HttpRequest aRequest,
+                         HttpCallTimes aTimes)
 {
   Result<std::unique_ptr<HttpConnection>> connected =
-    co_await HttpConnection::Connect(aAddress, aTimes.mConnect);
+    co_await HttpConnection::Connect(aAddress.WithoutCheck(), aTimes.mConnect);
   if (!connected) {
     co_return connected.error();
   }
-  aRequest.set(http::field::host, aAddress);
+  aRequest.set(http::field::host, aAddress.WithoutCheck());
   aRequest.prepare_payload();
+  const Result<void> allowed = aAddress.Check();
+  if (!allowed) {
+    co_return allowed.error();
+  }
   const Result<void> sent =
     co_await connected.value()->Exchange(aRequest, After(aTimes.mHeader));
   if (!sent) {
@@ -125,9 +146,21 @@
           HttpRequest aRequest,
           HttpCallTimes aTimes,
           std::size_t aBodyLimit)
+{
+  CheckedAddress address = Unrestricted(aAddress);
+  co_return co_await FetchHttp(
+    std::move(address), std::move(aRequest), aTimes, aBodyLimit);
+}
+
+Task<Result<HttpResponse>>
+FetchHttp(CheckedAddress aAddress,
+          HttpRequest aRequest,
+          HttpCallTimes aTimes,
+          std::size_t aBodyLimit)
 {
   Result<std::unique_ptr<HttpExchangeClient>> opened =
-    co_await HttpExchangeClient::Open(aAddress, std::move(aRequest), aTimes);
+    co_await HttpExchangeClient::Open(
+      std::move(aAddress), std::move(aRequest), aTimes);
   if (!opened) {
     co_return opened.error();
   }
--- a/src/cactusgw/net/http_client.hpp
+++ b/src/cactusgw/net/http_client.hpp
@@ -4,6 +4,7 @@
 /// HTTP client whose errors carry a verdict on whether the server may have
 /// executed the request.
 
+#include "cactusgw/core/checked_address.hpp"
 #include "cactusgw/net/http_connection.hpp"
 #include "cactusgw/net/http_types.hpp"
 
@@ -33,6 +34,10 @@
   /// for any error after sending began.
   static Task<Result<std::unique_ptr<HttpExchangeClient>>>
   Open(std::string_view aAddress, HttpRequest aRequest, HttpCallTimes aTimes);
+  /// The same. Errors: also those of the check, which is made when the
+  /// connection is established.
+  static Task<Result<std::unique_ptr<HttpExchangeClient>>>
+  Open(CheckedAddress aAddress, HttpRequest aRequest, HttpCallTimes aTimes);
 
   unsigned Status() const;
   std::string Header(std::string_view aName) const;
@@ -64,6 +69,11 @@
                                      HttpRequest aRequest,
                                      HttpCallTimes aTimes,
                                      std::size_t aBodyLimit);
+/// The same. Errors: also those of the check.
+Task<Result<HttpResponse>> FetchHttp(CheckedAddress aAddress,
+                                     HttpRequest aRequest,
+                                     HttpCallTimes aTimes,
+                                     std::size_t aBodyLimit);
 
 } // namespace cactusgw
 
