Send an entry its configuration before permits granted under it

What callers saw: after homes were moved to another region, some requests were refused as not run (503, outside-home-regions) although their new homes had room.

Cause: an entry asks its agent for the configuration twice a second. Until then the agent grants permits under the new homes, and the entry checks them by the old ones and refuses them, up to three times a request.

The agent now sends a newer configuration before the next decisions. Messages between the two keep their order, so the entry checks a permit by a configuration at least as new as the one it was granted under. A lost message is repeated at the next hello, as before.

--- a/src/cactusgw/agent/entry_port.cpp
+++ b/src/cactusgw/agent/entry_port.cpp
@@ -105,6 +105,11 @@
 void
 EntryPort::SendDecisions(const AdmissionControl::Decisions& aDecisions)
 {
+  // An entry checks permits by its own configuration; with an older one it
+  // would refuse permits within new homes.
+  if (!aDecisions.empty() && mState.mConfig.Revision() > mEntryRevision) {
+    SendState(SteadyNow());
+  }
   for (const AdmissionDecision& decision : aDecisions) {
     const bool granted = decision.mOutcome == AdmissionOutcome::Granted;
     mState.Recorder().Record(granted ? EventKind::RequestAdmitted
@@ -176,14 +181,22 @@
   MergeCrashReports(hello.crash_reports(), aNow, mState.mCrashes);
   mState.mCrashes.Update(aNow);
 
+  mEntryRevision = hello.config_version();
+  SendState(aNow);
+}
+
+void
+EntryPort::SendState(Instant aNow)
+{
   wire::Envelope envelope;
   wire::AgentState& state = *envelope.mutable_agent_state();
   EncodeCrashReports(mState.mCrashes, aNow, *state.mutable_crash_reports());
   state.set_config_version(mState.mConfig.Revision());
   state.set_data_centre_drained(mState.mDrains.IsDrained(mState.DataCentre()));
-  if (hello.config_version() != mState.mConfig.Revision()) {
+  if (mState.mConfig.Revision() > mEntryRevision) {
     state.set_deployment(boost::json::serialize(
       EffectiveDocument(mState.mConfig.Document(), mState.DataCentre())));
+    mEntryRevision = mState.mConfig.Revision();
   }
   Send(envelope);
 }
--- a/src/cactusgw/agent/entry_port.hpp
+++ b/src/cactusgw/agent/entry_port.hpp
@@ -51,6 +51,9 @@
   void OnRelease(const wire::ReleasePermit& aRelease, Instant aNow);
   boost::asio::awaitable<void> RunClaim(wire::KeyClaim aClaim);
   boost::asio::awaitable<void> RunFinish(wire::KeyResult aResult);
+  /// Sends what the entry should know, with the configuration when the entry's
+  /// is older.
+  void SendState(Instant aNow);
   void Send(wire::Envelope& aEnvelope);
 
   boost::asio::io_context& mContext;
@@ -63,6 +66,8 @@
   /// Routing identity of the entry, as it last introduced itself.
   std::string mIdentity;
   std::uint64_t mEntryIncarnation = 0;
+  /// Revision of the configuration that the entry holds or was sent.
+  std::uint64_t mEntryRevision = 0;
   Instant mHeardAt;
 };
 
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/value_from.hpp>
 
 #include <algorithm>
 #include <csignal>
@@ -338,6 +339,12 @@
   return GetJson(mVms.at(aVm).mAgentOperator, "/status");
 }
 
+json::value
+Cluster::EntryStatus(const std::string& aVm)
+{
+  return GetJson(mVms.at(aVm).mEntryOperator, "/status");
+}
+
 json::value
 Cluster::Counters(const std::string& aEngine)
 {
@@ -425,6 +432,13 @@
   WriteConfig();
 }
 
+void
+Cluster::SetHomes(const std::vector<std::string>& aRegions)
+{
+  mHomes = aRegions;
+  WriteConfig();
+}
+
 void
 Cluster::WriteConfig() const
 {
@@ -433,7 +447,7 @@
     json::value& dataCentre = dataCentres[vm.mDataCentre];
     if (!dataCentre.is_object()) {
       dataCentre =
-        json::object{ { "region", "region-1" }, { "vms", json::object{} } };
+        json::object{ { "region", vm.mRegion }, { "vms", json::object{} } };
     }
     dataCentre.at("vms").as_object()[name] =
       json::object{ { "peer", vm.mPeer } };
@@ -451,24 +465,27 @@
     }
     upstreams[name] = std::move(upstream);
   }
+  json::object workspace{ { "keySha256",
+                            json::array{ Sha256Hex("test-key") } } };
+  if (!mHomes.empty()) {
+    workspace["regions"] = json::value_from(mHomes);
+  }
   const json::object document{
     { "dataCentres", std::move(dataCentres) },
     { "services",
-      json::object{
-        { "writer",
-          json::object{ { "kind", "model" },
-                        { "queueMs", mQueueMs },
-                        { "silenceMs", 1000 } } },
-        { "portal",
-          json::object{ { "kind", "plain" }, { "queueMs", mQueueMs } } } } },
+      json::object{ { "writer",
+                      json::object{ { "kind", "model" },
+                                    { "overflow", mOverflow },
+                                    { "queueMs", mQueueMs },
+                                    { "silenceMs", 1000 } } },
+                    { "portal",
+                      json::object{ { "kind", "plain" },
+                                    { "overflow", mOverflow },
+                                    { "queueMs", mQueueMs } } } } },
     { "models",
       json::object{ { "model-1", json::object{ { "service", "writer" } } } } },
     { "upstreams", std::move(upstreams) },
-    { "workspaces",
-      json::object{
-        { "workspace-1",
-          json::object{
-            { "keySha256", json::array{ Sha256Hex("test-key") } } } } } },
+    { "workspaces", json::object{ { "workspace-1", std::move(workspace) } } },
     { "limits", mLimits }
   };
   WriteFile(mDirectory + "/base.json", document);
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -25,6 +25,8 @@
 struct VmPorts
 {
   std::string mDataCentre;
+  /// Region of the data centre.
+  std::string mRegion = "region-1";
   std::string mListen;
   std::string mAgentOperator;
   std::string mEntryOperator;
@@ -100,6 +102,7 @@
               const std::string& aKey = "test-key",
               const std::string& aIdempotencyKey = "");
   boost::json::value Status(const std::string& aVm);
+  boost::json::value EntryStatus(const std::string& aVm);
   boost::json::value Counters(const std::string& aEngine);
   void Control(const std::string& aAddress, const std::string& aBody);
   std::string Metrics(const std::string& aAddress);
@@ -116,6 +119,12 @@
   /// Changes one limit of the configuration files.
   void SetLimit(const std::string& aName, std::int64_t aValue);
 
+  /// Sets the overflow scope of the services; call before Start.
+  void SetOverflow(const std::string& aScope) { mOverflow = aScope; }
+  /// Changes the regions of the workspace in the configuration files; empty:
+  /// all regions.
+  void SetHomes(const std::vector<std::string>& aRegions);
+
   const std::string& Platform() const { return mPlatform; }
   const VmPorts& Vm(const std::string& aName) const { return mVms.at(aName); }
   const EnginePorts& Engine(const std::string& aName) const
@@ -141,6 +150,8 @@
   boost::json::object mLimits;
   std::size_t mEnginesPerProcess = 1;
   std::int64_t mQueueMs = 20'000;
+  std::string mOverflow = "none";
+  std::vector<std::string> mHomes;
   bool mDefaultTimes = false;
   std::map<std::string, pid_t> mProcesses;
 };
