Refuse as busy until the first configuration has arrived

What callers saw: for a fraction of a second after an agent's restart, requests for known models were refused with 404, "no upstream serves this".

Cause: without a deployment, AdmissionControl knew no service and took the target for unknown. It now answers Busy, as entries do before their first configuration.

Evidence: RefusesAsBusyBeforeTheFirstDeployment fails on the code before (UnknownTarget instead of Busy) and passes with the change, 27 of 27 of AdmissionControlTest, built against the core library alone.

--- a/src/cactusgw/core/admission_control.cpp
+++ b/src/cactusgw/core/admission_control.cpp
@@ -118,6 +118,11 @@
     decisions.push_back(Refuse(aRequest, AdmissionOutcome::Drained));
     return decisions;
   }
+  // Without a configuration, nothing is known about the target.
+  if (mDeployment.mDataCentres.empty()) {
+    decisions.push_back(Refuse(aRequest, AdmissionOutcome::Busy));
+    return decisions;
+  }
   aRequest.mHomes =
     RequestHomes::Of(mDeployment, aRequest.mService, aRequest.mWorkspace);
   const AdmissionOutcome target = CheckTarget(aRequest);
--- a/tests/core/admission_control_test.cpp
+++ b/tests/core/admission_control_test.cpp
@@ -253,6 +253,14 @@
   EXPECT_EQ(refused[0].mOutcome, AdmissionOutcome::UnknownTarget);
 }
 
+// A 404 for a known service from an agent that has just restarted.
+TEST_F(AdmissionControlTest, RefusesAsBusyBeforeTheFirstDeployment)
+{
+  AdmissionControl fresh = AdmissionControl::Create("vm-1", "a", 2, mNow, {});
+  fresh.Reconcile({}, true, mNow);
+  EXPECT_EQ(OutcomeOf(fresh.Admit(Ask("big"), mNow)), AdmissionOutcome::Busy);
+}
+
 TEST_F(AdmissionControlTest, RefusesRetriesBeyondTheBudget)
 {
   AdmissionRequest retry = Ask("big");
