An upstream that says it is draining stays so

What callers saw: requests went to an upstream that had already said in a response (`Server-Leaving: 1`) that it is draining, and were lost when it ended. The header was not read. What a gateway knew otherwise, from a notice or from the registration, was undone by the next registration that still said "ready", and by one that expired and returned.

Cause: UpstreamDirectory::Put copied the registration over what was known of the same start of the upstream. Knowledge of a start was kept in the registration, whose lifetime is another.

Fix: the directory remembers the starts (id and start time) that stated that they are draining, in a response, in their registration or in an engine's report, apart from their registrations. Put and MarkDraining consult it, so that no caller can undo it. A start that is not registered yet is remembered too. Another start time is another upstream; without start times, another address is. At most 4,096 starts are remembered; the oldest that are not registered go first. A notice of another gateway holds until the next registration is read, as before: its message does not tell a statement from a removal, and a removed registration may return.

The header counts on a response to the request itself, of any status but 421, which another upstream at the address may have sent. It takes the path of the other notices: connections in the pool are closed, generations are migrated, other gateways are told. The connection that the response came on is not returned to the pool.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -84,13 +84,16 @@
               mState,
               std::move(aControl),
               [this](const DrainingUpstream& aUpstream) {
-                OnDrainNotice(aUpstream, "upstream");
+                OnDrainNotice(aUpstream, "upstream", DrainEvidence::Stated);
               })
   , mRegistration(std::move(aRegistration))
   , mQuarantineRecords(std::move(aQuarantines))
   , mQuarantineKeeper(QuarantineKeeper::Create())
 {
   mState.mMigrator = &mMigrator;
+  mState.mOnStatedDraining = [this](const DrainingUpstream& aUpstream) {
+    OnDrainNotice(aUpstream, "answer", DrainEvidence::Stated);
+  };
 }
 
 Result<std::unique_ptr<Gateway>>
@@ -170,7 +173,7 @@
   mRelay = std::make_unique<StoreRelay>(mState, mStore, *mPeers);
   mLoadExchange = std::make_unique<LoadExchange>(
     mState, *mPeers, [this](const DrainingUpstream& aUpstream) {
-      OnDrainNotice(aUpstream, "peer");
+      OnDrainNotice(aUpstream, "peer", DrainEvidence::Notice);
     });
   mPeers->SetHandler(
     [this](std::string_view aIdentity, const wire::Envelope& aEnvelope) {
@@ -368,9 +371,11 @@
 
 void
 Gateway::OnDrainNotice(const DrainingUpstream& aUpstream,
-                       std::string_view aFrom)
+                       std::string_view aFrom,
+                       DrainEvidence aEvidence)
 {
-  if (!mState.mDirectory.MarkDraining(aUpstream.mId, aUpstream.mStartedMs)) {
+  if (!mState.mDirectory.MarkDraining(
+        aUpstream.mId, aUpstream.mStartedMs, aEvidence)) {
     return;
   }
   mState.mLog.Write("leaving-heard",
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -96,7 +96,9 @@
   void RecordDraining(const std::string& aId);
   void OnRemoved(const std::string& aId, Instant aNow);
   void UpdateGatewayCount();
-  void OnDrainNotice(const DrainingUpstream& aUpstream, std::string_view aFrom);
+  void OnDrainNotice(const DrainingUpstream& aUpstream,
+                     std::string_view aFrom,
+                     DrainEvidence aEvidence);
   void OnDirectoryChange(DirectoryChange aChange, const std::string& aId);
   void LogAdded(const std::string& aId);
   void OnUndrained(const std::string& aDataCentre);
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -209,7 +209,9 @@
     }
   }
   if (mConnection) {
-    if (result || result.error().mVerdict == Verdict::NotRun) {
+    const bool isReusable =
+      result || result.error().mVerdict == Verdict::NotRun;
+    if (isReusable && !IsUpstreamDraining()) {
       mState.mPool.Release(std::move(mConnection), SteadyNow());
     }
     mConnection.reset();
@@ -308,10 +310,8 @@
     co_return false;
   }
   co_await mGeneration->WaitWhileStopping(mAdmitted.mDeadline);
-  const KnownUpstream* const known = mState.mDirectory.Find(mUpstream);
-  const bool isDraining = known == nullptr || known->mRecord.mIsDraining;
-  if (mGeneration->State() == GenerationState::Running && isDraining &&
-      mGeneration->Copy()) {
+  if (mGeneration->State() == GenerationState::Running &&
+      IsUpstreamDraining() && mGeneration->Copy()) {
     mGeneration->SetStopped(*mGeneration->Copy());
   }
   co_return mGeneration->State() == GenerationState::Stopped;
@@ -370,6 +370,7 @@
       mConnection->Response().Header(mState.mNames.mRequestId);
     if (id.empty() || id == mRequestId) {
       ReadStatedLimit();
+      ReadDraining();
       co_return CheckResponse(mConnection->Response(), mState.mNames);
     }
     mState.mLog.Write("foreign-answer",
@@ -408,6 +409,30 @@
   }
 }
 
+void
+GatewayCall::ReadDraining()
+{
+  const HttpConnection& response = mConnection->Response();
+  // A misdirected request was answered by another upstream at the address.
+  const bool isMisdirected =
+    response.Status() ==
+    static_cast<unsigned>(http::status::misdirected_request);
+  if (isMisdirected ||
+      response.Header(mState.mNames.mDraining) != kStatedDraining) {
+    return;
+  }
+  mState.mMetrics.mDrainingResponses.Add();
+  const UpstreamTarget& upstream = mConnection->Target();
+  mState.mOnStatedDraining({ upstream.mId, upstream.mStartedMs });
+}
+
+bool
+GatewayCall::IsUpstreamDraining() const
+{
+  const KnownUpstream* const known = mState.mDirectory.Find(mUpstream);
+  return known == nullptr || known->mRecord.mIsDraining;
+}
+
 Result<void>
 GatewayCall::CheckQuarantine()
 {
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -49,6 +49,10 @@
                               Instant aUntil);
   /// Evaluates the limit that the upstream states in its response.
   void ReadStatedLimit();
+  /// Reports an upstream that states in its response that it is draining.
+  void ReadDraining();
+  /// Also when the upstream is not registered any more.
+  bool IsUpstreamDraining() const;
   void OnEventsRelayed();
   void OnCompleted();
 
--- a/src/cactusgw/gateway/gateway_metrics.cpp
+++ b/src/cactusgw/gateway/gateway_metrics.cpp
@@ -62,6 +62,10 @@
       mRegistry.AddGauge({ "cactusgw_limited_upstreams",
                            "Upstreams that state a limit of their requests.",
                            "" }))
+  , mDrainingResponses(mRegistry.AddCounter(
+      { "cactusgw_draining_responses_total",
+        "Responses by which an upstream stated that it is draining.",
+        "" }))
   , mConfigVersion(mRegistry.AddGauge(
       { "cactusgw_config_version", "Configuration in force.", "" }))
   , mConfigAge(mRegistry.AddGauge({ "cactusgw_config_age_seconds",
--- a/src/cactusgw/gateway/gateway_metrics.hpp
+++ b/src/cactusgw/gateway/gateway_metrics.hpp
@@ -38,6 +38,7 @@
   Counter& mQuarantinedRequests;
   Gauge& mQuarantines;
   Gauge& mLimitedUpstreams;
+  Counter& mDrainingResponses;
   Gauge& mConfigVersion;
   Gauge& mConfigAge;
   LatencyHistogram& mFirstByte;
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -24,6 +24,7 @@
 #include "cactusgw/gateway/wait_queue.hpp"
 #include "cactusgw/telemetry/recorder.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <span>
@@ -96,6 +97,9 @@
   UpstreamDirectory mDirectory;
   /// Recent notices of draining upstreams, for the other gateways.
   DrainNotices mDrainNotices;
+  /// Called when an upstream states in a response that it is draining. Set by
+  /// the owner of this state before the first call.
+  std::function<void(const DrainingUpstream&)> mOnStatedDraining;
   /// Whether the watch of upstreams gets no response from the store.
   bool mIsUpstreamWatchDown = false;
   /// Recently undrained data centres, and the time until which their upstreams
--- a/src/cactusgw/gateway/header_names.hpp
+++ b/src/cactusgw/gateway/header_names.hpp
@@ -5,10 +5,14 @@
 /// The platform that the gateway runs on defines them.
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cactusgw {
 
+/// Value of the header HeaderNames::mDraining.
+inline constexpr std::string_view kStatedDraining = "1";
+
 struct HeaderNames
 {
   std::string mRequestId;
@@ -23,6 +27,8 @@
   /// Requests per second, a decimal number, that the upstream takes from all
   /// gateways together.
   std::string mRateLimit;
+  /// Set to kStatedDraining in every response of an upstream that is draining.
+  std::string mDraining;
   /// Set by the upstream; a successful response without it isn't accepted as
   /// the upstream's.
   std::string mSeal;
--- a/src/cactusgw/gateway/upstream_directory.cpp
+++ b/src/cactusgw/gateway/upstream_directory.cpp
@@ -4,9 +4,19 @@
 
 namespace cactusgw {
 
+UpstreamStart
+StartOf(const UpstreamRecord& aUpstream)
+{
+  return { aUpstream.mId, aUpstream.mStartedMs };
+}
+
 DirectoryChange
 UpstreamDirectory::Put(UpstreamRecord aRecord, Instant aNow)
 {
+  const UpstreamStart start = StartOf(aRecord);
+  const bool isNewlyStated =
+    aRecord.mIsDraining && RememberDraining(start, aRecord.mAddress);
+  aRecord.mIsDraining = aRecord.mIsDraining || IsOfDrainingStart(aRecord);
   const auto it = mUpstreams.find(aRecord.mId);
   const Instant coldUntil = aNow + aRecord.mColdTime;
   if (it == mUpstreams.end()) {
@@ -21,7 +31,8 @@
   const bool hasRestarted = known.mRecord.mStartedMs != aRecord.mStartedMs ||
                             known.mRecord.mAddress != aRecord.mAddress ||
                             known.mRecord.mDataCentre != aRecord.mDataCentre;
-  const bool startsDraining = aRecord.mIsDraining && !known.mRecord.mIsDraining;
+  const bool startsDraining =
+    isNewlyStated || (aRecord.mIsDraining && !known.mRecord.mIsDraining);
   known.mRecord = std::move(aRecord);
   known.mColdUntil = coldUntil;
   known.mIsMissing = false;
@@ -51,17 +62,80 @@
 }
 
 bool
-UpstreamDirectory::MarkDraining(std::string_view aId, std::int64_t aStartedMs)
+UpstreamDirectory::MarkDraining(std::string_view aId,
+                                std::int64_t aStartedMs,
+                                DrainEvidence aEvidence)
 {
+  const UpstreamStart start{ std::string{ aId }, aStartedMs };
   const auto it = mUpstreams.find(aId);
-  if (it == mUpstreams.end() || it->second.mRecord.mIsDraining ||
-      it->second.mRecord.mStartedMs != aStartedMs) {
+  const bool isRegistered =
+    it != mUpstreams.end() && it->second.mRecord.mStartedMs == aStartedMs;
+  const bool isNewlyStated =
+    aEvidence == DrainEvidence::Stated &&
+    RememberDraining(
+      start, isRegistered ? it->second.mRecord.mAddress : std::string{});
+  if (!isRegistered) {
+    return false;
+  }
+  const bool wasDraining = std::exchange(it->second.mRecord.mIsDraining, true);
+  return isNewlyStated || !wasDraining;
+}
+
+bool
+UpstreamDirectory::RememberDraining(const UpstreamStart& aUpstream,
+                                    const std::string& aAddress)
+{
+  const auto [known, isNew] = mDrainingStarts.try_emplace(
+    aUpstream, DrainingStart{ aAddress, mNextOrder });
+  if (!aAddress.empty()) {
+    known->second.mAddress = aAddress;
+  }
+  if (!isNew) {
     return false;
   }
-  it->second.mRecord.mIsDraining = true;
+  ++mNextOrder;
+  if (mDrainingStarts.size() > kMaxDrainingStarts) {
+    ForgetOldestUnregistered();
+  }
   return true;
 }
 
+void
+UpstreamDirectory::ForgetOldestUnregistered()
+{
+  auto oldest = mDrainingStarts.end();
+  for (auto it = mDrainingStarts.begin(); it != mDrainingStarts.end(); ++it) {
+    const bool isOlder = oldest == mDrainingStarts.end() ||
+                         it->second.mOrder < oldest->second.mOrder;
+    if (isOlder && !IsRegistered(it->first)) {
+      oldest = it;
+    }
+  }
+  if (oldest != mDrainingStarts.end()) {
+    mDrainingStarts.erase(oldest);
+  }
+}
+
+bool
+UpstreamDirectory::IsOfDrainingStart(const UpstreamRecord& aRecord) const
+{
+  const auto it = mDrainingStarts.find(StartOf(aRecord));
+  if (it == mDrainingStarts.end()) {
+    return false;
+  }
+  // Without a start time, only another address shows that the upstream has
+  // restarted.
+  return aRecord.mStartedMs != 0 || it->second.mAddress.empty() ||
+         it->second.mAddress == aRecord.mAddress;
+}
+
+bool
+UpstreamDirectory::IsRegistered(const UpstreamStart& aUpstream) const
+{
+  const KnownUpstream* const known = Find(aUpstream.mId);
+  return known != nullptr && known->mRecord.mStartedMs == aUpstream.mStartedMs;
+}
+
 std::vector<std::string>
 UpstreamDirectory::RemoveExpired(Instant aNow)
 {
--- a/src/cactusgw/gateway/upstream_directory.hpp
+++ b/src/cactusgw/gateway/upstream_directory.hpp
@@ -3,6 +3,7 @@
 
 /// The registered upstreams and the data centres that operators have drained.
 
+#include "cactusgw/core/upstream_start.hpp"
 #include "cactusgw/core/verdict.hpp"
 
 #include <algorithm>
@@ -34,6 +35,9 @@
   Milliseconds mColdTime{ 0 };
 };
 
+/// The start of an upstream that a registration is of.
+UpstreamStart StartOf(const UpstreamRecord& aUpstream);
+
 /// A registration and the state that this process derives from it.
 struct KnownUpstream
 {
@@ -45,6 +49,17 @@
   Instant mMissingSince;
 };
 
+/// Why an upstream counts as draining.
+enum class DrainEvidence
+{
+  /// The upstream or its registration says so. Holds for this start of the
+  /// upstream, whatever its registration says later.
+  Stated,
+  /// Another gateway says so, which may have found the registration removed.
+  /// Holds until the registration is read again.
+  Notice,
+};
+
 /// The effect of an update of the directory.
 enum class DirectoryChange
 {
@@ -63,6 +78,9 @@
   /// their upstreams are removed: the platform registers live upstreams again
   /// within about two seconds.
   static constexpr Milliseconds kReregistrationGrace{ 2000 };
+  /// Maximum number of starts that are remembered as draining. Beyond it the
+  /// oldest that are not registered are forgotten.
+  static constexpr std::size_t kMaxDrainingStarts = 4096;
 
   static UpstreamDirectory Create() { return UpstreamDirectory{}; }
 
@@ -73,10 +91,19 @@
   DirectoryChange Remove(std::string_view aId, Instant aNow);
 
   /// Marks an upstream as draining after a notice from another source than its
-  /// registration. Ignored when the start time differs: the notice then
-  /// concerns another start of the upstream.
-  /// @return whether the upstream was newly marked
-  bool MarkDraining(std::string_view aId, std::int64_t aStartedMs);
+  /// registration. When the start time differs, the notice concerns another
+  /// start of the upstream, and is only remembered.
+  /// @return whether the registered upstream was newly marked, or only by a
+  /// notice before
+  bool MarkDraining(std::string_view aId,
+                    std::int64_t aStartedMs,
+                    DrainEvidence aEvidence = DrainEvidence::Stated);
+  /// Whether this start of an upstream, registered or not, is remembered to
+  /// have stated that it is draining.
+  bool HasStatedDraining(const UpstreamStart& aUpstream) const
+  {
+    return mDrainingStarts.count(aUpstream) != 0;
+  }
 
   /// The store responds again after an outage: starts the grace period for
   /// registrations that expired meanwhile.
@@ -110,9 +137,28 @@
   std::size_t Size() const { return mUpstreams.size(); }
 
 private:
+  struct DrainingStart
+  {
+    /// Empty if unknown.
+    std::string mAddress;
+    /// Position in the order in which the starts were added.
+    std::uint64_t mOrder = 0;
+  };
+
   UpstreamDirectory() = default;
 
+  /// Returns whether the start was not known to be draining.
+  bool RememberDraining(const UpstreamStart& aUpstream,
+                        const std::string& aAddress);
+  void ForgetOldestUnregistered();
+  /// Whether the registration is of a start that stated that it is draining.
+  bool IsOfDrainingStart(const UpstreamRecord& aRecord) const;
+  bool IsRegistered(const UpstreamStart& aUpstream) const;
+
   std::map<std::string, KnownUpstream, std::less<>> mUpstreams;
+  /// Outlives the registrations, which may be stale or may return.
+  std::map<UpstreamStart, DrainingStart> mDrainingStarts;
+  std::uint64_t mNextOrder = 0;
   std::set<std::string> mDrained;
   Instant mGraceUntil;
 };
--- a/tests/gateway/crash_quarantine_test.cpp
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -256,6 +256,43 @@
   });
 }
 
+// Gateways that get no response of a draining upstream would learn of it from
+// the store only.
+TEST_F(SharedEvidenceTest, ADrainStatedInAResponseIsPassedOn)
+{
+  UpstreamRecord ready;
+  ready.mId = "u1";
+  ready.mService = "app";
+  ready.mAddress = "127.0.0.1:1";
+  ready.mDataCentre = "dc-a";
+  ready.mStartedMs = 1;
+  mOther->OnUpstreamChanges({ { "u1", ready } });
+  mGateway->OnUpstreamChanges({ { "u1", ready } });
+  ASSERT_TRUE(mGateway->State().mOnStatedDraining);
+  mGateway->State().mOnStatedDraining({ "u1", 1 });
+  RunUntil([&] { return mOther->State().mDirectory.Serving("app").empty(); });
+}
+
+// A registration that had only expired returned, and was not used again.
+TEST_F(SharedEvidenceTest, ARemovalIsUndoneByTheRegistrationsReturn)
+{
+  UpstreamRecord ready;
+  ready.mId = "u1";
+  ready.mService = "app";
+  ready.mAddress = "127.0.0.1:1";
+  ready.mDataCentre = "dc-a";
+  ready.mStartedMs = 1;
+  mOther->OnUpstreamChanges({ { "u1", ready } });
+  mGateway->OnUpstreamChanges({ { "u1", ready } });
+  mGateway->OnUpstreamChanges({ { "u1", std::nullopt } });
+  const auto serves = [&] {
+    return !mOther->State().mDirectory.Serving("app").empty();
+  };
+  RunUntil([&] { return !serves(); });
+  mOther->OnUpstreamChanges({ { "u1", ready } });
+  EXPECT_TRUE(serves());
+}
+
 TEST_F(SharedEvidenceTest, AQuarantineIsWrittenIntoTheStore)
 {
   for (const char* const upstream : { "u1", "u2", "u3" }) {
--- a/tests/gateway/gateway_core_test.cpp
+++ b/tests/gateway/gateway_core_test.cpp
@@ -101,6 +101,115 @@
   EXPECT_THAT(directory.Serving("s"), IsEmpty());
 }
 
+// A registration that was written before the upstream began to drain undid
+// what the upstream had said since.
+TEST(UpstreamDirectoryTest, AStartStaysDrainingWhateverItsRegistrationSays)
+{
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  directory.Put(Record("response"), At(0));
+  directory.Put(Record("record"), At(0));
+  directory.MarkDraining("response", 7);
+  EXPECT_EQ(directory.Put(Record("record", true), At(1)),
+            DirectoryChange::DrainingOrRemoved);
+  EXPECT_EQ(directory.Put(Record("response"), At(2)), DirectoryChange::Updated);
+  EXPECT_EQ(directory.Put(Record("record"), At(2)), DirectoryChange::Updated);
+  EXPECT_THAT(directory.Serving("s"), IsEmpty());
+  EXPECT_TRUE(directory.HasStatedDraining({ "response", 7 }));
+}
+
+// A draining upstream counted as new when its registration expired and
+// returned.
+TEST(UpstreamDirectoryTest, AStartStaysDrainingWhenItsRegistrationReturns)
+{
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  directory.Put(Record("u"), At(0));
+  directory.MarkDraining("u", 7);
+  directory.Remove("u", At(1));
+  EXPECT_EQ(directory.Put(Record("u"), At(2)),
+            DirectoryChange::DrainingOrRemoved);
+  EXPECT_THAT(directory.Serving("s"), IsEmpty());
+}
+
+// A notice that came before the registration was lost.
+TEST(UpstreamDirectoryTest, ANoticeCountsForARegistrationThatFollows)
+{
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  EXPECT_FALSE(directory.MarkDraining("u", 7));
+  directory.Put(Record("u"), At(0));
+  EXPECT_THAT(directory.Serving("s"), IsEmpty());
+}
+
+TEST(UpstreamDirectoryTest, ARestartedUpstreamIsNotDraining)
+{
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  directory.Put(Record("u", true), At(0));
+  UpstreamRecord restarted = Record("u");
+  ++restarted.mStartedMs;
+  EXPECT_EQ(directory.Put(restarted, At(1)), DirectoryChange::Added);
+  EXPECT_EQ(directory.Serving("s").size(), 1U);
+  // A stale registration of the start before is still draining.
+  directory.Put(Record("u"), At(2));
+  EXPECT_THAT(directory.Serving("s"), IsEmpty());
+}
+
+// A notice can be undone, so the statement must still take effect.
+TEST(UpstreamDirectoryTest, AStatementAfterANoticeIsNews)
+{
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  directory.Put(Record("response"), At(0));
+  directory.Put(Record("record"), At(0));
+  directory.MarkDraining("response", 7, DrainEvidence::Notice);
+  directory.MarkDraining("record", 7, DrainEvidence::Notice);
+  EXPECT_TRUE(directory.MarkDraining("response", 7));
+  EXPECT_EQ(directory.Put(Record("record", true), At(1)),
+            DirectoryChange::DrainingOrRemoved);
+}
+
+// A registration that only expired would never be used again.
+TEST(UpstreamDirectoryTest,
+     ANoticeOfAnotherGatewayHoldsUntilTheNextRegistration)
+{
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  directory.Put(Record("u"), At(0));
+  EXPECT_TRUE(directory.MarkDraining("u", 7, DrainEvidence::Notice));
+  EXPECT_THAT(directory.Serving("s"), IsEmpty());
+  directory.Put(Record("u"), At(1));
+  EXPECT_EQ(directory.Serving("s").size(), 1U);
+}
+
+TEST(UpstreamDirectoryTest, WithoutAStartTimeTheAddressTellsStartsApart)
+{
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  UpstreamRecord record = Record("u");
+  record.mStartedMs = 0;
+  record.mAddress = "10.0.0.1:80";
+  directory.Put(record, At(0));
+  EXPECT_TRUE(directory.MarkDraining("u", 0));
+  directory.Remove("u", At(1));
+  directory.Put(record, At(2));
+  EXPECT_THAT(directory.Serving("s"), IsEmpty());
+  record.mAddress = "10.0.0.2:80";
+  directory.Put(record, At(3));
+  EXPECT_EQ(directory.Serving("s").size(), 1U);
+}
+
+// Starts that are gone for good would take ever more memory; a registered one
+// must not be forgotten for them.
+TEST(UpstreamDirectoryTest, RemembersABoundedNumberOfDrainingStarts)
+{
+  UpstreamDirectory directory = UpstreamDirectory::Create();
+  directory.Put(Record("u"), At(0));
+  directory.MarkDraining("u", 7);
+  const int count = static_cast<int>(UpstreamDirectory::kMaxDrainingStarts) + 1;
+  for (int start = 0; start < count; ++start) {
+    directory.MarkDraining("gone", 100 + start);
+  }
+  EXPECT_FALSE(directory.HasStatedDraining({ "gone", 100 }));
+  EXPECT_TRUE(directory.HasStatedDraining({ "gone", 100 + count - 1 }));
+  directory.Put(Record("u"), At(1));
+  EXPECT_THAT(directory.Serving("s"), IsEmpty());
+}
+
 TEST(UpstreamDirectoryTest, ExcludesADrainedDataCentre)
 {
   UpstreamDirectory directory = UpstreamDirectory::Create();
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -23,6 +23,7 @@
   names.mWorkspace = "Workspace";
   names.mNotRun = "Not-Run";
   names.mRateLimit = "Rate-Limit";
+  names.mDraining = "Draining";
   names.mSeal = "Seal";
   names.mTokenCounts = "Tokens";
   names.mPromptParts = "Prompt-Parts";
@@ -168,10 +169,11 @@
 }
 
 void
-GatewayTest::Register(const std::string& aId)
+GatewayTest::Register(const std::string& aId, std::int64_t aStartedMs)
 {
-  for (const UpstreamRecord& record : mRecords) {
+  for (UpstreamRecord record : mRecords) {
     if (record.mId == aId) {
+      record.mStartedMs = aStartedMs;
       mGateway->OnUpstreamChanges({ { aId, record } });
     }
   }
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -40,8 +40,9 @@
                                 const std::string& aService,
                                 Script aScript,
                                 const std::string& aDataCentre = "dc-a");
-  /// Registers an upstream that was added after the start of the gateway.
-  void Register(const std::string& aId);
+  /// Registers an upstream that was added after the start of the gateway, or
+  /// one anew, as ready.
+  void Register(const std::string& aId, std::int64_t aStartedMs = 0);
   /// Puts a new version of the standard configuration in force.
   void Configure(std::uint64_t aVersion,
                  const std::function<void(GatewayConfig&)>& aEdit);
--- a/tests/gateway/moved_generation_test.cpp
+++ b/tests/gateway/moved_generation_test.cpp
@@ -17,6 +17,9 @@
   return "id: " + std::to_string(aId) + "\ndata: t\n\n";
 }
 
+/// How long a draining upstream of these tests goes on.
+constexpr Milliseconds kDrainTime{ 1500 };
+
 /// Runs the event loop until the condition holds.
 Task<void>
 Until(std::function<bool()> aCondition)
@@ -55,6 +58,37 @@
   }
 };
 
+// A generation was cut off when its upstream said only in the header of the
+// stream that it is draining.
+TEST_F(MovedGenerationTest, AStreamWhoseHeaderStatesADrainIsMigrated)
+{
+  AddUpstream(
+    "a-source", "engine", [this](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.BeginChunks(std::string{ kSealed } +
+                                     "Draining: 1\r\n");
+      co_await aExchange.Chunk(Event(1));
+      const Instant end = std::chrono::steady_clock::now() + kDrainTime;
+      co_await Until([&] {
+        return (!mCopies.empty() && mCopies.back().mStops) ||
+               std::chrono::steady_clock::now() >= end;
+      });
+      aExchange.Close();
+    });
+  AddUpstream(
+    "b-target", "engine", [](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.BeginChunks("Seal: other\r\n");
+      co_await aExchange.Chunk(Event(2));
+      co_await aExchange.EndChunks();
+    });
+  StartGateway();
+  Run([&]() -> Task<void> {
+    const ClientResponse response =
+      co_await Call(MakeRequest(http::verb::post, "/stream/x"));
+    EXPECT_EQ(response.mBody, Event(1) + Event(2));
+    EXPECT_TRUE(response.mIsWhole);
+  });
+}
+
 TEST_F(MovedGenerationTest, ContinuesAfterTheLastCompleteEvent)
 {
   AddSource([](ScriptedExchange& aExchange) -> Task<void> {
