An upstream that asks for a pause gets one

What callers saw: requests went on to upstreams that had refused one with 503 and said by Retry-After for how long they want nothing. They were refused again, and when no other upstream was left, a request waited for its part of the latency objective and was then told to return after 0.25 s.

Cause: Retry-After of an upstream was not read. Its refusal was one failure more, whose penalty decays in seconds and does not matter to a lone candidate.

Paused upstreams are no candidates, neither for requests nor as targets of migrations. SendGate refuses them too, as a request may have been selected before the pause began and wait for a connection; this covers the copies of a generation's state.

The value counts on 503 only, on a response to the request itself, with or without the proof that the request did not run; the verdict is as before. When all upstreams of a request's service in its regions are paused beyond the time that the request may wait, it is refused at once, with the time until the first pause ends.

--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -371,6 +371,7 @@
     if (id.empty() || id == mRequestId) {
       ReadStatedLimit();
       ReadDraining();
+      ReadPause();
       co_return CheckResponse(mConnection->Response(), mState.mNames);
     }
     mState.mLog.Write("foreign-answer",
@@ -426,6 +427,30 @@
   mState.mOnStatedDraining({ upstream.mId, upstream.mStartedMs });
 }
 
+void
+GatewayCall::ReadPause()
+{
+  const HttpConnection& response = mConnection->Response();
+  const bool isRefusal =
+    response.Status() ==
+    static_cast<unsigned>(http::status::service_unavailable);
+  const std::optional<Milliseconds> time =
+    isRefusal ? ParseRetryAfter(response.Header("Retry-After")) : std::nullopt;
+  const UpstreamTarget& upstream = mConnection->Target();
+  const Instant now = SteadyNow();
+  if (!time || !mState.mPauses.OnRefusal(
+                 { upstream.mId, upstream.mStartedMs }, *time, now)) {
+    return;
+  }
+  mState.mMetrics.mPauses.Add();
+  mState.mLog.Write("upstream-paused",
+                    { { "request", mRequestId },
+                      { "upstream", upstream.mId },
+                      { "startedMs", upstream.mStartedMs },
+                      { "forMs", time->count() } },
+                    now);
+}
+
 bool
 GatewayCall::IsUpstreamDraining() const
 {
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -49,6 +49,8 @@
                               Instant aUntil);
   /// Evaluates the limit that the upstream states in its response.
   void ReadStatedLimit();
+  /// Pauses the upstream when it refuses the request for some time.
+  void ReadPause();
   /// Reports an upstream that states in its response that it is draining.
   void ReadDraining();
   /// Also when the upstream is not registered any more.
--- a/src/cactusgw/gateway/gateway_metrics.cpp
+++ b/src/cactusgw/gateway/gateway_metrics.cpp
@@ -62,6 +62,16 @@
       mRegistry.AddGauge({ "cactusgw_limited_upstreams",
                            "Upstreams that state a limit of their requests.",
                            "" }))
+  , mPauses(mRegistry.AddCounter(
+      { "cactusgw_upstream_pauses_total",
+        "Refusals by which an upstream asked for a pause, or a longer one.",
+        "" }))
+  , mPausedRequests(mRegistry.AddCounter(
+      { "cactusgw_paused_requests_total",
+        "Requests refused because all of their upstreams are paused.",
+        "" }))
+  , mPausedUpstreams(mRegistry.AddGauge(
+      { "cactusgw_paused_upstreams", "Upstreams that asked for a pause.", "" }))
   , mDrainingResponses(mRegistry.AddCounter(
       { "cactusgw_draining_responses_total",
         "Responses by which an upstream stated that it is draining.",
--- a/src/cactusgw/gateway/gateway_metrics.hpp
+++ b/src/cactusgw/gateway/gateway_metrics.hpp
@@ -38,6 +38,9 @@
   Counter& mQuarantinedRequests;
   Gauge& mQuarantines;
   Gauge& mLimitedUpstreams;
+  Counter& mPauses;
+  Counter& mPausedRequests;
+  Gauge& mPausedUpstreams;
   Counter& mDrainingResponses;
   Gauge& mConfigVersion;
   Gauge& mConfigAge;
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -1,6 +1,7 @@
 #include "cactusgw/gateway/gateway_state.hpp"
 
 #include "cactusgw/core/hash.hpp"
+#include "cactusgw/net/steady_now.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -49,6 +50,7 @@
   , mStatedLimits(StatedLimits::Create())
   , mLimitPacer(LimitPacer::Create())
   , mColdStartLimiter(ColdStartLimiter::Create())
+  , mPauses(UpstreamPauses::Create())
   , mPool(UpstreamConnectionPool::Create())
   , mWaitQueue(WaitQueue::Create())
   , mFreshness(StoreFreshness::Create(FreshnessLimit(mSettings.mBounds)))
@@ -70,8 +72,12 @@
 SendGate
 GatewayState::Gate() const
 {
-  return SendGate{ SendFacts{
-    mTable.get(), mFreshness.IsUsable(), mDirectory, mSettings.mRegions } };
+  return SendGate{ SendFacts{ mTable.get(),
+                              mFreshness.IsUsable(),
+                              mDirectory,
+                              mSettings.mRegions,
+                              mPauses,
+                              SteadyNow() } };
 }
 
 std::string
@@ -129,10 +135,12 @@
     const bool isLimited =
       aService.mColdPerSecond > 0 && IsCold(*known, aNow) &&
       !mColdStartLimiter.Allows(record.mId, ColdStartShare(aService), aNow);
+    const bool isPaused =
+      mPauses.PausedUntil(StartOf(record), aNow).has_value();
     const UpstreamLoad load = mLoads.Total(record.mId, aNow);
     const bool hasRate =
       mLimitPacer.Allows(record.mId, load.mRecent, aFilter.mIsWaiting, aNow);
-    if (isAllowed && !isLimited && hasRate &&
+    if (isAllowed && !isLimited && !isPaused && hasRate &&
         !Contains(aFilter.mExcluded, record.mId)) {
       candidates.push_back(
         { known,
@@ -145,6 +153,27 @@
   return candidates;
 }
 
+std::optional<Instant>
+GatewayState::AllPausedUntil(const GatewayService& aService,
+                             const AllowedRegions& aRegions,
+                             Instant aNow) const
+{
+  std::optional<Instant> first;
+  const SendGate gate = Gate();
+  for (const KnownUpstream* const known : mDirectory.Serving(aService.mName)) {
+    if (!gate.IsWithin(aRegions, known->mRecord)) {
+      continue;
+    }
+    const std::optional<Instant> end =
+      mPauses.PausedUntil(StartOf(known->mRecord), aNow);
+    if (!end) {
+      return std::nullopt;
+    }
+    first = std::min(first.value_or(*end), *end);
+  }
+  return first;
+}
+
 SharedRetryBudget&
 GatewayState::RetryBudgetFor(const std::string& aService)
 {
@@ -164,6 +193,7 @@
 GatewayState::OnSent(const KnownUpstream& aUpstream, Instant aNow)
 {
   mMetrics.mAttempts.Add();
+  mPauses.OnSent(StartOf(aUpstream.mRecord), aNow);
   if (IsCold(aUpstream, aNow)) {
     mColdStartLimiter.OnSent(aUpstream.mRecord.mId, aNow);
   }
@@ -208,6 +238,8 @@
       mLimitPacer.Forget(upstream);
     }
   }
+  mPauses.Expire(aNow);
+  mMetrics.mPausedUpstreams.Set(static_cast<double>(mPauses.Size()));
   mMetrics.mLimitedUpstreams.Set(
     static_cast<double>(mLimitPacer.Limited().size()));
 }
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -21,12 +21,14 @@
 #include "cactusgw/gateway/upstream_connection_pool.hpp"
 #include "cactusgw/gateway/upstream_directory.hpp"
 #include "cactusgw/gateway/upstream_health.hpp"
+#include "cactusgw/gateway/upstream_pauses.hpp"
 #include "cactusgw/gateway/wait_queue.hpp"
 #include "cactusgw/telemetry/recorder.hpp"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -65,10 +67,17 @@
                                     const CandidateFilter& aFilter,
                                     Instant aNow) const;
 
+  /// When the first pause ends, if all upstreams that serve the service in
+  /// these regions are paused.
+  std::optional<Instant> AllPausedUntil(const GatewayService& aService,
+                                        const AllowedRegions& aRegions,
+                                        Instant aNow) const;
+
   /// This gateway's share of the retry budget of a service.
   SharedRetryBudget& RetryBudgetFor(const std::string& aService);
 
-  /// Counts an attempt, also towards the rate limit of a cold upstream.
+  /// Counts an attempt, also towards the limits of a cold and of a paused
+  /// upstream.
   void OnSent(const KnownUpstream& aUpstream, Instant aNow);
 
   /// Counts a request towards the limit that its upstream states. Called as
@@ -77,7 +86,7 @@
   void OnSelected(const std::string& aUpstream, Instant aNow);
 
   /// Applies the limits that upstreams state, and drops those that are old or
-  /// whose upstreams are gone.
+  /// whose upstreams are gone. Drops pauses that have ended.
   void UpdateLimits(Instant aNow);
 
   /// Discards health, rate limit and connections of an upstream that was
@@ -111,6 +120,7 @@
   StatedLimits mStatedLimits;
   LimitPacer mLimitPacer;
   ColdStartLimiter mColdStartLimiter;
+  UpstreamPauses mPauses;
   UpstreamConnectionPool mPool;
   WaitQueue mWaitQueue;
   /// Set by the owner of this state before the first call.
--- a/src/cactusgw/gateway/message_headers.cpp
+++ b/src/cactusgw/gateway/message_headers.cpp
@@ -170,6 +170,19 @@
   return number;
 }
 
+std::optional<Milliseconds>
+ParseRetryAfter(std::string_view aText)
+{
+  constexpr double kMsPerSecond = 1000;
+  constexpr double kMaxSeconds = 1e9;
+  const std::optional<double> seconds = ParseDecimal(aText);
+  if (!seconds) {
+    return std::nullopt;
+  }
+  return Milliseconds{ static_cast<std::int64_t>(
+    std::ceil(std::min(*seconds, kMaxSeconds) * kMsPerSecond)) };
+}
+
 std::optional<TokenCounts>
 ParseTokenCounts(std::string_view aText)
 {
--- a/src/cactusgw/gateway/message_headers.hpp
+++ b/src/cactusgw/gateway/message_headers.hpp
@@ -4,6 +4,7 @@
 /// Selects the headers that are forwarded from clients to upstreams and back,
 /// and parses header values.
 
+#include "cactusgw/core/verdict.hpp"
 #include "cactusgw/gateway/header_names.hpp"
 #include "cactusgw/net/http_types.hpp"
 
@@ -54,6 +55,10 @@
 /// Parses a non-negative decimal number; nullopt if malformed.
 std::optional<double> ParseDecimal(std::string_view aText);
 
+/// Parses a Retry-After value in seconds, which may have a fraction; nullopt if
+/// malformed or a date.
+std::optional<Milliseconds> ParseRetryAfter(std::string_view aText);
+
 /// Parses an unsigned integer; nullopt if malformed.
 std::optional<std::uint64_t> ParseNumber(std::string_view aText);
 
--- a/src/cactusgw/gateway/send_gate.cpp
+++ b/src/cactusgw/gateway/send_gate.cpp
@@ -84,6 +84,10 @@
     return NotRun(FailureCode::UpstreamUnreachable,
                   "upstream " + aTarget.mId + " accepts no new requests");
   }
+  if (IsPausedFor(record, aPurpose)) {
+    return NotRun(FailureCode::UpstreamUnreachable,
+                  "upstream " + aTarget.mId + " asked for a pause");
+  }
   const AllowedRegions regions = RegionsFor(aOrigin);
   if (!IsWithin(regions, record)) {
     return NotRun(FailureCode::OutsideHomeRegions,
@@ -94,6 +98,16 @@
   return SendClearance{ aTarget };
 }
 
+bool
+SendGate::IsPausedFor(const UpstreamRecord& aUpstream,
+                      SendPurpose aPurpose) const
+{
+  const UpstreamStart start = StartOf(aUpstream);
+  return aPurpose == SendPurpose::NewWork
+           ? mFacts.mPauses.PausedUntil(start, mFacts.mNow).has_value()
+           : !mFacts.mPauses.AllowsContinuation(start, mFacts.mNow);
+}
+
 std::string
 SendGate::RegionOf(std::string_view aDataCentre) const
 {
--- a/src/cactusgw/gateway/send_gate.hpp
+++ b/src/cactusgw/gateway/send_gate.hpp
@@ -11,6 +11,7 @@
 #include "cactusgw/core/verdict.hpp"
 #include "cactusgw/gateway/routing_table.hpp"
 #include "cactusgw/gateway/upstream_directory.hpp"
+#include "cactusgw/gateway/upstream_pauses.hpp"
 
 #include <string>
 #include <string_view>
@@ -38,7 +39,7 @@
   /// Needs an upstream that accepts new requests.
   NewWork,
   /// Continues a generation where its state is already; the upstream may be
-  /// draining.
+  /// draining, and a paused upstream takes a few.
   Continuation,
 };
 
@@ -52,6 +53,8 @@
   bool mIsTableNewest = true;
   const UpstreamDirectory& mDirectory;
   const RegionMap& mRegions;
+  const UpstreamPauses& mPauses;
+  Instant mNow;
 };
 
 /// Cheap to make. Not thread-safe.
@@ -78,12 +81,14 @@
                 const UpstreamRecord& aUpstream) const;
 
   /// Clears one send. Errors, all NotRun: UpstreamUnreachable when the upstream
-  /// has left, restarted or moved, or accepts no new work; OutsideHomeRegions.
+  /// has left, restarted or moved, is paused, or accepts no new work;
+  /// OutsideHomeRegions.
   Result<SendClearance> Clear(const RequestOrigin& aOrigin,
                               const UpstreamTarget& aTarget,
                               SendPurpose aPurpose) const;
 
 private:
+  bool IsPausedFor(const UpstreamRecord& aUpstream, SendPurpose aPurpose) const;
   std::string RegionOf(std::string_view aDataCentre) const;
 
   SendFacts mFacts;
--- a/src/cactusgw/gateway/upstream_selector.cpp
+++ b/src/cactusgw/gateway/upstream_selector.cpp
@@ -40,6 +40,10 @@
       co_return found;
     }
   }
+  const Result<void> unpaused = CheckPauses(aRequest);
+  if (!unpaused) {
+    co_return unpaused.error();
+  }
   co_return co_await Wait(aRequest, aTried);
 }
 
@@ -64,37 +68,61 @@
 {
   mState.mMetrics.mWaits.Add();
   const std::string& service = aRequest.mService->mName;
-  const Milliseconds longest = std::chrono::duration_cast<Milliseconds>(
-    aRequest.mRoute->mLatencyObjective * kMaxWaitFraction);
-  const Instant waitEnd = std::min(aRequest.mDeadline, mStart + longest);
+  const Instant waitEnd = WaitEnd(aRequest);
   const net::any_io_executor executor = co_await net::this_coro::executor;
   WaitQueue::Entry entry{
     mState.mWaitQueue, service, aRequest.mRank, executor
   };
   mWaitEntry = &entry;
   std::string found;
-  Result<void> homes = boost::outcome_v2::success();
-  while (found.empty() && homes && !mIsCancelled && SteadyNow() < waitEnd) {
+  Result<void> hopeful = boost::outcome_v2::success();
+  while (found.empty() && hopeful && !mIsCancelled && SteadyNow() < waitEnd) {
     if (entry.IsFirst()) {
       found = SelectAvailable(aRequest, aTried);
     }
     if (found.empty()) {
       co_await entry.Wait(std::min(waitEnd, SteadyNow() + kRecheckInterval));
-      homes = CheckHomes(mState, aRequest.mOrigin);
+      hopeful = CheckHomes(mState, aRequest.mOrigin);
+      if (hopeful) {
+        hopeful = CheckPauses(aRequest);
+      }
     }
   }
   mWaitEntry = nullptr;
   if (!found.empty()) {
     co_return found;
   }
-  if (!homes) {
-    co_return homes.error();
+  if (!hopeful) {
+    co_return hopeful.error();
   }
   const std::size_t known = mState.mDirectory.Serving(service).size();
   co_return NotRun(FailureCode::Busy,
                    "none of " + std::to_string(known) + " upstreams has room");
 }
 
+Result<void>
+UpstreamSelector::CheckPauses(const AdmittedRequest& aRequest) const
+{
+  const Instant now = SteadyNow();
+  const std::optional<Instant> first = mState.AllPausedUntil(
+    *aRequest.mService, mState.Gate().RegionsFor(aRequest.mOrigin), now);
+  if (!first || *first < WaitEnd(aRequest)) {
+    return boost::outcome_v2::success();
+  }
+  mState.mMetrics.mPausedRequests.Add();
+  return NotRun(FailureCode::Busy,
+                "all upstreams asked for a pause",
+                std::chrono::ceil<Milliseconds>(*first - now));
+}
+
+Instant
+UpstreamSelector::WaitEnd(const AdmittedRequest& aRequest) const
+{
+  const Milliseconds longest = std::chrono::duration_cast<Milliseconds>(
+    aRequest.mRoute->mLatencyObjective * kMaxWaitFraction);
+  return std::min(aRequest.mDeadline, mStart + longest);
+}
+
 void
 UpstreamSelector::Cancel()
 {
--- a/src/cactusgw/gateway/upstream_selector.hpp
+++ b/src/cactusgw/gateway/upstream_selector.hpp
@@ -21,7 +21,8 @@
   UpstreamSelector(GatewayState& aState, Instant aStart);
 
   /// Returns the id of an upstream. Errors: NotRun with Busy or
-  /// UpstreamUnreachable.
+  /// UpstreamUnreachable. Busy carries the time until the first pause ends when
+  /// all upstreams are paused.
   /// @param aTried upstreams that the request was already sent to; excluded
   Task<Result<std::string>> Find(const AdmittedRequest& aRequest,
                                  std::span<const std::string> aTried);
@@ -31,6 +32,10 @@
 private:
   Task<Result<std::string>> Wait(const AdmittedRequest& aRequest,
                                  std::span<const std::string> aTried);
+  /// Refuses a request whose upstreams are all paused for longer than the
+  /// request may wait.
+  Result<void> CheckPauses(const AdmittedRequest& aRequest) const;
+  Instant WaitEnd(const AdmittedRequest& aRequest) const;
   /// Returns an empty string when no upstream has free capacity.
   std::string SelectAvailable(const AdmittedRequest& aRequest,
                               std::span<const std::string> aTried) const;
--- a/tests/gateway/gateway_core_test.cpp
+++ b/tests/gateway/gateway_core_test.cpp
@@ -220,6 +220,18 @@
   EXPECT_EQ(directory.Serving("s").size(), 1U);
 }
 
+// A fraction that is cut off would end a pause too early.
+TEST(MessageHeadersTest, ReadsRetryAfterInSecondsRoundedUp)
+{
+  EXPECT_EQ(ParseRetryAfter("2"), Milliseconds{ 2000 });
+  EXPECT_EQ(ParseRetryAfter("0.2501"), Milliseconds{ 251 });
+  EXPECT_GT(ParseRetryAfter("99999999999999999999"), Milliseconds{ 1 });
+  for (const char* const bad :
+       { "", "-1", "1s", "nan", "Wed, 21 Oct 2026 07:28:00 GMT" }) {
+    EXPECT_EQ(ParseRetryAfter(bad), std::nullopt) << bad;
+  }
+}
+
 TEST(LoadTableTest, CountsLoadOfOtherGatewaysUntilItIsStale)
 {
   LoadTable loads = LoadTable::Create();
--- a/tests/gateway/moved_generation_test.cpp
+++ b/tests/gateway/moved_generation_test.cpp
@@ -1,4 +1,5 @@
 #include "cactusgw/gateway/store_backoff.hpp"
+#include "cactusgw/net/steady_now.hpp"
 #include "gateway_fixture.hpp"
 
 #include <boost/asio/post.hpp>
@@ -58,6 +59,33 @@
   }
 };
 
+// The state of a generation was copied to an upstream that wants nothing.
+TEST_F(MovedGenerationTest, APausedUpstreamIsNoTarget)
+{
+  AddSource(&CloseConnection);
+  ScriptedUpstream& paused = AddUpstream(
+    "b-target", "engine", [](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.Answer(200, kSealed, Event(3));
+    });
+  AddUpstream(
+    "c-target", "engine", [](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.Answer(200, kSealed, Event(3));
+    });
+  StartGateway();
+  mGateway->State().mPauses.OnRefusal(
+    { "b-target", 0 }, Milliseconds{ 60'000 }, SteadyNow());
+  Run([&]() -> Task<void> {
+    const ClientResponse response =
+      co_await Call(MakeRequest(http::verb::post, "/stream/x"));
+    EXPECT_EQ(response.mBody, Event(1) + Event(2) + Event(3));
+  });
+  EXPECT_TRUE(paused.Requests().empty());
+  ASSERT_FALSE(mCopies.empty());
+  for (const CopyOrder& copy : mCopies) {
+    EXPECT_EQ(copy.mTarget.Target().mId, "c-target");
+  }
+}
+
 // A generation was cut off when its upstream said only in the header of the
 // stream that it is draining.
 TEST_F(MovedGenerationTest, AStreamWhoseHeaderStatesADrainIsMigrated)
@@ -67,10 +95,10 @@
       co_await aExchange.BeginChunks(std::string{ kSealed } +
                                      "Draining: 1\r\n");
       co_await aExchange.Chunk(Event(1));
-      const Instant end = std::chrono::steady_clock::now() + kDrainTime;
+      const Instant end = SteadyNow() + kDrainTime;
       co_await Until([&] {
         return (!mCopies.empty() && mCopies.back().mStops) ||
-               std::chrono::steady_clock::now() >= end;
+               SteadyNow() >= end;
       });
       aExchange.Close();
     });
