--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -210,7 +210,9 @@
     }
   }
   if (mConnection) {
-    if (result || result.error().mVerdict == Verdict::NotRun) {
+    const bool isReusable =
+      result || result.error().mVerdict == Verdict::NotRun;
+    if (isReusable && !IsUpstreamDraining()) {
       mState.mPool.Release(std::move(mConnection), SteadyNow());
     }
     mConnection.reset();
@@ -310,10 +312,8 @@
     co_return false;
   }
   co_await mGeneration->WaitWhileStopping(mAdmitted.mDeadline);
-  const KnownUpstream* const known = mState.mDirectory.Find(mUpstream);
-  const bool isDraining = known == nullptr || known->mRecord.mIsDraining;
-  if (mGeneration->State() == GenerationState::Running && isDraining &&
-      mGeneration->Copy()) {
+  if (mGeneration->State() == GenerationState::Running &&
+      IsUpstreamDraining() && mGeneration->Copy()) {
     mGeneration->SetStopped(*mGeneration->Copy());
   }
   co_return mGeneration->State() == GenerationState::Stopped;
@@ -372,6 +372,8 @@
       mConnection->Response().Header(mState.mNames.mRequestId);
     if (id.empty() || id == mRequestId) {
       ReadStatedLimit();
+      ReadDraining();
+      ReadPause();
       co_return CheckResponse(mConnection->Response(), mState.mNames);
     }
     mState.mLog.Write("foreign-answer",
@@ -410,6 +412,54 @@
   }
 }
 
+void
+GatewayCall::ReadDraining()
+{
+  const HttpConnection& response = mConnection->Response();
+  // A misdirected request was answered by another upstream at the address.
+  const bool isMisdirected =
+    response.Status() ==
+    static_cast<unsigned>(http::status::misdirected_request);
+  if (isMisdirected ||
+      response.Header(mState.mNames.mDraining) != kStatedDraining) {
+    return;
+  }
+  mState.mMetrics.mDrainingResponses.Add();
+  const UpstreamTarget& upstream = mConnection->Target();
+  mState.mOnStatedDraining({ upstream.mId, upstream.mStartedMs });
+}
+
+void
+GatewayCall::ReadPause()
+{
+  const HttpConnection& response = mConnection->Response();
+  const bool isRefusal =
+    response.Status() ==
+    static_cast<unsigned>(http::status::service_unavailable);
+  const std::optional<Milliseconds> time =
+    isRefusal ? ParseRetryAfter(response.Header("Retry-After")) : std::nullopt;
+  const UpstreamTarget& upstream = mConnection->Target();
+  const Instant now = SteadyNow();
+  if (!time || !mState.mPauses.OnRefusal(
+                 { upstream.mId, upstream.mStartedMs }, *time, now)) {
+    return;
+  }
+  mState.mMetrics.mPauses.Add();
+  mState.mLog.Write("upstream-paused",
+                    { { "request", mRequestId },
+                      { "upstream", upstream.mId },
+                      { "startedMs", upstream.mStartedMs },
+                      { "forMs", time->count() } },
+                    now);
+}
+
+bool
+GatewayCall::IsUpstreamDraining() const
+{
+  const KnownUpstream* const known = mState.mDirectory.Find(mUpstream);
+  return known == nullptr || known->mRecord.mIsDraining;
+}
+
 Result<void>
 GatewayCall::CheckQuarantine()
 {
--- a/src/cactusgw/gateway/gateway_metrics.hpp
+++ b/src/cactusgw/gateway/gateway_metrics.hpp
@@ -39,6 +39,10 @@
   Counter& mQuarantinedRequests;
   Gauge& mQuarantines;
   Gauge& mLimitedUpstreams;
+  Counter& mPauses;
+  Counter& mPausedRequests;
+  Gauge& mPausedUpstreams;
+  Counter& mDrainingResponses;
   Gauge& mConfigVersion;
   Gauge& mConfigAge;
   LatencyHistogram& mFirstByte;
--- a/src/cactusgw/gateway/send_gate.cpp
+++ b/src/cactusgw/gateway/send_gate.cpp
@@ -118,6 +118,10 @@
     return NotRun(FailureCode::UpstreamUnreachable,
                   "upstream " + aTarget.mId + " accepts no new requests");
   }
+  if (IsPausedFor(record, aPurpose)) {
+    return NotRun(FailureCode::UpstreamUnreachable,
+                  "upstream " + aTarget.mId + " asked for a pause");
+  }
   const Result<AllowedRegions> regions = TrustedRegionsFor(aOrigin);
   if (!regions) {
     return regions.error();
@@ -131,6 +135,16 @@
   return SendClearance{ aTarget };
 }
 
+bool
+SendGate::IsPausedFor(const UpstreamRecord& aUpstream,
+                      SendPurpose aPurpose) const
+{
+  const UpstreamStart start = StartOf(aUpstream);
+  return aPurpose == SendPurpose::Continuation
+           ? !mFacts.mPauses.AllowsContinuation(start, mFacts.mNow)
+           : mFacts.mPauses.PausedUntil(start, mFacts.mNow).has_value();
+}
+
 std::string
 SendGate::RegionOf(std::string_view aDataCentre) const
 {
--- a/src/cactusgw/gateway/send_gate.hpp
+++ b/src/cactusgw/gateway/send_gate.hpp
@@ -11,6 +11,7 @@
 #include "cactusgw/core/verdict.hpp"
 #include "cactusgw/gateway/routing_table.hpp"
 #include "cactusgw/gateway/upstream_directory.hpp"
+#include "cactusgw/gateway/upstream_pauses.hpp"
 
 #include <string>
 #include <string_view>
@@ -43,7 +44,7 @@
   /// Copies the state of its generation.
   Copy,
   /// Continues a generation where its state is already; the upstream may be
-  /// draining.
+  /// draining, and a paused upstream takes a few.
   Continuation,
 };
 
@@ -62,6 +63,8 @@
   bool mAreRegionsFresh = true;
   const UpstreamDirectory& mDirectory;
   const RegionMap& mRegions;
+  const UpstreamPauses& mPauses;
+  Instant mNow;
 };
 
 /// Cheap to make. Not thread-safe.
@@ -92,7 +95,8 @@
                 const UpstreamRecord& aUpstream) const;
 
   /// Clears one send. Errors, all NotRun: UpstreamUnreachable when the upstream
-  /// has left, restarted or moved, or accepts no new work; StoreUnavailable;
+  /// has left, restarted or moved, is paused, or accepts no new work;
+  /// StoreUnavailable;
   /// OutsideHomeRegions.
   Result<SendClearance> Clear(const RequestOrigin& aOrigin,
                               const UpstreamTarget& aTarget,
@@ -102,6 +106,7 @@
   /// Whether the newest configuration serves the request as at admission.
   static bool IsRouteOf(const GatewayRoute& aRoute,
                         const RequestOrigin& aOrigin);
+  bool IsPausedFor(const UpstreamRecord& aUpstream, SendPurpose aPurpose) const;
   std::string RegionOf(std::string_view aDataCentre) const;
 
   SendFacts mFacts;
--- a/src/cactusgw/gateway/upstream_selector.hpp
+++ b/src/cactusgw/gateway/upstream_selector.hpp
@@ -21,7 +21,8 @@
   UpstreamSelector(GatewayState& aState, Instant aStart);
 
   /// Returns the id of an upstream. Errors: NotRun with Busy,
-  /// UpstreamUnreachable, OutsideHomeRegions or StoreUnavailable.
+  /// UpstreamUnreachable, OutsideHomeRegions or StoreUnavailable. Busy carries
+  /// the time until the first pause ends when all upstreams are paused.
   /// @param aTried upstreams that the request was already sent to; excluded
   Task<Result<std::string>> Find(const AdmittedRequest& aRequest,
                                  std::span<const std::string> aTried);
@@ -33,6 +34,10 @@
                                  std::span<const std::string> aTried);
   /// Name of the queue of requests that may use the same upstreams.
   std::string QueueOf(const AdmittedRequest& aRequest) const;
+  /// Refuses a request whose upstreams are all paused for longer than the
+  /// request may wait.
+  Result<void> CheckPauses(const AdmittedRequest& aRequest) const;
+  Instant WaitEnd(const AdmittedRequest& aRequest) const;
   /// Returns an empty string when no upstream has free capacity.
   std::string SelectAvailable(const AdmittedRequest& aRequest,
                               std::span<const std::string> aTried) const;
