--- a/benchmarks/core_bench.cpp
+++ b/benchmarks/core_bench.cpp
@@ -290,8 +290,9 @@
     directory.Put(std::move(record), Instant{});
   }
   const RegionMap regions{ { "dc", "r1" }, { "dc-2", "r2" } };
+  const UpstreamPauses pauses = UpstreamPauses::Create();
   const SendGate gate{ SendFacts{
-    &table, true, true, true, directory, regions } };
+    &table, true, true, true, directory, regions, pauses, Instant{} } };
   RequestOrigin origin;
   origin.mHost = "host.test";
   origin.mPath = "/a/b";
