Judge the target of a copy when its order is sent

An order to copy a generation's state was cleared before the connection to its source was established, which takes up to 500 ms. Homes, drains and registrations may change meanwhile. Found by reading.

The source's address is now a CheckedAddress, whose check asks the gate again once the source is connected, and nothing is awaited before the order is sent.

--- a/src/cactusgw/gateway/generation_migrator.cpp
+++ b/src/cactusgw/gateway/generation_migrator.cpp
@@ -261,32 +261,46 @@
   mState.mMetrics.mMigrationsStarted.Add();
   mState.mLoads.Add(targetId, load);
   Log("move-started", identity, targetId, "none", begun);
-  CopyOrder order{
-    identity.mAddress, identity.mRequestId, std::move(clearance.value()), false
-  };
+  CopyOrder order{ SourceOf(identity, target),
+                   identity.mRequestId,
+                   std::move(clearance.value()),
+                   false };
   const CopyReply copied = co_await mControl.mCopy(std::move(order));
   const bool isGone = aGeneration->State() != GenerationState::Running;
-  Result<SendClearance> stillCleared = Clear(identity, target);
-  const bool isUsable = !isGone && stillCleared;
+  const bool isAllowed = Clear(identity, target).has_value();
+  const bool isUsable = !isGone && isAllowed;
   if (copied.mOutcome == CopyOutcome::Copied && !isUsable) {
     Free({ targetId, identity.mAddress, copied.mHandle });
   }
   if (copied.mOutcome == CopyOutcome::Copied && isUsable) {
     aGeneration->SetCopy({ targetId, identity.mAddress, copied.mHandle });
-    const CopyOutcome outcome =
-      co_await StopAndCopy(aGeneration, std::move(stillCleared.value()));
+    const CopyOutcome outcome = co_await StopAndCopy(aGeneration, target);
     Log("move-ended", identity, targetId, ToString(outcome), begun);
   } else {
     Log("move-not-begun", identity, targetId, ToString(copied.mOutcome), begun);
   }
   mState.mLoads.Subtract(targetId, load);
-  if (!isGone && !stillCleared) {
+  if (!isGone && !isAllowed) {
     co_return false;
   }
   co_return isGone || copied.mOutcome == CopyOutcome::Copied ||
     copied.mOutcome == CopyOutcome::Unknown;
 }
 
+CheckedAddress
+GenerationMigrator::SourceOf(const GenerationIdentity& aIdentity,
+                             const KnownUpstream& aTarget) const
+{
+  return { aIdentity.mAddress,
+           [this, identity = aIdentity, target = aTarget]() -> Result<void> {
+             const Result<SendClearance> clearance = Clear(identity, target);
+             if (!clearance) {
+               return NotRun(FailureCode::Conflict, clearance.error().mDetail);
+             }
+             return boost::outcome_v2::success();
+           } };
+}
+
 Result<SendClearance>
 GenerationMigrator::Clear(const GenerationIdentity& aIdentity,
                           const KnownUpstream& aTarget) const
@@ -306,14 +320,19 @@
 Task<CopyOutcome>
 GenerationMigrator::StopAndCopy(
   const std::shared_ptr<MigratableGeneration>& aGeneration,
-  SendClearance aTarget)
+  KnownUpstream aTarget)
 {
   const GenerationIdentity& identity = aGeneration->Identity();
-  const std::string targetId = aTarget.Target().mId;
+  const std::string& targetId = aTarget.mRecord.mId;
+  Result<SendClearance> clearance = Clear(identity, aTarget);
+  if (!clearance) {
+    co_return CopyOutcome::Withheld;
+  }
   aGeneration->SetState(GenerationState::Stopping);
-  CopyOrder order{
-    identity.mAddress, identity.mRequestId, std::move(aTarget), true
-  };
+  CopyOrder order{ SourceOf(identity, aTarget),
+                   identity.mRequestId,
+                   std::move(clearance.value()),
+                   true };
   const CopyReply stopped = co_await mControl.mCopy(std::move(order));
   const bool isStopped =
     !stopped.mHandle.empty() && (stopped.mOutcome == CopyOutcome::Copied ||
--- a/src/cactusgw/gateway/generation_migrator.hpp
+++ b/src/cactusgw/gateway/generation_migrator.hpp
@@ -57,7 +57,11 @@
   Task<bool> Migrate(const std::shared_ptr<MigratableGeneration>& aGeneration);
   Task<CopyOutcome> StopAndCopy(
     const std::shared_ptr<MigratableGeneration>& aGeneration,
-    SendClearance aTarget);
+    KnownUpstream aTarget);
+  /// The upstream that runs the generation, for an order to copy it to the
+  /// target. The check is made when the source can be reached.
+  CheckedAddress SourceOf(const GenerationIdentity& aIdentity,
+                          const KnownUpstream& aTarget) const;
   /// Clears a copy of the generation's state to the target.
   Result<SendClearance> Clear(const GenerationIdentity& aIdentity,
                               const KnownUpstream& aTarget) const;
--- a/src/cactusgw/interfaces/generation_control.cpp
+++ b/src/cactusgw/interfaces/generation_control.cpp
@@ -14,6 +14,8 @@
       return "in-progress";
     case CopyOutcome::NoRoom:
       return "no-room";
+    case CopyOutcome::Withheld:
+      return "withheld";
     case CopyOutcome::Unknown:
       return "unknown";
   }
--- a/src/cactusgw/interfaces/generation_control.hpp
+++ b/src/cactusgw/interfaces/generation_control.hpp
@@ -3,6 +3,7 @@
 
 /// Requests to model engines that control running generations.
 
+#include "cactusgw/core/checked_address.hpp"
 #include "cactusgw/core/send_clearance.hpp"
 #include "cactusgw/core/verdict.hpp"
 
@@ -18,8 +19,9 @@
 /// A request to copy the memory of a running generation to another upstream.
 struct CopyOrder
 {
-  /// `IP:port` of the upstream that runs it.
-  std::string mSource;
+  /// The upstream that runs it. Its check fails with Conflict when the target
+  /// must not get the copy any more.
+  CheckedAddress mSource;
   std::string mRequestId;
   /// The upstream that gets the copy.
   SendClearance mTarget;
@@ -39,6 +41,8 @@
   /// The target lacks memory or can't be reached. If a stop was requested, the
   /// generation has stopped and the source keeps its memory under the handle.
   NoRoom,
+  /// The check of the source's address failed, and nothing was sent.
+  Withheld,
   /// No response: the request may have taken effect.
   Unknown,
 };
