Attribute each response on a kept connection to its request

What callers saw: a request that can't be repeated was refused with 503 ("not run") although an upstream ran it, or it ran at two upstreams.

Cause: a response without a request id counted as the response to the current request, on reused connections too. There, it may be an earlier response that the upstream writes once more when the next one is expected. The id doesn't help either when the same request is sent again on the connection that has carried its refusal.

Fix: ResponseAttribution keeps, for each connection, what attribution needs. A response without id is accepted only as the first one of its connection, and the connection is not reused after it. A later response without id may have run. Connections whose responses carry ids are reused as before, also after refusals.

--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -320,7 +320,8 @@
 Task<Result<void>>
 GatewayCall::Connect(const UpstreamRecord& aUpstream)
 {
-  mConnection = mState.mPool.Acquire(TargetOf(aUpstream), SteadyNow());
+  mConnection =
+    mState.mPool.Acquire(TargetOf(aUpstream), mRequestId, SteadyNow());
   if (mConnection) {
     co_return boost::outcome_v2::success();
   }
@@ -363,14 +364,26 @@
                       HttpRequest aRequest,
                       Instant aUntil)
 {
+  ResponseAttribution& attribution = mConnection->Attribution();
+  attribution.OnRequest(mRequestId);
   Result<void> header =
     co_await mConnection->Exchange(std::move(aClearance), aRequest, aUntil);
   for (int n = 0; header && n < kMaxMismatchedResponses; ++n) {
     const std::string_view id =
       mConnection->Response().Header(mState.mNames.mRequestId);
-    if (id.empty() || id == mRequestId) {
+    const ResponseOwner owner = attribution.OnResponse(id);
+    if (owner == ResponseOwner::Unknown) {
+      co_return MayHaveRun(FailureCode::UpstreamBroke,
+                           "a response without id on a reused connection");
+    }
+    if (owner == ResponseOwner::CurrentRequest) {
       ReadStatedLimit();
-      co_return CheckResponse(mConnection->Response(), mState.mNames);
+      Result<void> checked =
+        CheckResponse(mConnection->Response(), mState.mNames);
+      if (!checked && checked.error().mVerdict == Verdict::NotRun) {
+        attribution.OnRefused();
+      }
+      co_return checked;
     }
     mState.mLog.Write("foreign-answer",
                       { { "request", mRequestId },
--- a/src/cactusgw/gateway/upstream_connection.hpp
+++ b/src/cactusgw/gateway/upstream_connection.hpp
@@ -5,6 +5,7 @@
 /// clearance.
 
 #include "cactusgw/core/send_clearance.hpp"
+#include "cactusgw/gateway/response_attribution.hpp"
 #include "cactusgw/net/http_connection.hpp"
 
 #include <memory>
@@ -42,6 +43,8 @@
     return mConnection->ReadSome(aDeadline);
   }
 
+  ResponseAttribution& Attribution() { return mAttribution; }
+
   bool IsIdle() { return mConnection->IsIdle(); }
   void Close() { mConnection->Close(); }
 
@@ -55,6 +58,7 @@
 
   UpstreamTarget mTarget;
   std::unique_ptr<HttpConnection> mConnection;
+  ResponseAttribution mAttribution;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/upstream_connection_pool.cpp
+++ b/src/cactusgw/gateway/upstream_connection_pool.cpp
@@ -5,7 +5,9 @@
 namespace cactusgw {
 
 std::unique_ptr<UpstreamConnection>
-UpstreamConnectionPool::Acquire(const UpstreamTarget& aTarget, Instant aNow)
+UpstreamConnectionPool::Acquire(const UpstreamTarget& aTarget,
+                                std::string_view aRequestId,
+                                Instant aNow)
 {
   const auto it = mIdle.find(aTarget.mId);
   if (it == mIdle.end()) {
@@ -17,6 +19,7 @@
     IdleConnection newest = std::move(idle.back());
     idle.pop_back();
     if (aNow < newest.mExpiresAt && newest.mConnection->Target() == aTarget &&
+        !newest.mConnection->Attribution().HasRefused(aRequestId) &&
         newest.mConnection->IsIdle()) {
       return std::move(newest.mConnection);
     }
@@ -29,7 +32,7 @@
                                 Instant aNow)
 {
   const HttpConnection& last = aConnection->Response();
-  if (!last.IsReusable()) {
+  if (!last.IsReusable() || !aConnection->Attribution().IsReusable()) {
     return;
   }
   const Milliseconds idleTime =
--- a/src/cactusgw/gateway/upstream_connection_pool.hpp
+++ b/src/cactusgw/gateway/upstream_connection_pool.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cactusgw {
@@ -27,8 +28,10 @@
 
   static UpstreamConnectionPool Create() { return UpstreamConnectionPool{}; }
 
-  /// Returns an idle connection to this start of the upstream, or null.
+  /// Returns an idle connection to this start of the upstream, or null. The
+  /// connection has not carried a refusal of the request.
   std::unique_ptr<UpstreamConnection> Acquire(const UpstreamTarget& aTarget,
+                                              std::string_view aRequestId,
                                               Instant aNow);
   /// Returns a connection to the pool; closes it if it can't be reused or if
   /// the pool holds kMaxIdle connections to the upstream.
--- a/tests/standins/scripted_upstream.cpp
+++ b/tests/standins/scripted_upstream.cpp
@@ -14,9 +14,12 @@
 
 using net::ip::tcp;
 
-ScriptedExchange::ScriptedExchange(tcp::socket& aSocket, HttpRequest aRequest)
+ScriptedExchange::ScriptedExchange(tcp::socket& aSocket,
+                                   HttpRequest aRequest,
+                                   std::size_t aIndex)
   : mSocket(aSocket)
   , mRequest(std::move(aRequest))
+  , mIndex(aIndex)
 {
 }
 
@@ -119,7 +122,7 @@
 {
   tcp::socket socket = std::move(aSocket);
   beast::flat_buffer buffer;
-  while (socket.is_open()) {
+  for (std::size_t n = 0; socket.is_open(); ++n) {
     HttpRequest request;
     beast::error_code ec;
     co_await http::async_read(
@@ -128,7 +131,7 @@
       co_return;
     }
     mRequests.push_back(request);
-    ScriptedExchange exchange{ socket, std::move(request) };
+    ScriptedExchange exchange{ socket, std::move(request), n };
     co_await mScript(exchange);
   }
 }
--- a/tests/standins/scripted_upstream.hpp
+++ b/tests/standins/scripted_upstream.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <vector>
@@ -20,9 +21,13 @@
 class ScriptedExchange
 {
 public:
-  ScriptedExchange(net::ip::tcp::socket& aSocket, HttpRequest aRequest);
+  ScriptedExchange(net::ip::tcp::socket& aSocket,
+                   HttpRequest aRequest,
+                   std::size_t aIndex);
 
   const HttpRequest& Request() const { return mRequest; }
+  /// Number of earlier requests on the same connection.
+  std::size_t Index() const { return mIndex; }
   std::string Header(std::string_view aName) const;
 
   /// Returns false once the other side has closed the connection.
@@ -41,6 +46,7 @@
 private:
   net::ip::tcp::socket& mSocket;
   HttpRequest mRequest;
+  std::size_t mIndex;
 };
 
 using Script = std::function<Task<void>(ScriptedExchange&)>;
