Never write a second response header in one exchange

What callers saw: the header and body of another response in the middle of a response that had begun.

Cause: HttpExchange::Send and Begin wrote a header whether or not the exchange had begun a response. Each caller had to check that on its own.

Evidence: both cases of SecondResponseTest failed before; the client received two headers, and with Begin a last chunk that made the whole look complete.

Fix: the second Send or Begin closes the connection and fails with Internal, so that the client sees a truncated response whatever the handler does.

--- a/src/cactusgw/net/http_server.cpp
+++ b/src/cactusgw/net/http_server.cpp
@@ -166,6 +166,12 @@
   }
 }
 
+Failure
+SecondResponse()
+{
+  return MayHaveRun(FailureCode::Internal, "the response has already begun");
+}
+
 } // namespace
 
 HttpExchange::HttpExchange(TcpStream& aStream,
@@ -212,7 +218,10 @@
 Task<Result<void>>
 HttpExchange::Send(HttpResponse aResponse)
 {
-  mBegun = true;
+  if (std::exchange(mBegun, true)) {
+    Abort();
+    co_return SecondResponse();
+  }
   mKeepAlive = mKeepAlive && !mIsDraining;
   aResponse.version(mRequest.version());
   aResponse.keep_alive(mKeepAlive);
@@ -233,7 +242,10 @@
 Task<Result<void>>
 HttpExchange::Begin(HttpResponse aHeader)
 {
-  mBegun = true;
+  if (std::exchange(mBegun, true)) {
+    Abort();
+    co_return SecondResponse();
+  }
   mKeepAlive = mKeepAlive && !mIsDraining;
   http::response<http::empty_body> header{ std::move(aHeader.base()) };
   header.version(mRequest.version());
--- a/src/cactusgw/net/http_server.hpp
+++ b/src/cactusgw/net/http_server.hpp
@@ -33,7 +33,8 @@
   Milliseconds mWriteTime{ 30'000 };
 };
 
-/// A request and its response. Valid while the handler runs.
+/// A request and its response. Valid while the handler runs. Beginning a second
+/// response closes the connection and fails with Internal.
 class HttpExchange
 {
 public:
--- /dev/null
+++ b/tests/gateway/broken_continuation_test.cpp
@@ -0,0 +1,92 @@
+#include "cactusgw/net/address.hpp"
+#include "cactusgw/net/http_server.hpp"
+#include "gateway_fixture.hpp"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/write.hpp>
+#include <gmock/gmock.h>
+
+namespace cactusgw::test {
+
+namespace {
+
+using ::testing::EndsWith;
+using ::testing::HasSubstr;
+using ::testing::Not;
+
+constexpr const char* kLastChunk = "0\r\n\r\n";
+
+/// Sends the request and returns all bytes until the server closes.
+Task<std::string>
+ReadBytes(std::string aAddress, HttpRequest aRequest)
+{
+  const Result<net::ip::tcp::endpoint> endpoint = ParseEndpoint(aAddress);
+  net::ip::tcp::socket socket{ co_await net::this_coro::executor };
+  co_await socket.async_connect(endpoint.value(), net::use_awaitable);
+  aRequest.keep_alive(false);
+  co_await http::async_write(socket, aRequest, net::use_awaitable);
+  std::string bytes;
+  beast::error_code ec;
+  co_await net::async_read(socket,
+                           net::dynamic_buffer(bytes),
+                           net::redirect_error(net::use_awaitable, ec));
+  co_return bytes;
+}
+
+std::size_t
+CountOf(std::string_view aText, std::string_view aPart)
+{
+  std::size_t count = 0;
+  std::size_t at = aText.find(aPart);
+  while (at != std::string_view::npos) {
+    ++count;
+    at = aText.find(aPart, at + aPart.size());
+  }
+  return count;
+}
+
+} // namespace
+
+/// How a handler tries to begin a second response.
+class SecondResponseTest
+  : public GatewayTest
+  , public ::testing::WithParamInterface<bool>
+{};
+
+// Whatever a handler does, a response must not hold the header of another one.
+TEST_P(SecondResponseTest, ClosesTheConnection)
+{
+  Result<std::unique_ptr<HttpServer>> server = HttpServer::Listen(
+    mContext,
+    mSettings.mListen,
+    [] { return HttpServerLimits{}; },
+    [](HttpExchange& aExchange) -> Task<void> {
+      HttpResponse first;
+      HttpResponse second;
+      static_cast<void>(co_await aExchange.Begin(std::move(first)));
+      static_cast<void>(co_await aExchange.Write("first"));
+      if (GetParam()) {
+        const Result<void> begun = co_await aExchange.Begin(std::move(second));
+        EXPECT_FALSE(begun.has_value());
+      } else {
+        const Result<void> sent = co_await aExchange.Send(std::move(second));
+        EXPECT_FALSE(sent.has_value());
+      }
+      static_cast<void>(co_await aExchange.Finish());
+    });
+  ASSERT_TRUE(server.has_value());
+  Run([&]() -> Task<void> {
+    const std::string bytes =
+      co_await ReadBytes(GatewayAddress(), MakeRequest(http::verb::get, "/"));
+    EXPECT_EQ(CountOf(bytes, "HTTP/1.1"), 1U);
+    EXPECT_THAT(bytes, HasSubstr("first"));
+    EXPECT_THAT(bytes, Not(EndsWith(kLastChunk)));
+  });
+}
+
+INSTANTIATE_TEST_SUITE_P(SendAndBegin, SecondResponseTest, ::testing::Bool());
+
+} // namespace cactusgw::test
