Continue a begun stream only with a stream

What callers saw: a resumable stream broke off, the next upstream answered with an error, and the client found the error's header and text in its stream. Or the stream ended as if it were complete, or events came twice.

Cause: ResponseRelay handled the response to a continuation like a first response. Responses other than 2xx were buffered and sent; a 204 or 205 was an empty stream that ended normally; a 200 of another type was relayed as events; and nothing compared the events with those that the client has.

Evidence: 9 of the 10 cases of BrokenContinuationTest failed before (500, 404, 302, 503 without proof, 204, 205, JSON, events from the beginning, the last event again). The tenth, a refusal, held.

Fix: once the response has begun, only a 200 whose type is absent or text/event-stream continues it, and only with events after the last one that was relayed. Anything else is a failure of the attempt: the stream is resumed elsewhere if the route allows, or the client's connection is closed without the last chunk.

A continuation that skips events is not detected: ids increase, but need not be consecutive.

--- a/src/cactusgw/gateway/event_splitter.cpp
+++ b/src/cactusgw/gateway/event_splitter.cpp
@@ -1,6 +1,8 @@
 #include "cactusgw/gateway/event_splitter.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <optional>
 
 namespace cactusgw {
 
@@ -18,6 +20,18 @@
   return std::max(afterPlain, afterCrlf);
 }
 
+std::optional<std::uint64_t>
+ParseId(std::string_view aId)
+{
+  std::uint64_t number = 0;
+  const char* const end = aId.data() + aId.size();
+  const std::from_chars_result read = std::from_chars(aId.data(), end, number);
+  if (read.ec != std::errc{} || read.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 } // namespace
 
 std::string
@@ -48,9 +62,23 @@
     const std::size_t last = line.find_last_not_of(" \r");
     if (first != std::string_view::npos) {
       mLastId = line.substr(first, last - first + 1);
+      if (mIdCount == 0) {
+        mFirstId = mLastId;
+      }
       ++mIdCount;
     }
   }
 }
 
+bool
+MayFollow(std::string_view aEarlierId, std::string_view aLaterId)
+{
+  if (aEarlierId.empty() || aLaterId.empty()) {
+    return true;
+  }
+  const std::optional<std::uint64_t> earlier = ParseId(aEarlierId);
+  const std::optional<std::uint64_t> later = ParseId(aLaterId);
+  return earlier && later ? *earlier < *later : aEarlierId != aLaterId;
+}
+
 } // namespace cactusgw
--- a/src/cactusgw/gateway/event_splitter.hpp
+++ b/src/cactusgw/gateway/event_splitter.hpp
@@ -25,6 +25,8 @@
 
   /// Bytes of the incomplete last event.
   const std::string& Remainder() const { return mRemainder; }
+  /// Id of the first complete event; empty before the first.
+  const std::string& FirstId() const { return mFirstId; }
   /// Id of the last complete event; empty before the first.
   const std::string& LastId() const { return mLastId; }
   /// Number of id fields in the complete events.
@@ -34,10 +36,15 @@
   void ReadIds(std::string_view aEvents);
 
   std::string mRemainder;
+  std::string mFirstId;
   std::string mLastId;
   std::uint64_t mIdCount = 0;
 };
 
+/// Whether an event may come after another one in the same stream. Numbers
+/// increase; other ids differ. An empty id restricts nothing.
+bool MayFollow(std::string_view aEarlierId, std::string_view aLaterId);
+
 } // namespace cactusgw
 
 #endif // CACTUSGW_GATEWAY_EVENT_SPLITTER_HPP
--- a/src/cactusgw/gateway/response_relay.cpp
+++ b/src/cactusgw/gateway/response_relay.cpp
@@ -29,6 +29,28 @@
   }
 }
 
+/// Checks the header of a response that is to continue a stream. Anything but a
+/// stream would end up inside the client's response.
+Result<void>
+CheckContinuation(const HttpConnection& aResponse)
+{
+  constexpr beast::string_view kStreamType = "text/event-stream";
+  if (aResponse.Status() != static_cast<unsigned>(http::status::ok)) {
+    return MayHaveRun(FailureCode::UpstreamBroke,
+                      "status " + std::to_string(aResponse.Status()) +
+                        " doesn't continue a stream");
+  }
+  const std::string_view type = aResponse.Header("Content-Type");
+  const std::string_view begin = type.substr(0, kStreamType.size());
+  if (!type.empty() &&
+      !beast::iequals({ begin.data(), begin.size() }, kStreamType)) {
+    return MayHaveRun(FailureCode::UpstreamBroke,
+                      "type " + std::string{ type } +
+                        " doesn't continue a stream");
+  }
+  return boost::outcome_v2::success();
+}
+
 } // namespace
 
 bool
@@ -79,6 +101,12 @@
 Task<Result<void>>
 ResponseRelay::Relay(ResponseRelayRules aRules, Instant aUntil)
 {
+  if (mExchange.HasBegun()) {
+    const Result<void> usable = CheckContinuation(mConnection.Response());
+    if (!usable) {
+      co_return usable;
+    }
+  }
   if (IsSuccess(mConnection.Response().Status()) && IsStream(aRules.mKind)) {
     co_return co_await RelayStream(aUntil);
   }
@@ -154,6 +182,7 @@
 Task<Result<void>>
 ResponseRelay::RelayStream(Instant aUntil)
 {
+  const std::string resumedAfter = mProgress.mLastEventId;
   EventSplitter splitter;
   while (true) {
     Result<std::string> piece = co_await mConnection.ReadSome(aUntil);
@@ -179,6 +208,12 @@
     if (events.empty()) {
       continue;
     }
+    if (!MayFollow(resumedAfter, splitter.FirstId())) {
+      co_return MayHaveRun(FailureCode::UpstreamBroke,
+                           "event " + splitter.FirstId() +
+                             " doesn't continue the stream after event " +
+                             resumedAfter);
+    }
     const Result<void> passed = co_await WriteEvents(std::move(events));
     if (!passed) {
       co_return passed;
--- a/tests/gateway/broken_continuation_test.cpp
+++ b/tests/gateway/broken_continuation_test.cpp
@@ -48,8 +48,90 @@
   return count;
 }
 
+/// An upstream's response to a request to continue a stream after event 2.
+struct ContinuationCase
+{
+  const char* mName;
+  const char* mBytes;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const ContinuationCase& aCase)
+{
+  return aOut << aCase.mName;
+}
+
+constexpr const char* kFirstEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+Task<void>
+BreakOff(ScriptedExchange& aExchange)
+{
+  co_await aExchange.BeginChunks("Seal: s\r\n");
+  co_await aExchange.Chunk(kFirstEvents);
+  aExchange.Close();
+}
+
 } // namespace
 
+class BrokenContinuationTest
+  : public GatewayTest
+  , public ::testing::WithParamInterface<ContinuationCase>
+{};
+
+// The response to a request to continue a stream was written into the stream,
+// with its header, or the stream ended as if it were complete.
+TEST_P(BrokenContinuationTest, TheStreamEndsVisiblyBroken)
+{
+  AddUpstream("a", "engine", &BreakOff);
+  AddUpstream("b", "engine", [](ScriptedExchange& aExchange) -> Task<void> {
+    co_await aExchange.Write(GetParam().mBytes);
+  });
+  StartGateway();
+  Run([&]() -> Task<void> {
+    const std::string bytes = co_await ReadBytes(
+      GatewayAddress(), MakeRequest(http::verb::post, "/resumable/x"));
+    EXPECT_EQ(CountOf(bytes, "HTTP/1.1"), 1U);
+    EXPECT_EQ(CountOf(bytes, "data:"), 2U);
+    EXPECT_THAT(bytes, HasSubstr(kFirstEvents));
+    EXPECT_THAT(bytes, Not(HasSubstr("text")));
+    EXPECT_THAT(bytes, Not(EndsWith(kLastChunk)));
+  });
+  EXPECT_EQ(mUpstreams[1]->Requests().size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  AllResponses,
+  BrokenContinuationTest,
+  ::testing::Values(
+    ContinuationCase{ "ServerError",
+                      "HTTP/1.1 500 S\r\nContent-Length: 4\r\n\r\ntext" },
+    ContinuationCase{ "ClientError",
+                      "HTTP/1.1 404 S\r\nContent-Length: 4\r\n\r\ntext" },
+    ContinuationCase{ "Redirection",
+                      "HTTP/1.1 302 S\r\nContent-Length: 0\r\n\r\n" },
+    ContinuationCase{ "UnprovenRefusal",
+                      "HTTP/1.1 503 S\r\nContent-Length: 4\r\n\r\ntext" },
+    ContinuationCase{
+      "Refusal",
+      "HTTP/1.1 503 S\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\ntext" },
+    ContinuationCase{ "NoContent", "HTTP/1.1 204 S\r\nSeal: o\r\n\r\n" },
+    ContinuationCase{ "ResetContent",
+                      "HTTP/1.1 205 S\r\nSeal: o\r\n"
+                      "Content-Length: 0\r\n\r\n" },
+    ContinuationCase{ "OtherContent",
+                      "HTTP/1.1 200 S\r\nSeal: o\r\n"
+                      "Content-Type: application/json\r\n"
+                      "Content-Length: 6\r\n\r\ntext\n\n" },
+    ContinuationCase{ "EventsFromTheBeginning",
+                      "HTTP/1.1 200 S\r\nSeal: o\r\nContent-Length: 28\r\n\r\n"
+                      "id: 1\ndata: text\n\nid: 2\ndata" },
+    ContinuationCase{ "LastEventAgain",
+                      "HTTP/1.1 200 S\r\nSeal: o\r\nContent-Length: 18\r\n\r\n"
+                      "id: 2\ndata: text\n\n" }),
+  [](const ::testing::TestParamInfo<ContinuationCase>& aInfo) {
+    return std::string{ aInfo.param.mName };
+  });
+
 /// How a handler tries to begin a second response.
 class SecondResponseTest
   : public GatewayTest
