Keep the position of a stream across comments

What callers saw: a resumable stream broke for good although another upstream could have continued it.

Cause: the position of a stream was set from the events of the current connection. A comment before the first event of a continuation set it to nothing, and a stream that has begun is not resumed without a position.

Evidence: ResumedStreamTest.AStreamIsResumedAgainAfterAContinuationWithoutEvents failed before: the third upstream got no request. It passes now, with Last-Event-Id 2.

Fix: only an event with an id moves the position.

--- a/src/cactusgw/gateway/response_relay.cpp
+++ b/src/cactusgw/gateway/response_relay.cpp
@@ -218,7 +218,9 @@
     if (!passed) {
       co_return passed;
     }
-    mProgress.mLastEventId = splitter.LastId();
+    if (!splitter.LastId().empty()) {
+      mProgress.mLastEventId = splitter.LastId();
+    }
     mEvents.mOnEventsRelayed();
   }
   // The framing of such a stream doesn't tell that its upstream has crashed.
--- a/tests/gateway/broken_continuation_test.cpp
+++ b/tests/gateway/broken_continuation_test.cpp
@@ -132,6 +132,40 @@
     return std::string{ aInfo.param.mName };
   });
 
+class ResumedStreamTest : public GatewayTest
+{};
+
+// Comments before the first event of a continuation made the gateway forget
+// where the stream was, and the next break ended it.
+TEST_F(ResumedStreamTest, AStreamIsResumedAgainAfterAContinuationWithoutEvents)
+{
+  AddUpstream("a", "engine", &BreakOff);
+  AddUpstream("b", "engine", [](ScriptedExchange& aExchange) -> Task<void> {
+    co_await aExchange.BeginChunks("Seal: o\r\n");
+    co_await aExchange.Chunk(": comment\n\n");
+    aExchange.Close();
+  });
+  ScriptedUpstream& third =
+    AddUpstream("c", "engine", [](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.BeginChunks("Seal: o\r\n");
+      co_await aExchange.Chunk("id: 3\ndata: c\n\n");
+      co_await aExchange.EndChunks();
+    });
+  StartGateway();
+  Configure(2, [](GatewayConfig& aConfig) {
+    for (GatewayRoute& route : aConfig.mRoutes) {
+      route.mMaxAttempts = 3;
+    }
+  });
+  Run([&]() -> Task<void> {
+    const ClientResponse response =
+      co_await Call(MakeRequest(http::verb::post, "/resumable/x"));
+    EXPECT_TRUE(response.mIsWhole);
+  });
+  ASSERT_EQ(third.Requests().size(), 1U);
+  EXPECT_EQ(third.Requests()[0]["Last-Event-Id"], "2");
+}
+
 /// How a handler tries to begin a second response.
 class SecondResponseTest
   : public GatewayTest
