Tests that the last homes of a removed route bind, which fail

A request is admitted, its route (or its workspace) gets homes in version 2, and version 3 no longer contains the route (or the workspace). The retry goes by the homes at admission, to a region that version 2 excludes and that version 3 does not allow either. All four kinds of route.

Cause: RequestOrigin keeps the restrictions of the version that admitted the request, and SendGate::RegionsFor falls back to these when the newest version lacks the route or the workspace. What versions in between added is lost.

--- a/tests/gateway/home_regions_test.cpp
+++ b/tests/gateway/home_regions_test.cpp
@@ -330,6 +330,52 @@
   EXPECT_TRUE(south.Requests().empty());
 }
 
+// A route got homes and was then removed while a request was in progress, which
+// was retried by the homes of the version that admitted it.
+TEST_P(HomeRegionsOfRouteTest, HomesOfTheLastVersionWithTheRouteBind)
+{
+  AddUpstream(
+    "north",
+    GetParam().mService,
+    [this](ScriptedExchange& aExchange) -> Task<void> {
+      Configure(
+        2, [](GatewayConfig& aConfig) { SetAllHomes(aConfig, { "north" }); });
+      Configure(3, [](GatewayConfig& aConfig) { aConfig.mRoutes.clear(); });
+      co_await RefuseAsNotRun(aExchange);
+    });
+  ScriptedUpstream& south =
+    AddUpstream("south", GetParam().mService, &RespondWithEvents, "dc-b");
+  StartGateway();
+  Run([&]() -> Task<void> {
+    co_await Call(MakeRequest(http::verb::post, GetParam().mTarget));
+  });
+  EXPECT_EQ(mUpstreams[0]->Requests().size(), 1U);
+  EXPECT_TRUE(south.Requests().empty());
+}
+
+// The same for the homes of a workspace.
+TEST_P(HomeRegionsOfRouteTest, HomesOfTheLastVersionWithTheWorkspaceBind)
+{
+  AddUpstream(
+    "north",
+    GetParam().mService,
+    [this](ScriptedExchange& aExchange) -> Task<void> {
+      Configure(2, [](GatewayConfig& aConfig) {
+        SetHomes(aConfig.mWorkspaces[0], { "north" });
+      });
+      Configure(3, [](GatewayConfig& aConfig) { aConfig.mWorkspaces.clear(); });
+      co_await RefuseAsNotRun(aExchange);
+    });
+  ScriptedUpstream& south =
+    AddUpstream("south", GetParam().mService, &RespondWithEvents, "dc-b");
+  StartGateway();
+  Run([&]() -> Task<void> {
+    co_await Call(MakeRequest(http::verb::post, GetParam().mTarget));
+  });
+  EXPECT_EQ(mUpstreams[0]->Requests().size(), 1U);
+  EXPECT_TRUE(south.Requests().empty());
+}
+
 // A stream that broke off was resumed in a region that the newest
 // configuration excludes.
 TEST_F(HomeRegionsTest, HomesAddedDuringAStreamBindItsContinuation)
