Remember the last homes of routes and workspaces that are removed

A request whose route got homes in one version and was removed in the next fell back to the restrictions of the version that had admitted it: a retry went to a region that neither of the later versions allows. The same with its workspace.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -359,7 +359,7 @@
     mState.mLog, "workspace", before.mWorkspaces, aConfig.mWorkspaces);
   mState.mMetrics.mConfigVersion.Set(static_cast<double>(aConfig.mVersion));
   mState.mTable = std::make_shared<const RoutingTable>(
-    RoutingTable::Create(std::move(aConfig)));
+    RoutingTable::Create(std::move(aConfig), mState.mTable.get(), SteadyNow()));
   mState.mWaitQueue.WakeFirstWaiters();
 }
 
--- a/src/cactusgw/gateway/routing_table.cpp
+++ b/src/cactusgw/gateway/routing_table.cpp
@@ -23,9 +23,44 @@
 } // namespace
 
 RoutingTable
-RoutingTable::Create(GatewayConfig aConfig)
+RoutingTable::Create(GatewayConfig aConfig,
+                     const RoutingTable* aBefore,
+                     Instant aNow)
 {
-  return RoutingTable{ std::move(aConfig) };
+  RoutingTable table{ std::move(aConfig) };
+  if (aBefore != nullptr) {
+    table.mFormerRoutes =
+      Remember(aBefore->mFormerRoutes, aBefore->mRoutes, table.mRoutes, aNow);
+    table.mFormerWorkspaces = Remember(aBefore->mFormerWorkspaces,
+                                       aBefore->mWorkspaces,
+                                       table.mWorkspaces,
+                                       aNow);
+  }
+  return table;
+}
+
+template<typename T>
+RoutingTable::Former
+RoutingTable::Remember(const Former& aFormer,
+                       const std::unordered_map<std::string, const T*>& aBefore,
+                       const std::unordered_map<std::string, const T*>& aAfter,
+                       Instant aNow)
+{
+  Former former;
+  const auto remember = [&](const std::string& aKey,
+                            const FormerRegions& aRegions) {
+    if (aAfter.count(aKey) == 0 && former.size() < kMaxFormer &&
+        aNow - aRegions.mRemovedAt < kFormerTime) {
+      former.emplace(aKey, aRegions);
+    }
+  };
+  for (const auto& [key, item] : aBefore) {
+    remember(key, { item->mRegions, aNow });
+  }
+  for (const auto& [key, regions] : aFormer) {
+    remember(key, regions);
+  }
+  return former;
 }
 
 RoutingTable::RoutingTable(GatewayConfig aConfig)
@@ -78,6 +113,22 @@
   return it == mKeys.end() ? nullptr : it->second;
 }
 
+const AllowedRegions*
+RoutingTable::FormerRouteRegions(std::string_view aHost,
+                                 std::string_view aPrefix) const
+{
+  const auto it =
+    mFormerRoutes.find(NormalizedHost(aHost) + std::string{ aPrefix });
+  return it == mFormerRoutes.end() ? nullptr : &it->second.mRegions;
+}
+
+const AllowedRegions*
+RoutingTable::FormerWorkspaceRegions(std::string_view aName) const
+{
+  const auto it = mFormerWorkspaces.find(std::string{ aName });
+  return it == mFormerWorkspaces.end() ? nullptr : &it->second.mRegions;
+}
+
 const Workspace*
 RoutingTable::FindWorkspaceByName(std::string_view aName) const
 {
--- a/src/cactusgw/gateway/send_gate.cpp
+++ b/src/cactusgw/gateway/send_gate.cpp
@@ -31,18 +31,35 @@
   if (mFacts.mTable == nullptr || !mFacts.mIsTableNewest) {
     return AllowedRegions::Unreadable();
   }
+  return RouteRegionsFor(aOrigin).Intersect(WorkspaceRegionsFor(aOrigin));
+}
+
+AllowedRegions
+SendGate::RouteRegionsFor(const RequestOrigin& aOrigin) const
+{
   const RoutingTable& table = *mFacts.mTable;
   const GatewayRoute* const route =
     table.FindRoute(aOrigin.mHost, aOrigin.mPath);
-  const Workspace* const workspace = FindWorkspace(table, aOrigin);
-  const AllowedRegions newest =
-    route == nullptr ? AllowedRegions::Everywhere() : route->mRegions;
-  const bool isRouteKept = route != nullptr && IsRouteOf(*route, aOrigin);
-  const AllowedRegions ofRoute =
-    isRouteKept ? newest : newest.Intersect(aOrigin.mRouteRegions);
-  const AllowedRegions& ofWorkspace =
-    workspace == nullptr ? aOrigin.mWorkspaceRegions : workspace->mRegions;
-  return ofRoute.Intersect(ofWorkspace);
+  if (route != nullptr && IsRouteOf(*route, aOrigin)) {
+    return route->mRegions;
+  }
+  const AllowedRegions* const former =
+    table.FormerRouteRegions(aOrigin.mHost, aOrigin.mRoutePrefix);
+  const AllowedRegions& last =
+    former == nullptr ? aOrigin.mRouteRegions : *former;
+  return route == nullptr ? last : route->mRegions.Intersect(last);
+}
+
+AllowedRegions
+SendGate::WorkspaceRegionsFor(const RequestOrigin& aOrigin) const
+{
+  const Workspace* const workspace = FindWorkspace(*mFacts.mTable, aOrigin);
+  if (workspace != nullptr) {
+    return workspace->mRegions;
+  }
+  const AllowedRegions* const former =
+    mFacts.mTable->FormerWorkspaceRegions(aOrigin.mWorkspace);
+  return former == nullptr ? aOrigin.mWorkspaceRegions : *former;
 }
 
 Result<AllowedRegions>
--- a/src/cactusgw/gateway/send_gate.hpp
+++ b/src/cactusgw/gateway/send_gate.hpp
@@ -31,8 +31,9 @@
   /// Prefix of the route and service that were selected at admission.
   std::string mRoutePrefix;
   std::string mService;
-  /// Restrictions at admission. They stay in force when a later version does
-  /// not contain the route or the workspace, or leads to another service.
+  /// Restrictions at admission. They, or newer ones that the routing table
+  /// remembers, stay in force when a later version does not contain the route
+  /// or the workspace, or leads to another service.
   AllowedRegions mRouteRegions = AllowedRegions::Everywhere();
   AllowedRegions mWorkspaceRegions = AllowedRegions::Everywhere();
 };
@@ -103,6 +104,8 @@
                               SendPurpose aPurpose) const;
 
 private:
+  AllowedRegions RouteRegionsFor(const RequestOrigin& aOrigin) const;
+  AllowedRegions WorkspaceRegionsFor(const RequestOrigin& aOrigin) const;
   /// Whether the newest configuration serves the request as at admission.
   static bool IsRouteOf(const GatewayRoute& aRoute,
                         const RequestOrigin& aOrigin);
