--- a/tests/gateway/truncated_header_test.cpp
+++ b/tests/gateway/truncated_header_test.cpp
@@ -71,6 +71,13 @@
   return aInfo.param.mName;
 }
 
+CheckedAddress
+Unrestricted(const ScriptedUpstream& aUpstream)
+{
+  return { aUpstream.Address(),
+           []() -> Result<void> { return boost::outcome_v2::success(); } };
+}
+
 } // namespace
 
 class TruncatedHeaderTest
@@ -152,7 +159,7 @@
       HttpEngineClient engine;
       const GenerationRequest generation;
       const Result<std::unique_ptr<HttpGenerationStream>> stream =
-        co_await engine.Start(upstream.Address(), generation, kEngineTimes);
+        co_await engine.Start(Unrestricted(upstream), generation, kEngineTimes);
       EXPECT_FALSE(stream.has_value()) << "cut at " << mCut;
       EXPECT_TRUE(stream || stream.error().mVerdict == Verdict::MayHaveRun);
     }
@@ -192,7 +199,7 @@
     HttpEngineClient engine;
     const GenerationRequest generation;
     const Result<std::unique_ptr<HttpGenerationStream>> stream =
-      co_await engine.Start(upstream.Address(), generation, kEngineTimes);
+      co_await engine.Start(Unrestricted(upstream), generation, kEngineTimes);
     EXPECT_TRUE(stream.has_value());
     if (stream) {
       const Result<GenerationFrame> first = co_await stream.value()->Next();
