--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -593,11 +593,11 @@
     hasNotRun || (IsRetryable(mAdmitted.mRoute->mKind) &&
                   mPossibleRuns < mAdmitted.mRoute->mMaxAttempts);
   // The configuration is as old for each other upstream.
-  const bool isBlind = aFailure.mCode == FailureCode::StoreUnavailable;
+  const bool isConfigTooOld = aFailure.mCode == FailureCode::StoreUnavailable;
   const bool isLate = SteadyNow() >= mAdmitted.mDeadline;
   const bool canContinue =
     !mExchange.HasBegun() || !mProgress.mLastEventId.empty();
-  if (!isAllowed || isBlind || isLate || !canContinue ||
+  if (!isAllowed || isConfigTooOld || isLate || !canContinue ||
       mAttempts >= kMaxAttempts) {
     return false;
   }
--- a/src/cactusgw/gateway/generation_migrator.cpp
+++ b/src/cactusgw/gateway/generation_migrator.cpp
@@ -220,8 +220,7 @@
     return nullptr;
   }
   const std::array<std::string, 1> excluded{ aIdentity.mUpstream };
-  const CandidateFilter filter{ mState.Gate(BootNow()).RegionsFor(
-                                  aIdentity.mOrigin),
+  const CandidateFilter filter{ regions.value(),
                                 excluded,
                                 aIdentity.mDataCentre };
   std::vector<Candidate> candidates =
