--- a/tests/platform/engine_control_test.cpp
+++ b/tests/platform/engine_control_test.cpp
@@ -26,7 +26,7 @@
   }
 
   /// Orders a copy whose check has this result once the source is connected.
-  CopyReply Copy(Result<void> aCheck)
+  CopyReply Copy(const Result<void>& aCheck)
   {
     const SendGate gate{ SendFacts{
       &mTable, true, true, true, mDirectory, mRegions, mPauses, Instant{} } };
