Answer every request that a planned stop can't finish

Cause: at the end of the stop time the process exited with its calls as they were. Requests that waited for room, that had been sent without a response, or whose body had arrived late were cut off without an answer, also those that may not be repeated. With a stop time below unreadyMs, connections were accepted until the end. Change: StopSchedule says until when connections are accepted, when calls without a response are given up, and when the process exits. A request that arrives during the stop is refused as not run when most responses of its route take longer than the time left (ResponseTimes). A call that is given up answers 503 while it has not run, 502 otherwise; the connection that the gateway closes counts neither as a crash nor as a failure of the upstream.

--- a/src/cactusgw/core/verdict.cpp
+++ b/src/cactusgw/core/verdict.cpp
@@ -32,6 +32,8 @@
       return "busy";
     case FailureCode::Drained:
       return "data-centre-drained";
+    case FailureCode::Stopping:
+      return "stopping";
     case FailureCode::Quarantined:
       return "quarantined";
     case FailureCode::RetryBudgetSpent:
--- a/src/cactusgw/core/verdict.hpp
+++ b/src/cactusgw/core/verdict.hpp
@@ -39,6 +39,8 @@
   NotFound,
   Busy,
   Drained,
+  /// The process is stopping and would not finish the request in time.
+  Stopping,
   Quarantined,
   RetryBudgetSpent,
   KeyInProgress,
--- a/src/cactusgw/gateway/call_admission.cpp
+++ b/src/cactusgw/gateway/call_admission.cpp
@@ -43,6 +43,24 @@
   return boost::outcome_v2::success();
 }
 
+/// While the gateway is stopping, refuses a request that would probably be cut
+/// off. Until there is a response to predict from, a response is expected
+/// within the latency objective.
+Result<void>
+CheckStop(const GatewayState& aState, const GatewayRoute& aRoute, Instant aNow)
+{
+  const Milliseconds expected =
+    std::min(aRoute.mTimeout,
+             aState.mResponseTimes.Predict(aRoute.mName)
+               .value_or(aRoute.mLatencyObjective));
+  if (!aState.mStop || aState.mStop->HasTimeFor(expected, aNow)) {
+    return boost::outcome_v2::success();
+  }
+  return NotRun(FailureCode::Stopping,
+                "the gateway stops before a response that takes " +
+                  std::to_string(expected.count()) + " ms");
+}
+
 RequestOrigin
 OriginOf(const RoutingTable& aTable,
          const AdmittedRequest& aRequest,
@@ -93,6 +111,7 @@
   const RouteTarget* last = nullptr;
   for (const RouteTarget& target : aRoute.mTargets) {
     total += target.mWeight;
+    last = target.mWeight > 0 ? &target : last;
   }
   double offset = static_cast<double>(StableHash(aRequestId)) / kHashes * total;
   for (const RouteTarget& target : aRoute.mTargets) {
@@ -111,7 +130,6 @@
 CheckHomes(const GatewayState& aState, const RequestOrigin& aOrigin)
 {
   const SendGate gate = aState.Gate(BootNow());
-    last = target.mWeight > 0 ? &target : last;
   const Result<AllowedRegions> regions = gate.TrustedRegionsFor(aOrigin);
   if (!regions) {
     return regions.error();
@@ -160,6 +178,10 @@
   if (!homes) {
     return homes.error();
   }
+  const Result<void> stop = CheckStop(aState, *request.mRoute, aStart);
+  if (!stop) {
+    return stop.error();
+  }
   request.mTokenNeed = EstimateTokens(aExchange, names);
   request.mSharedParts = ParseSharedParts(aExchange.Header(names.mPromptParts));
   const std::optional<std::uint64_t> timeLeft =
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -30,8 +30,6 @@
 /// of a change by its watch meanwhile, and doesn't repeat it.
 constexpr Milliseconds kQuarantineStoreInterval{ 500 };
 constexpr Milliseconds kQuarantineStoreRetryDelay{ 2000 };
-/// Part of the stop time that is reserved for the exit of the process.
-constexpr Milliseconds kExitMargin{ 500 };
 
 /// Counts the routes or workspaces whose requests are restricted to regions.
 template<typename T>
@@ -592,16 +590,22 @@
 Gateway::FinishOpenRequests(std::function<void()> aOnStopped)
 {
   constexpr Milliseconds kOpenRequestPollInterval{ 20 };
-  const Instant begun = SteadyNow();
-  const Instant deadline = begun + mState.mSettings.mStopTime - kExitMargin;
+  const StopSchedule schedule = StopSchedule::Create(
+    SteadyNow(), mState.mSettings.mUnreadyTime, mState.mSettings.mStopTime);
+  mState.mStop = schedule;
   net::steady_timer timer{ mContext };
   mServer->Drain();
   mRelay->Stop();
   net::co_spawn(mContext, Deregister(), net::detached);
-  timer.expires_after(mState.mSettings.mUnreadyTime);
+  timer.expires_at(schedule.AcceptUntil());
   co_await timer.async_wait(net::use_awaitable);
   mServer->StopAccepting();
-  while (mServer->OpenExchanges() > 0 && SteadyNow() < deadline) {
+  bool hasGivenUp = false;
+  while (mServer->OpenExchanges() > 0 && SteadyNow() < schedule.End()) {
+    if (!hasGivenUp && SteadyNow() >= schedule.AnswerAt()) {
+      hasGivenUp = true;
+      GiveUpOpenCalls();
+    }
     timer.expires_after(kOpenRequestPollInterval);
     co_await timer.async_wait(net::use_awaitable);
   }
@@ -614,3 +618,15 @@
 }
 
 } // namespace cactusgw
+void
+Gateway::GiveUpOpenCalls()
+{
+  // A call may end, and leave the set, while it is interrupted.
+  const std::set<GatewayCall*> calls = mState.mCalls;
+  for (GatewayCall* const call : calls) {
+    if (mState.mCalls.contains(call)) {
+      call->GiveUp();
+    }
+  }
+}
+
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -99,6 +99,8 @@
   void OnDrainNotice(const DrainingUpstream& aUpstream,
                      std::string_view aFrom,
                      DrainEvidence aEvidence);
+  /// Lets all calls respond whose responses have not begun.
+  void GiveUpOpenCalls();
   void OnDirectoryChange(DirectoryChange aChange, const std::string& aId);
   void LogAdded(const std::string& aId);
   void OnUndrained(const std::string& aDataCentre);
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -71,10 +71,12 @@
   , mTable(aState.mTable)
   , mSelector(aState, mStart)
 {
+  mState.mCalls.insert(this);
 }
 
 GatewayCall::~GatewayCall()
 {
+  mState.mCalls.erase(this);
   if (!mGeneration) {
     return;
   }
@@ -120,6 +122,8 @@
     }
     if (!allowed) {
       upstream = allowed.error();
+    } else if (mIsGivenUp) {
+      upstream = NotRun(FailureCode::Stopping, "the gateway is stopping");
     }
     if (!upstream) {
       co_await Refuse(upstream.error());
@@ -203,9 +207,13 @@
   if (result && mHasClientDisconnected) {
     result = NotRun(FailureCode::ClientDisconnected, "the client disconnected");
   }
+  if (result && mIsGivenUp) {
+    result = NotRun(FailureCode::Stopping, "the gateway is stopping");
+  }
   if (result) {
     result = co_await SendAndRelay(upstream);
-    if (!result) {
+    // A connection that this gateway closed says nothing about the upstream.
+    if (!result && !mIsGivenUp) {
       ReportCrash(result.error());
     }
   }
@@ -544,6 +552,7 @@
   }
   mState.mMetrics.mCompleted.Add();
   mState.mMetrics.mResponseTime.Record(now - mStart);
+  mState.mResponseTimes.Record(mAdmitted.mRoute->mName, Elapsed());
   mState.mLog.Write(
     "answered",
     { { "request", mRequestId },
@@ -569,7 +578,7 @@
     mMayHaveRun = true;
     ++mPossibleRuns;
   }
-  if (!mIsHeldBack) {
+  if (!mIsHeldBack && !mIsGivenUp) {
     mState.mHealth.OnFailure(mUpstream, 1, now);
   }
   mState.mLog.Write(
@@ -597,7 +606,7 @@
   const bool isLate = SteadyNow() >= mAdmitted.mDeadline;
   const bool canContinue =
     !mExchange.HasBegun() || !mProgress.mLastEventId.empty();
-  if (!isAllowed || isConfigTooOld || isLate || !canContinue ||
+  if (!isAllowed || isConfigTooOld || isLate || mIsGivenUp || !canContinue ||
       mAttempts >= kMaxAttempts) {
     return false;
   }
@@ -661,6 +670,21 @@
 GatewayCall::OnClientDisconnected()
 {
   mHasClientDisconnected = true;
+  Interrupt();
+}
+
+void
+GatewayCall::GiveUp()
+{
+  if (!mExchange.HasBegun()) {
+    mIsGivenUp = true;
+    Interrupt();
+  }
+}
+
+void
+GatewayCall::Interrupt()
+{
   if (mConnection) {
     mConnection->Close();
   }
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -31,6 +31,10 @@
   /// begun can't be completed.
   Task<void> Run();
 
+  /// Gives the request up, as the gateway is about to exit. A response that has
+  /// begun goes on.
+  void GiveUp();
+
 private:
   Task<void> Forward();
   /// Returns the upstream that the generation of the last attempt was migrated
@@ -71,6 +75,8 @@
   Instant AttemptDeadline(Instant aNow) const;
   Task<void> Refuse(const Failure& aFailure);
   void OnClientDisconnected();
+  /// Ends whatever the call is waiting for.
+  void Interrupt();
   Milliseconds Elapsed() const;
 
   GatewayState& mState;
@@ -99,6 +105,7 @@
   /// Set while a migrated generation is being continued.
   std::optional<Continuation> mContinuation;
   bool mHasClientDisconnected = false;
+  bool mIsGivenUp = false;
   StreamProgress mProgress;
   /// When the current attempt was sent.
   Instant mSentAt;
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -13,9 +13,11 @@
 #include "cactusgw/gateway/gateway_metrics.hpp"
 #include "cactusgw/gateway/header_names.hpp"
 #include "cactusgw/gateway/load_table.hpp"
+#include "cactusgw/gateway/response_times.hpp"
 #include "cactusgw/gateway/routing_table.hpp"
 #include "cactusgw/gateway/send_gate.hpp"
 #include "cactusgw/gateway/shared_retry_budget.hpp"
+#include "cactusgw/gateway/stop_schedule.hpp"
 #include "cactusgw/gateway/store_freshness.hpp"
 #include "cactusgw/gateway/upstream_choice.hpp"
 #include "cactusgw/gateway/upstream_connection_pool.hpp"
@@ -29,12 +31,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
 
 namespace cactusgw {
 
+class GatewayCall;
 class GenerationMigrator;
 
 /// Restricts the upstreams for a request or a migrated generation.
@@ -126,6 +130,11 @@
   /// Set by the owner of this state before the first call.
   GenerationMigrator* mMigrator = nullptr;
   StoreFreshness mFreshness;
+  ResponseTimes mResponseTimes;
+  /// Set once this gateway is stopping.
+  std::optional<StopSchedule> mStop;
+  /// The calls in progress.
+  std::set<GatewayCall*> mCalls;
   std::uint32_t mGatewayCount = kMinGateways;
   /// Position of this gateway among all, ordered by name.
   std::uint32_t mGatewayRank = 0;
--- a/src/cactusgw/net/problem.cpp
+++ b/src/cactusgw/net/problem.cpp
@@ -56,6 +56,7 @@
     case FailureCode::Timeout:
       return http::status::gateway_timeout;
     case FailureCode::Drained:
+    case FailureCode::Stopping:
     case FailureCode::Quarantined:
     case FailureCode::StoreUnavailable:
     case FailureCode::HistoryCompacted:
--- /dev/null
+++ b/tests/gateway/planned_stop_test.cpp
@@ -0,0 +1,288 @@
+/// A planned stop answers each request that it has read: with the upstream's
+/// response while there is time, as not run while that is true, and otherwise
+/// with an error before the process exits.
+
+#include "cactusgw/gateway/response_times.hpp"
+#include "cactusgw/gateway/stop_schedule.hpp"
+#include "cactusgw/net/address.hpp"
+#include "cactusgw/net/steady_now.hpp"
+#include "gateway_fixture.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace cactusgw::test {
+
+TEST(StopScheduleTest, AcceptsAnswersAndEndsInThisOrder)
+{
+  const Instant begun{ Milliseconds{ 1000 } };
+  for (const int stopMs : { 10, 100, 500, 750, 1000, 2000, 8000, 60'000 }) {
+    for (const int unreadyMs : { 10, 2500, 60'000 }) {
+      const StopSchedule schedule = StopSchedule::Create(
+        begun, Milliseconds{ unreadyMs }, Milliseconds{ stopMs });
+      EXPECT_GE(schedule.AcceptUntil(), begun);
+      EXPECT_GE(schedule.AnswerAt(), begun);
+      EXPECT_LE(schedule.AcceptUntil(), schedule.End());
+      EXPECT_LT(schedule.AnswerAt(), schedule.End());
+      if (stopMs >= 1000) {
+        EXPECT_LE(schedule.AcceptUntil(), schedule.AnswerAt());
+        EXPECT_LE(schedule.End() + StopSchedule::kExitMargin,
+                  begun + Milliseconds{ stopMs });
+      }
+    }
+  }
+}
+
+TEST(StopScheduleTest, HasTimeUpToTheAnswers)
+{
+  const Instant begun{ Milliseconds{ 1000 } };
+  const StopSchedule schedule =
+    StopSchedule::Create(begun, Milliseconds{ 2500 }, Milliseconds{ 8000 });
+  EXPECT_TRUE(schedule.HasTimeFor(Milliseconds{ 7250 }, begun));
+  EXPECT_FALSE(schedule.HasTimeFor(Milliseconds{ 7251 }, begun));
+  EXPECT_FALSE(schedule.HasTimeFor(Milliseconds{ 0 }, schedule.End()));
+}
+
+TEST(ResponseTimesTest, PredictsWhatMostResponsesTook)
+{
+  ResponseTimes times;
+  EXPECT_EQ(times.Predict("r"), std::nullopt);
+  times.Record("r", Milliseconds{ 70 });
+  EXPECT_EQ(times.Predict("r"), Milliseconds{ 70 });
+  for (int ms = 1; ms <= 100; ++ms) {
+    times.Record("r", Milliseconds{ ms });
+  }
+  // The last 64 took 37 to 100 ms.
+  EXPECT_EQ(times.Predict("r"), Milliseconds{ 94 });
+  EXPECT_EQ(times.Predict("other"), std::nullopt);
+}
+
+TEST(ResponseTimesTest, RemembersABoundedNumberOfRoutes)
+{
+  ResponseTimes times;
+  for (std::size_t i = 0; i <= ResponseTimes::kMaxRoutes; ++i) {
+    times.Record(std::to_string(i), Milliseconds{ 1 });
+  }
+  EXPECT_TRUE(times.Predict(std::to_string(ResponseTimes::kMaxRoutes - 1)));
+  EXPECT_FALSE(times.Predict(std::to_string(ResponseTimes::kMaxRoutes)));
+}
+
+/// What a request is doing when the time of the stop is used up.
+enum class CallState
+{
+  WaitingForRoom,
+  SentWithoutResponse,
+  HeaderReceived,
+};
+
+struct StoppedCall
+{
+  const char* mName;
+  const char* mTarget;
+  CallState mState;
+  unsigned mStatus;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const StoppedCall& aCall)
+{
+  return aOut << aCall.mName;
+}
+
+class PlannedStopTest
+  : public GatewayTest
+  , public ::testing::WithParamInterface<StoppedCall>
+{
+protected:
+  static constexpr Milliseconds kStopTime{ 1500 };
+
+  PlannedStopTest()
+  {
+    mSettings.mStopTime = kStopTime;
+    mSettings.mUnreadyTime = Milliseconds{ 100 };
+  }
+
+  static Task<void> Pause(Milliseconds aTime)
+  {
+    net::steady_timer timer{ co_await net::this_coro::executor, aTime };
+    co_await timer.async_wait(net::use_awaitable);
+  }
+
+  /// Sends the request, stops the gateway once the request is under way, and
+  /// returns the response.
+  ClientResponse CallAndStop(HttpRequest aRequest)
+  {
+    ClientResponse response;
+    bool isStopped = false;
+    bool isAnsweredBeforeStop = false;
+    Run([&]() -> Task<void> {
+      bool isDone = false;
+      const auto call = [&]() -> Task<void> {
+        response = co_await Call(std::move(aRequest));
+        isAnsweredBeforeStop = !isStopped;
+        isDone = true;
+      };
+      net::co_spawn(mContext, call(), net::detached);
+      while (mGateway->State().mCalls.empty()) {
+        co_await net::post(net::use_awaitable);
+      }
+      mGateway->Stop([&] { isStopped = true; });
+      while (!isStopped || !isDone) {
+        co_await net::post(net::use_awaitable);
+      }
+    });
+    EXPECT_TRUE(isAnsweredBeforeStop);
+    return response;
+  }
+};
+
+TEST_P(PlannedStopTest, AnswersWhatItCanNotFinish)
+{
+  const Script silent = [](ScriptedExchange& aExchange) -> Task<void> {
+    if (GetParam().mState == CallState::HeaderReceived) {
+      co_await aExchange.Write("HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: " +
+                               aExchange.Header("Request-Id") +
+                               "\r\nContent-Length: 10\r\n\r\nabc");
+    }
+    co_await aExchange.WaitForClose();
+  };
+  const bool isWaiting = GetParam().mState == CallState::WaitingForRoom;
+  if (!isWaiting) {
+    AddUpstream("a", "app", silent);
+    AddUpstream("e", "engine", silent);
+  }
+  StartGateway();
+  Configure(2, [](GatewayConfig& aConfig) {
+    for (GatewayRoute& route : aConfig.mRoutes) {
+      route.mTimeout = Milliseconds{ 20'000 };
+      // Long enough that nothing but the stop ends the wait for an upstream.
+      route.mLatencyObjective = Milliseconds{ 10'000 };
+    }
+  });
+  const Instant begun = SteadyNow();
+  const ClientResponse response =
+    CallAndStop(MakeRequest(http::verb::post, GetParam().mTarget));
+  EXPECT_EQ(response.mStatus, GetParam().mStatus);
+  EXPECT_TRUE(response.mIsWhole);
+  EXPECT_LE(SteadyNow() - begun, kStopTime);
+  EXPECT_EQ(response.mRetryAfter.empty(), GetParam().mStatus != 503);
+  EXPECT_TRUE(mGateway->State().mCrashes.Quarantines().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  AllStates,
+  PlannedStopTest,
+  ::testing::Values(
+    StoppedCall{ "SafeWaits", "/read/x", CallState::WaitingForRoom, 503 },
+    StoppedCall{ "UnsafeWaits", "/write/x", CallState::WaitingForRoom, 503 },
+    StoppedCall{ "StreamWaits", "/stream/x", CallState::WaitingForRoom, 503 },
+    StoppedCall{ "ResumableWaits",
+                 "/resumable/x",
+                 CallState::WaitingForRoom,
+                 503 },
+    StoppedCall{ "SafeSent", "/read/x", CallState::SentWithoutResponse, 502 },
+    StoppedCall{ "UnsafeSent",
+                 "/write/x",
+                 CallState::SentWithoutResponse,
+                 502 },
+    StoppedCall{ "StreamSent",
+                 "/stream/x",
+                 CallState::SentWithoutResponse,
+                 502 },
+    StoppedCall{ "ResumableSent",
+                 "/resumable/x",
+                 CallState::SentWithoutResponse,
+                 502 },
+    StoppedCall{ "SafeBuffered", "/read/x", CallState::HeaderReceived, 502 }),
+  [](const ::testing::TestParamInfo<StoppedCall>& aInfo) {
+    return std::string{ aInfo.param.mName };
+  });
+
+class LateRequestTest : public PlannedStopTest
+{};
+
+// A request that arrives late in a stop must not be sent when it is going to be
+// cut off: the client may send it elsewhere while it has not run.
+TEST_F(LateRequestTest, IsRefusedAsNotRun)
+{
+  ScriptedUpstream& upstream =
+    AddUpstream("a", "app", [](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.WaitForClose();
+    });
+  StartGateway();
+  mGateway->State().mResponseTimes.Record("/write/", Milliseconds{ 1400 });
+  bool isStopped = false;
+  Run([&]() -> Task<void> {
+    mGateway->Stop([&] { isStopped = true; });
+    const ClientResponse response =
+      co_await Call(MakeRequest(http::verb::post, "/write/x"));
+    EXPECT_EQ(response.mStatus, 503U);
+    EXPECT_NE(response.mRetryAfter, "");
+    EXPECT_THAT(upstream.Requests(), ::testing::IsEmpty());
+    while (!isStopped) {
+      co_await net::post(net::use_awaitable);
+    }
+  });
+}
+
+TEST_F(LateRequestTest, IsServedWhenThereIsTime)
+{
+  AddUpstream("a", "app", [](ScriptedExchange& aExchange) -> Task<void> {
+    co_await aExchange.Answer(200,
+                              std::string{ kSealed } + "Request-Id: " +
+                                aExchange.Header("Request-Id") + "\r\n",
+                              "ok");
+  });
+  StartGateway();
+  mGateway->State().mResponseTimes.Record("/write/", Milliseconds{ 300 });
+  bool isStopped = false;
+  Run([&]() -> Task<void> {
+    mGateway->Stop([&] { isStopped = true; });
+    const ClientResponse response =
+      co_await Call(MakeRequest(http::verb::post, "/write/x"));
+    EXPECT_EQ(response.mStatus, 200U);
+    while (!isStopped) {
+      co_await net::post(net::use_awaitable);
+    }
+  });
+}
+
+// The header arrives in time, the body at the end of the stop.
+TEST_F(LateRequestTest, IsRefusedWhenItsBodyIsLate)
+{
+  ScriptedUpstream& upstream =
+    AddUpstream("a", "app", [](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.WaitForClose();
+    });
+  StartGateway();
+  bool isStopped = false;
+  Run([&]() -> Task<void> {
+    net::ip::tcp::socket socket{ mContext };
+    const Result<net::ip::tcp::endpoint> address =
+      ParseEndpoint(GatewayAddress());
+    co_await socket.async_connect(address.value(), net::use_awaitable);
+    const std::string header =
+      "POST /write/x HTTP/1.1\r\nHost: host.test\r\nRequest-Id: r1\r\n"
+      "Authorization: Bearer key\r\nContent-Length: 2\r\n\r\na";
+    co_await net::async_write(socket, net::buffer(header), net::use_awaitable);
+    mGateway->Stop([&] { isStopped = true; });
+    co_await Pause(Milliseconds{ 500 });
+    co_await net::async_write(socket, net::buffer("b", 1), net::use_awaitable);
+    std::string text(64, '\0');
+    const std::size_t n =
+      co_await socket.async_read_some(net::buffer(text), net::use_awaitable);
+    EXPECT_THAT(text.substr(0, n), ::testing::StartsWith("HTTP/1.1 503 "));
+    EXPECT_THAT(upstream.Requests(), ::testing::IsEmpty());
+    while (!isStopped) {
+      co_await net::post(net::use_awaitable);
+    }
+  });
+}
+
+} // namespace cactusgw::test
