Start, outages and loads that don't grow with the fleet

All gateways read the whole store at a common start, since a relay without a configuration counted as cut off, and went on for 3 s whenever another one asked them. During an outage five loops of each gateway probed the store. The root of a data centre sent 6 KB to each of 49 children and was limited to a message each 120 ms. Change: after its start a gateway lists the gateways first, registers only if its registration is missing, and waits for a relay. A store without a configuration counts as reachable. A gateway with a relay doesn't read for others. While the configuration can't be read, only its loop probes the store, less often the more gateways come before it. In data centres of more than 17 gateways the relay tree has two levels of about the square root of all. Loads are sent as changes, whole once a second.

--- a/src/cactusgw/gateway/collection_watcher.hpp
+++ b/src/cactusgw/gateway/collection_watcher.hpp
@@ -23,6 +23,9 @@
   std::function<void(CollectionUpdate)> mOnUpdate;
   /// Maximum backoff between failed calls.
   std::function<Milliseconds()> mMaxBackoff;
+  /// Whether to repeat a failed call. While the store is known to be
+  /// unavailable, one loop of calls is enough to notice its return.
+  std::function<bool()> mShouldRetry;
   std::function<void(const Failure&)> mOnUnavailable;
   std::function<void()> mOnRecovered;
 };
@@ -33,9 +36,15 @@
 {
 public:
   /// @param aWait maximum duration of one watch call
-  CollectionWatcher(Source aSource, Milliseconds aWait, WatcherEvents aEvents)
+  /// @param aPause pause after a call that returned changes, so that changes in
+  ///        quick succession take one call together
+  CollectionWatcher(Source aSource,
+                    Milliseconds aWait,
+                    Milliseconds aPause,
+                    WatcherEvents aEvents)
     : mSource(std::move(aSource))
     , mMaxWait(aWait)
+    , mPause(aPause)
     , mEvents(std::move(aEvents))
   {
   }
@@ -57,6 +66,9 @@
       }
       co_await mBackoff.OnFailure(
         done.error(), mEvents.mMaxBackoff(), mEvents.mOnUnavailable);
+      while (!mEvents.mShouldRetry()) {
+        co_await Sleep(kIdlePollInterval);
+      }
     }
   }
 
@@ -76,15 +88,20 @@
       co_return update.error();
     }
     mBackoff.OnSuccess(mEvents.mOnRecovered);
+    const bool hasChanges = !update.value().mObjects.empty();
     mEvents.mOnUpdate(std::move(update.value()));
     if (isListDue) {
       mCompactedRevision = 0;
     }
+    if (hasChanges && mPause > Milliseconds::zero()) {
+      co_await Sleep(mPause);
+    }
     co_return boost::outcome_v2::success();
   }
 
   Source mSource;
   Milliseconds mMaxWait;
+  Milliseconds mPause;
   WatcherEvents mEvents;
   StoreBackoff mBackoff;
   /// Revision from which the store can't return changes any more, as it has
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -113,7 +113,6 @@
     return listening.error();
   }
   Gateway* const self = gateway.get();
-  net::co_spawn(aContext, gateway->Register(), net::detached);
   net::co_spawn(
     aContext, gateway->mMigrator.PollWhileWatchIsDown(), net::detached);
   net::co_spawn(aContext, gateway->StoreQuarantines(), net::detached);
@@ -169,6 +168,7 @@
   }
   mPeers = std::move(peers.value());
   mRelay = std::make_unique<StoreRelay>(mState, mStore, *mPeers);
+  mRelay->OnStarted(SteadyNow());
   mLoadExchange = std::make_unique<LoadExchange>(
     mState, *mPeers, [this](const DrainingUpstream& aUpstream) {
       OnDrainNotice(aUpstream, "peer", DrainEvidence::Notice);
@@ -318,11 +318,20 @@
   return mRelay->ShouldRead(SteadyNow());
 }
 
+bool
+Gateway::ShouldReadPeers() const
+{
+  return mRelay->ShouldReadPeers(SteadyNow());
+}
+
 Milliseconds
 Gateway::MaxStoreBackoff() const
 {
-  return mRelay->Parent(SteadyNow()) ? StoreBackoff::kMaxBackoffWithRelay
-                                     : StoreBackoff::kMaxBackoff;
+  // The first gateways notice soon that the store is back, and the others get
+  // its content from them.
+  return std::min(StoreBackoff::kMaxBackoff *
+                    (1 + static_cast<int>(mRelay->Rank())),
+                  StoreBackoff::kMaxBackoffWithRelay);
 }
 
 void
@@ -484,21 +493,39 @@
     "data-centre-taken-back", { { "dataCentre", aDataCentre } }, now);
 }
 
+GatewayPeer
+Gateway::Self() const
+{
+  const GatewaySettings& settings = mState.mSettings;
+  return { settings.mPlace.mVm,
+           settings.mPeerListen,
+           settings.mPlace.mDataCentre,
+           settings.mCapacity };
+}
+
+void
+Gateway::RegisterIfMissing()
+{
+  if (mRegistered == Self()) {
+    return;
+  }
+  if (!std::exchange(mIsRegistering, true)) {
+    net::co_spawn(mContext, Register(), net::detached);
+  }
+}
+
 Task<void>
 Gateway::Register()
 {
   constexpr Milliseconds kRegistrationRetryDelay{ 500 };
-  const GatewaySettings& settings = mState.mSettings;
-  const GatewayPeer self{ settings.mPlace.mVm,
-                          settings.mPeerListen,
-                          settings.mPlace.mDataCentre,
-                          settings.mCapacity };
+  const GatewayPeer self = Self();
   net::steady_timer timer{ mContext };
   while (!mIsStopping) {
     const Result<void> done = co_await mRegistration.mRegister(self);
     if (done) {
       mState.mLog.WriteAlways("registered", { { "vm", self.mName } });
-      co_return;
+      mRegistered = self;
+      break;
     }
     mState.mLog.Write("registration-failed",
                       { { "reason", done.error().mDetail } },
@@ -506,6 +533,7 @@
     timer.expires_after(kRegistrationRetryDelay);
     co_await timer.async_wait(net::use_awaitable);
   }
+  mIsRegistering = false;
 }
 
 Task<void>
@@ -523,6 +551,9 @@
 Gateway::OnPeerChanges(const std::vector<Change<GatewayPeer>>& aChanges)
 {
   for (const Change<GatewayPeer>& change : aChanges) {
+    if (change.mName == mState.mSettings.mPlace.mVm) {
+      mRegistered = change.mValue;
+    }
     if (change.mValue) {
       mPeers->SetPeer(*change.mValue);
       mRelay->SetPeer(*change.mValue);
@@ -533,6 +564,8 @@
       mLoadExchange->RemovePeer(change.mName);
     }
   }
+  mRelay->OnPeersListed(SteadyNow());
+  RegisterIfMissing();
   UpdateGatewayCount();
 }
 
@@ -586,6 +619,18 @@
     mContext, FinishOpenRequests(std::move(aOnStopped)), net::detached);
 }
 
+void
+Gateway::GiveUpOpenCalls()
+{
+  // A call may end, and leave the set, while it is interrupted.
+  const std::set<GatewayCall*> calls = mState.mCalls;
+  for (GatewayCall* const call : calls) {
+    if (mState.mCalls.contains(call)) {
+      call->GiveUp();
+    }
+  }
+}
+
 Task<void>
 Gateway::FinishOpenRequests(std::function<void()> aOnStopped)
 {
@@ -618,15 +663,3 @@
 }
 
 } // namespace cactusgw
-void
-Gateway::GiveUpOpenCalls()
-{
-  // A call may end, and leave the set, while it is interrupted.
-  const std::set<GatewayCall*> calls = mState.mCalls;
-  for (GatewayCall* const call : calls) {
-    if (mState.mCalls.contains(call)) {
-      call->GiveUp();
-    }
-  }
-}
-
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -18,6 +18,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -52,6 +53,12 @@
   StoreView& Store() { return mStore; }
   /// Whether this gateway currently has to read the store itself.
   bool ShouldReadStore() const;
+  /// The same for the list of gateways, from which it learns who else reads.
+  bool ShouldReadPeers() const;
+  /// Whether the configuration can't be read. Other failed calls are repeated
+  /// only when it can be read again.
+  bool IsConfigReadDown() const { return mIsConfigReadDown; }
+  void OnConfigReadDown(bool aIsDown) { mIsConfigReadDown = aIsDown; }
   /// Maximum backoff between failed calls to the store.
   Milliseconds MaxStoreBackoff() const;
 
@@ -60,6 +67,8 @@
   void OnConfig(GatewayConfig aConfig);
   void OnConfigUnusable(const Failure& aFailure);
   void OnConfigConfirmed(BootTime aAsOf);
+  /// The store had no configuration at this time.
+  void OnConfigMissing(BootTime aAsOf) { mState.mFreshness.OnMissing(aAsOf); }
   void OnUpstreamChanges(std::vector<Change<UpstreamRecord>> aChanges);
   /// Each change names a data centre: drained if the change has a value,
   /// whatever the value is, and no longer drained otherwise.
@@ -90,7 +99,14 @@
   Task<void> ServeClient(HttpExchange& aExchange);
   Task<void> ServeOperator(HttpExchange& aExchange);
   Task<void> FinishOpenRequests(std::function<void()> aOnStopped);
+  /// Lets all calls respond whose responses have not begun.
+  void GiveUpOpenCalls();
   bool Tick();
+  /// This gateway's registration as it should be.
+  GatewayPeer Self() const;
+  /// Registers this gateway unless the store has its registration already, from
+  /// before a restart.
+  void RegisterIfMissing();
   Task<void> Register();
   Task<void> Deregister();
   void RecordDraining(const std::string& aId);
@@ -99,8 +115,6 @@
   void OnDrainNotice(const DrainingUpstream& aUpstream,
                      std::string_view aFrom,
                      DrainEvidence aEvidence);
-  /// Lets all calls respond whose responses have not begun.
-  void GiveUpOpenCalls();
   void OnDirectoryChange(DirectoryChange aChange, const std::string& aId);
   void LogAdded(const std::string& aId);
   void OnUndrained(const std::string& aDataCentre);
@@ -127,6 +141,10 @@
   std::unique_ptr<HttpServer> mMetricsServer;
   bool mHasUpstreamList = false;
   bool mHasDrainedDataCentres = false;
+  bool mIsConfigReadDown = false;
+  bool mIsRegistering = false;
+  /// This gateway's registration as the store has it.
+  std::optional<GatewayPeer> mRegistered;
   bool mIsStopping = false;
 };
 
--- a/src/cactusgw/gateway/gateway_peer.hpp
+++ b/src/cactusgw/gateway/gateway_peer.hpp
@@ -21,6 +21,8 @@
   std::string mDataCentre;
   /// Relative capacity of the VM: its share of a processor.
   double mCapacity = 0;
+
+  bool operator==(const GatewayPeer&) const = default;
 };
 
 /// Functions with which a gateway registers itself. All must be set.
--- a/src/cactusgw/gateway/load_aggregator.cpp
+++ b/src/cactusgw/gateway/load_aggregator.cpp
@@ -14,6 +14,15 @@
   }
 }
 
+/// Subtracts loads that are part of the sums.
+void
+SubtractLoads(AggregatedLoads& aSums, const AggregatedLoads& aPart)
+{
+  for (const auto& [upstream, part] : aPart) {
+    aSums[upstream].mLoad -= part.mLoad;
+  }
+}
+
 void
 AddMigrations(AggregatedLoads& aSums, const AggregatedLoads& aMore)
 {
@@ -38,11 +47,19 @@
   return LoadAggregator{ std::move(aSelf), std::move(aDataCentre) };
 }
 
+void
+LoadAggregator::SetOwn(AggregatedLoads aOwn)
+{
+  mOwn = std::move(aOwn);
+  mIsTotalValid = false;
+}
+
 void
 LoadAggregator::SetChild(std::string_view aName,
                          AggregatedLoads aLoads,
                          Instant aNow)
 {
+  mIsTotalValid = false;
   mChildren[std::string{ aName }] =
     Report{ std::move(aLoads), aNow, mDataCentre };
 }
@@ -53,6 +70,7 @@
                               AggregatedLoads aLoads,
                               Instant aNow)
 {
+  mIsTotalValid = false;
   mRemoteRoots[std::string{ aName }] =
     Report{ std::move(aLoads), aNow, std::string{ aDataCentre } };
 }
@@ -60,6 +78,7 @@
 void
 LoadAggregator::SetFromParent(AggregatedLoads aRest, Instant aNow)
 {
+  mIsTotalValid = false;
   mFromParent = Report{ std::move(aRest), aNow, mDataCentre };
 }
 
@@ -69,11 +88,13 @@
   const auto isOld = [&](const std::pair<const std::string, Report>& aEntry) {
     return aNow - aEntry.second.mReceivedAt >= kValidity;
   };
-  std::erase_if(mChildren, isOld);
-  std::erase_if(mRemoteRoots, isOld);
+  std::size_t expired = std::erase_if(mChildren, isOld);
+  expired += std::erase_if(mRemoteRoots, isOld);
   if (aNow - mFromParent.mReceivedAt >= kValidity) {
+    expired += mFromParent.mLoads.size();
     mFromParent.mLoads.clear();
   }
+  mIsTotalValid = mIsTotalValid && expired == 0;
 }
 
 std::vector<std::string>
@@ -97,29 +118,56 @@
   return sums;
 }
 
-AggregatedLoads
-LoadAggregator::LoadExcluding(std::string_view aName) const
+const AggregatedLoads&
+LoadAggregator::Total() const
 {
-  AggregatedLoads rest = mFromParent.mLoads;
+  if (!std::exchange(mIsTotalValid, true)) {
+    mTotal.clear();
+    AddLoads(mTotal, mFromParent.mLoads);
+    AddLoads(mTotal, mOwn);
+    for (const auto& [name, report] : mRemoteRoots) {
+      AddLoads(mTotal, report.mLoads);
+    }
+    for (const auto& [name, report] : mChildren) {
+      AddLoads(mTotal, report.mLoads);
+    }
+  }
+  return mTotal;
+}
+
+void
+LoadAggregator::AddMigrationsBefore(std::string_view aName,
+                                    AggregatedLoads& aLoads) const
+{
+  AddMigrations(aLoads, mFromParent.mLoads);
   for (const auto& [name, report] : mRemoteRoots) {
-    AddLoads(rest, report.mLoads);
     if (report.mDataCentre < mDataCentre) {
-      AddMigrations(rest, report.mLoads);
+      AddMigrations(aLoads, report.mLoads);
     }
   }
-  const auto add = [&](std::string_view aOther, const AggregatedLoads& aLoads) {
-    if (aOther == aName) {
-      return;
-    }
-    AddLoads(rest, aLoads);
-    if (aOther < aName) {
-      AddMigrations(rest, aLoads);
-    }
-  };
-  add(mSelf, mOwn);
+  if (mSelf < aName) {
+    AddMigrations(aLoads, mOwn);
+  }
   for (const auto& [name, report] : mChildren) {
-    add(name, report.mLoads);
+    if (name < aName) {
+      AddMigrations(aLoads, report.mLoads);
+    }
+  }
+}
+
+AggregatedLoads
+LoadAggregator::LoadExcluding(std::string_view aName) const
+{
+  AggregatedLoads rest = Total();
+  const auto child = mChildren.find(aName);
+  if (child != mChildren.end()) {
+    SubtractLoads(rest, child->second.mLoads);
+  } else if (aName == mSelf) {
+    SubtractLoads(rest, mOwn);
   }
+  AddMigrationsBefore(aName, rest);
+  std::erase_if(
+    rest, [](const auto& aEntry) { return aEntry.second == AggregatedLoad{}; });
   return rest;
 }
 
--- a/src/cactusgw/gateway/load_aggregator.hpp
+++ b/src/cactusgw/gateway/load_aggregator.hpp
@@ -4,7 +4,8 @@
 /// Aggregates load along the relay tree. RelaySelector gives each gateway of a
 /// data centre a parent: a gateway sends its parent the sum of its own load and
 /// that of its children, and receives the load of all other gateways in return.
-/// The root gateways of the data centres exchange their sums.
+/// Children may have children themselves. The root gateways of the data centres
+/// exchange their sums.
 
 #include "cactusgw/core/verdict.hpp"
 #include "cactusgw/gateway/upstream_load.hpp"
@@ -28,7 +29,7 @@
   /// @param aSelf this gateway's name
   static LoadAggregator Create(std::string aSelf, std::string aDataCentre);
 
-  void SetOwn(AggregatedLoads aOwn) { mOwn = std::move(aOwn); }
+  void SetOwn(AggregatedLoads aOwn);
   /// Replaces the load that a child reported for its subtree.
   void SetChild(std::string_view aName, AggregatedLoads aLoads, Instant aNow);
   /// Replaces the load that the root of another data centre reported.
@@ -70,10 +71,18 @@
 
   std::string mSelf;
   std::string mDataCentre;
+  /// Adds the pending migrations that come before those of the named gateway.
+  void AddMigrationsBefore(std::string_view aName,
+                           AggregatedLoads& aLoads) const;
+  const AggregatedLoads& Total() const;
+
   AggregatedLoads mOwn;
   std::map<std::string, Report, std::less<>> mChildren;
   std::map<std::string, Report, std::less<>> mRemoteRoots;
   Report mFromParent;
+  /// Load of all gateways, without migrations. Computed when it is needed.
+  mutable AggregatedLoads mTotal;
+  mutable bool mIsTotalValid = false;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/load_exchange.cpp
+++ b/src/cactusgw/gateway/load_exchange.cpp
@@ -27,11 +27,41 @@
   return sums;
 }
 
+wire::GatewayUse::Direction
+ChangesOf(wire::GatewayUse::Direction aDirection)
+{
+  switch (aDirection) {
+    case wire::GatewayUse::UP:
+      return wire::GatewayUse::UP_CHANGES;
+    case wire::GatewayUse::DOWN:
+      return wire::GatewayUse::DOWN_CHANGES;
+    default:
+      return wire::GatewayUse::BESIDE_CHANGES;
+  }
+}
+
+/// The direction of a message with changes; nullopt for one with the whole.
+std::optional<wire::GatewayUse::Direction>
+DirectionOfChanges(wire::GatewayUse::Direction aDirection)
+{
+  switch (aDirection) {
+    case wire::GatewayUse::UP_CHANGES:
+      return wire::GatewayUse::UP;
+    case wire::GatewayUse::DOWN_CHANGES:
+      return wire::GatewayUse::DOWN;
+    case wire::GatewayUse::BESIDE_CHANGES:
+      return wire::GatewayUse::BESIDE;
+    default:
+      return std::nullopt;
+  }
+}
+
 void
-Encode(const AggregatedLoads& aSums, wire::GatewayUse& aMessage)
+Encode(const LoadUpdate& aUpdate, wire::GatewayUse& aMessage)
 {
-  for (const auto& [upstream, sum] : aSums) {
-    if (sum == AggregatedLoad{}) {
+  aMessage.set_sequence(aUpdate.mSequence);
+  for (const auto& [upstream, sum] : aUpdate.mEntries) {
+    if (aUpdate.mIsWhole && sum == AggregatedLoad{}) {
       continue;
     }
     wire::UpstreamUseEntry* const entry = aMessage.add_entries();
@@ -72,6 +102,9 @@
 LoadExchange::Tick(const std::optional<std::string>& aParent, Instant aNow)
 {
   if (mParent != aParent) {
+    if (mParent) {
+      LeaveParent(*mParent);
+    }
     mParent = aParent;
     // The new parent reports the same load again, which must not be counted
     // twice.
@@ -133,12 +166,16 @@
 void
 LoadExchange::SendToChildren(Instant aNow)
 {
+  /// Weight of the newest message in the average size.
+  constexpr double kNewestShare = 0.05;
   const std::vector<std::string> children = mAggregator.Children();
   const Milliseconds interval = ChildInterval(children.size());
   for (const std::string& name : children) {
     if (MarkSentIfDue(name, interval, aNow)) {
-      mChildMessageBytes =
+      const std::size_t bytes =
         Send(name, mAggregator.LoadExcluding(name), wire::GatewayUse::DOWN);
+      mChildMessageBytes +=
+        kNewestShare * (static_cast<double>(bytes) - mChildMessageBytes);
     }
   }
 }
@@ -147,36 +184,60 @@
 LoadExchange::ChildInterval(std::size_t aChildCount) const
 {
   constexpr double kBytesPerMsAndMbps = 125;
-  const double bytes = static_cast<double>(aChildCount * mChildMessageBytes);
+  const double bytes = static_cast<double>(aChildCount) * mChildMessageBytes;
   const double bytesPerMs =
     kMaxLinkShare * mState.mSettings.mLinkMbps * kBytesPerMsAndMbps;
   return std::max(
     kInterval, Milliseconds{ static_cast<std::int64_t>(bytes / bytesPerMs) });
 }
 
+void
+LoadExchange::LeaveParent(const std::string& aParent)
+{
+  mSent[aParent].mLoads.Restart();
+  Send(aParent, {}, wire::GatewayUse::UP);
+  // If this gateway returns to the parent, the message above is outdated.
+  mSent[aParent].mLoads.Restart();
+}
+
 std::size_t
 LoadExchange::Send(const std::string& aPeer,
                    const AggregatedLoads& aSums,
                    wire::GatewayUse::Direction aDirection)
 {
+  const Instant now = SteadyNow();
+  Sent& sent = mSent[aPeer];
+  if (sent.mDirection != aDirection) {
+    sent.mDirection = aDirection;
+    sent.mLoads.Restart();
+  }
   wire::Envelope envelope;
   wire::GatewayUse* const message = envelope.mutable_gateway_use();
-  message->set_direction(aDirection);
   message->set_data_centre(mState.mSettings.mPlace.mDataCentre);
-  Encode(aSums, *message);
-  for (const DrainingUpstream& upstream :
-       mState.mDrainNotices.Recent(SteadyNow())) {
+  const std::optional<LoadUpdate> update = sent.mLoads.Next(aSums, now);
+  const bool isWhole = update && update->mIsWhole;
+  message->set_direction(isWhole ? aDirection : ChangesOf(aDirection));
+  if (update) {
+    Encode(*update, *message);
+  }
+  const bool hasEvidence = AddEvidence(aPeer, *message, now);
+  const bool hasLimits = AddLimits(aPeer, *message, now);
+  const std::uint64_t drainVersion = mState.mDrainNotices.Version();
+  const bool hasDrains =
+    std::exchange(sent.mDrainVersion, drainVersion) != drainVersion;
+  if (!update && !hasEvidence && !hasLimits && !hasDrains) {
+    return 0;
+  }
+  for (const DrainingUpstream& upstream : mState.mDrainNotices.Recent(now)) {
     wire::LeavingUpstream* const entry = message->add_leaving();
     entry->set_upstream(upstream.mId);
     entry->set_started_ms(upstream.mStartedMs);
   }
-  AddEvidence(aPeer, *message, SteadyNow());
-  AddLimits(aPeer, *message, SteadyNow());
   mPeers.SendTo(aPeer, envelope);
   return envelope.ByteSizeLong();
 }
 
-void
+bool
 LoadExchange::AddEvidence(const std::string& aPeer,
                           wire::GatewayUse& aMessage,
                           Instant aNow)
@@ -196,9 +257,10 @@
     sent.mEvidenceAt = aNow;
     EncodeCrashReports(crashes, aNow, *aMessage.mutable_crash_reports());
   }
+  return hasChanged || isLacking;
 }
 
-void
+bool
 LoadExchange::AddLimits(const std::string& aPeer,
                         wire::GatewayUse& aMessage,
                         Instant aNow)
@@ -208,7 +270,7 @@
   const bool isDue = sent.mLimitsVersion != limits.Version() ||
                      aNow - sent.mLimitsAt >= kEvidenceRepeatInterval;
   if (!isDue) {
-    return;
+    return false;
   }
   sent.mLimitsVersion = limits.Version();
   sent.mLimitsAt = aNow;
@@ -220,6 +282,7 @@
     entry->set_withdrawn(!limit.mPerSecond);
     entry->set_age_ms(EncodeAge(limit.mStatedAt, aNow));
   }
+  return !limits.All().empty();
 }
 
 void
@@ -249,7 +312,7 @@
   if (!aEnvelope.has_gateway_use()) {
     return;
   }
-  OnLoadMessage(aEnvelope.sender_vm(), aEnvelope.gateway_use());
+  OnLoadMessage(aEnvelope);
   for (const wire::LeavingUpstream& entry : aEnvelope.gateway_use().leaving()) {
     mOnDraining({ entry.upstream(), entry.started_ms() });
   }
@@ -262,23 +325,43 @@
 }
 
 void
-LoadExchange::OnLoadMessage(const std::string& aSender,
-                            const wire::GatewayUse& aMessage)
+LoadExchange::OnLoadMessage(const wire::Envelope& aEnvelope)
 {
   const Instant now = SteadyNow();
+  const std::string& sender = aEnvelope.sender_vm();
+  const wire::GatewayUse& message = aEnvelope.gateway_use();
+  const std::optional<wire::GatewayUse::Direction> changed =
+    DirectionOfChanges(message.direction());
+  const wire::GatewayUse::Direction direction =
+    changed.value_or(message.direction());
   ++mReceivedVersion;
-  switch (aMessage.direction()) {
+  std::uint64_t& incarnation = mIncarnations[sender];
+  if (std::exchange(incarnation, aEnvelope.sender_incarnation()) !=
+      aEnvelope.sender_incarnation()) {
+    mSent[sender].mLoads.Restart(); // A restarted gateway knows no loads.
+  }
+  if (direction == wire::GatewayUse::BESIDE) {
+    mRelayRoots.OnRootMessage(sender, message.data_centre(), now);
+  }
+  if (changed && message.sequence() == 0) {
+    return; // A message without loads.
+  }
+  LoadReceiver& received = mReceived[sender][direction];
+  if (!received.Apply({ !changed, message.sequence(), Decode(message) },
+                      aEnvelope.sender_incarnation())) {
+    return; // The next whole message makes up for the lost one.
+  }
+  switch (direction) {
     case wire::GatewayUse::UP:
-      mAggregator.SetChild(aSender, Decode(aMessage), now);
+      mAggregator.SetChild(sender, received.Loads(), now);
       break;
     case wire::GatewayUse::BESIDE:
-      mRelayRoots.OnRootMessage(aSender, aMessage.data_centre(), now);
       mAggregator.SetRemoteRoot(
-        aSender, aMessage.data_centre(), Decode(aMessage), now);
+        sender, message.data_centre(), received.Loads(), now);
       break;
     case wire::GatewayUse::DOWN:
-      if (mParent == aSender) {
-        mAggregator.SetFromParent(Decode(aMessage), now);
+      if (mParent == sender) {
+        mAggregator.SetFromParent(received.Loads(), now);
       }
       break;
     default:
--- a/src/cactusgw/gateway/load_exchange.hpp
+++ b/src/cactusgw/gateway/load_exchange.hpp
@@ -3,13 +3,14 @@
 
 /// Exchanges the load of each upstream, the limits that upstreams state,
 /// notices of draining upstreams and evidence of crashes with other gateways
-/// along the relay tree (see LoadAggregator). Each message holds all figures,
-/// so a lost one is made up for by the next. Evidence is sent when it has
-/// changed, and again while the digest in a gateway's messages shows that it
-/// lacks some.
+/// along the relay tree (see LoadAggregator). Loads are sent as changes, and as
+/// a whole once a second, which makes up for lost messages (see LoadSender).
+/// Evidence is sent when it has changed, and again while the digest in a
+/// gateway's messages shows that it lacks some.
 
 #include "cactusgw/gateway/drain_notices.hpp"
 #include "cactusgw/gateway/load_aggregator.hpp"
+#include "cactusgw/gateway/load_changes.hpp"
 #include "cactusgw/gateway/peer_exchange.hpp"
 #include "cactusgw/gateway/relay_root_tracker.hpp"
 
@@ -55,8 +56,12 @@
   void RemovePeer(std::string_view aName)
   {
     mRelayRoots.RemovePeer(aName);
-    std::erase_if(mSent,
-                  [&](const auto& aEntry) { return aEntry.first == aName; });
+    const auto isRemoved = [&](const auto& aEntry) {
+      return aEntry.first == aName;
+    };
+    std::erase_if(mSent, isRemoved);
+    std::erase_if(mReceived, isRemoved);
+    std::erase_if(mIncarnations, isRemoved);
   }
 
   /// Sends the messages that are due.
@@ -70,6 +75,11 @@
   {
     Instant mAt;
     std::uint64_t mVersion = 0;
+    /// The loads that the gateway knows from this one, as far as messages in
+    /// this direction told it.
+    LoadSender mLoads = LoadSender::Create(kRepeatInterval);
+    wire::GatewayUse::Direction mDirection = wire::GatewayUse::UP;
+    std::uint64_t mDrainVersion = 0;
     Instant mEvidenceAt;
     std::uint64_t mEvidenceVersion = 0;
     Instant mLimitsAt;
@@ -78,8 +88,13 @@
     std::uint64_t mReportedDigest = 0;
   };
 
-  void OnLoadMessage(const std::string& aSender,
-                     const wire::GatewayUse& aMessage);
+  /// What one gateway reports, separately for each direction: it may be the
+  /// child of this one and, a moment later, its parent.
+  using Received = std::map<wire::GatewayUse::Direction, LoadReceiver>;
+
+  void OnLoadMessage(const wire::Envelope& aEnvelope);
+  /// Tells a former parent that it has no load of this gateway to count.
+  void LeaveParent(const std::string& aParent);
   void SendToParent(const std::string& aParent, Instant aNow);
   void SendToRemoteRoots(Instant aNow);
   void SendToChildren(Instant aNow);
@@ -89,15 +104,17 @@
                      Milliseconds aInterval,
                      Instant aNow);
   Milliseconds ChildInterval(std::size_t aChildCount) const;
-  /// @return the size of the message in bytes
+  /// Sends what has changed for the gateway, if anything.
+  /// @return the size of the message in bytes; zero if none was sent
   std::size_t Send(const std::string& aPeer,
                    const AggregatedLoads& aSums,
                    wire::GatewayUse::Direction aDirection);
   std::uint64_t Version() const;
-  void AddEvidence(const std::string& aPeer,
+  /// Adds what is due; returns whether anything is.
+  bool AddEvidence(const std::string& aPeer,
                    wire::GatewayUse& aMessage,
                    Instant aNow);
-  void AddLimits(const std::string& aPeer,
+  bool AddLimits(const std::string& aPeer,
                  wire::GatewayUse& aMessage,
                  Instant aNow);
   void OnLimits(const wire::GatewayUse& aMessage, Instant aNow);
@@ -108,6 +125,9 @@
   LoadAggregator mAggregator;
   RelayRootTracker mRelayRoots;
   std::map<std::string, Sent> mSent;
+  std::map<std::string, Received> mReceived;
+  /// The start of each gateway that the last message was from.
+  std::map<std::string, std::uint64_t> mIncarnations;
   /// Incremented by each received message.
   std::uint64_t mReceivedVersion = 0;
   /// Version for which the load table was last updated.
@@ -116,8 +136,8 @@
   std::uint64_t mDigest = 0;
   std::uint64_t mDigestVersion = 0;
   std::optional<std::string> mParent;
-  /// Size in bytes of the last message to a child.
-  std::size_t mChildMessageBytes = 0;
+  /// Moving average of the size in bytes of a message to a child.
+  double mChildMessageBytes = 0;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/object_poller.hpp
+++ b/src/cactusgw/gateway/object_poller.hpp
@@ -15,17 +15,20 @@
 template<typename Source>
 concept ObjectSource = requires(Source& aSource)
 {
-  /// The object as a collection of one. Errors: StoreUnavailable.
+  /// The object as a collection of one. Errors: StoreUnavailable; NotFound if
+  /// the store has no such object.
   {
     aSource.Read()
     } -> std::same_as<boost::asio::awaitable<Result<CollectionUpdate>>>;
 };
 
-/// Additional callback of a poller. Must be set.
+/// Additional callbacks of a poller. All must be set; mShouldRetry is not used.
 struct PollerEvents : WatcherEvents
 {
   /// Called with the time up to which all changes are known.
   std::function<void(BootTime)> mOnConfirmed;
+  /// Called with the time at which the store had no such object.
+  std::function<void(BootTime)> mOnMissing;
 };
 
 /// Not thread-safe; lives on one io_context as long as the process.
@@ -50,6 +53,12 @@
       }
       const BootTime readStart = BootNow();
       Result<CollectionUpdate> update = co_await mSource.Read();
+      if (!update && update.error().mCode == FailureCode::NotFound) {
+        backoff.OnSuccess(mEvents.mOnRecovered);
+        mEvents.mOnMissing(readStart);
+        co_await Sleep(mInterval);
+        continue;
+      }
       if (!update) {
         co_await backoff.OnFailure(
           update.error(), mEvents.mMaxBackoff(), mEvents.mOnUnavailable);
--- a/src/cactusgw/gateway/relay_selector.cpp
+++ b/src/cactusgw/gateway/relay_selector.cpp
@@ -1,8 +1,12 @@
 #include "cactusgw/gateway/relay_selector.hpp"
 
+#include "cactusgw/core/hash.hpp"
+
 #include <algorithm>
+#include <cstdint>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 namespace cactusgw {
 
@@ -40,48 +44,117 @@
          std::make_tuple(-mSelf.mCapacity, std::string_view{ mSelf.mName });
 }
 
+std::size_t
+RelaySelector::ChildrenOfRoot(std::size_t aGateways)
+{
+  if (aGateways <= kMaxDirectChildren + 1) {
+    return kMaxDirectChildren;
+  }
+  std::size_t count = 1;
+  while (count * count < aGateways) {
+    count *= 2;
+  }
+  return count;
+}
+
 template<typename Condition>
 std::optional<std::string>
-RelaySelector::FirstEligible(const Condition& aIsEligible) const
+RelaySelector::Select(const Condition& aIsEligible) const
 {
-  const std::string* best = nullptr;
-  double bestCapacity = 0;
+  std::vector<std::pair<double, std::string_view>> before;
   for (const auto& [name, peer] : mPeers) {
-    const bool isEligible = IsBeforeSelf(name, peer) && aIsEligible(peer);
-    if (isEligible && (best == nullptr || peer.mCapacity > bestCapacity)) {
-      best = &name;
-      bestCapacity = peer.mCapacity;
+    if (IsBeforeSelf(name, peer) && aIsEligible(peer)) {
+      before.emplace_back(-peer.mCapacity, name);
     }
   }
-  if (best == nullptr) {
+  if (before.empty()) {
     return std::nullopt;
   }
-  return *best;
+  const std::size_t children = ChildrenOfRoot(mPeers.size() + 1);
+  if (before.size() <= children) {
+    return std::string{
+      std::min_element(before.begin(), before.end())->second
+    };
+  }
+  std::partial_sort(before.begin(),
+                    before.begin() + static_cast<std::ptrdiff_t>(children) + 1,
+                    before.end());
+  // The gateway with the highest hash: when one joins or leaves, only the
+  // gateways that select it change their parent.
+  std::string_view best;
+  std::uint64_t bestHash = 0;
+  for (std::size_t i = 1; i <= children; ++i) {
+    const std::string_view name = before[i].second;
+    const std::uint64_t hash = StableHash(mSelf.mName + std::string{ name });
+    if (best.empty() || hash > bestHash) {
+      best = name;
+      bestHash = hash;
+    }
+  }
+  return std::string{ best };
 }
 
 std::optional<std::string>
 RelaySelector::Parent(Instant aNow) const
 {
-  return FirstEligible(
-    [&](const Peer& aPeer) { return aPeer.mBackoffUntil <= aNow; });
+  return Select([&](const Peer& aPeer) { return aPeer.mBackoffUntil <= aNow; });
 }
 
 std::optional<std::string>
 RelaySelector::Relay(Instant aNow) const
 {
-  return FirstEligible([&](const Peer& aPeer) {
+  return Select([&](const Peer& aPeer) {
     return aPeer.mBackoffUntil <= aNow && aPeer.mStoreLostUntil <= aNow;
   });
 }
 
+std::size_t
+RelaySelector::Rank() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mPeers.begin(), mPeers.end(), [&](const auto& aEntry) {
+      return IsBeforeSelf(aEntry.first, aEntry.second);
+    }));
+}
+
+void
+RelaySelector::OnPeersListed(Instant aNow)
+{
+  mPeersListedAt = mPeersListedAt.value_or(aNow);
+}
+
+bool
+RelaySelector::IsStarting(Instant aNow) const
+{
+  if (!mStartedAt || mRespondedAt) {
+    return false;
+  }
+  if (!mPeersListedAt) {
+    return aNow - *mStartedAt < kMaxDiscoveryTime;
+  }
+  const Milliseconds wait = Relay(aNow)      ? kFirstResponseTime
+                            : mPeers.empty() ? kSettleTime + kSecondListTime
+                                             : Milliseconds::zero();
+  return aNow - *mPeersListedAt < wait;
+}
+
 bool
 RelaySelector::ShouldRead(Instant aNow) const
 {
-  const bool hasRecentRequest =
-    mRequestedAt && aNow - *mRequestedAt < kServeReadTime;
+  if (IsStarting(aNow)) {
+    return false;
+  }
   const bool hasRecentResponse =
     mRespondedAt && aNow - *mRespondedAt < kMaxResponseAge;
-  return hasRecentRequest || !hasRecentResponse || !Relay(aNow);
+  return !hasRecentResponse || !Relay(aNow);
+}
+
+bool
+RelaySelector::ShouldReadPeers(Instant aNow) const
+{
+  const bool isSettled =
+    mPeersListedAt && mPeers.empty() && aNow - *mPeersListedAt >= kSettleTime;
+  return !mPeersListedAt || isSettled || ShouldRead(aNow);
 }
 
 void
--- a/src/cactusgw/gateway/relay_selector.hpp
+++ b/src/cactusgw/gateway/relay_selector.hpp
@@ -3,13 +3,17 @@
 
 /// Decides whether this gateway reads the store itself or requests the store's
 /// content from another gateway of its data centre, the relay. All gateways use
-/// the same order, by capacity and name. Each selects the first gateway before
-/// itself that responds, and reads the store itself if there is none or if it
-/// has no recent response. This needs neither an election nor a consensus.
+/// the same order, by capacity and name. In a small data centre each selects
+/// the first gateway before itself that responds. In a larger one only the
+/// gateways that follow the first one do so, and each of the others selects one
+/// of these, which bounds the number of gateways that one has to serve. A
+/// gateway reads the store itself if there is none before it or if it has no
+/// recent response. This needs neither an election nor a consensus.
 
 #include "cactusgw/core/verdict.hpp"
 #include "cactusgw/gateway/gateway_peer.hpp"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <optional>
@@ -22,6 +26,9 @@
 class RelaySelector
 {
 public:
+  /// Number of gateways up to which all others of a data centre select the
+  /// first one.
+  static constexpr std::size_t kMaxDirectChildren = 16;
   /// Backoff after a request to a gateway timed out. It doubles with each
   /// timeout up to the maximum; any message from that gateway ends it.
   static constexpr Milliseconds kFirstBackoff{ 5000 };
@@ -29,9 +36,18 @@
   /// Backoff for a gateway that responds but can't reach the store itself. An
   /// outage of a single gateway lasts about this long.
   static constexpr Milliseconds kStoreLostBackoff{ 2000 };
-  /// A gateway goes on reading the store for this long after it received a
-  /// request: several times the interval between requests.
-  static constexpr Milliseconds kServeReadTime{ 3000 };
+  /// After its start a gateway doesn't read the store itself until it knows the
+  /// other gateways, but no longer than this.
+  static constexpr Milliseconds kMaxDiscoveryTime{ 1500 };
+  /// How long a gateway that knows no other one of its data centre waits for
+  /// the others to register, as all may start at once, before it reads the list
+  /// of gateways again.
+  static constexpr Milliseconds kSettleTime{ 200 };
+  /// Time for that second read, before it reads everything else.
+  static constexpr Milliseconds kSecondListTime{ 150 };
+  /// How long a gateway waits after its start for the first response of a
+  /// relay, which may have started at the same time.
+  static constexpr Milliseconds kFirstResponseTime{ 1200 };
   /// Without a response from a relay with store access for this long, a gateway
   /// reads the store itself. Responses arrive every 500 ms, and the tightest
   /// limit on the time in which a change must become known is 2500 ms.
@@ -39,21 +55,35 @@
 
   static RelaySelector Create(GatewayPeer aSelf);
 
+  /// Begins the start phase, in which this gateway leaves it to others to read
+  /// the store. Without it, the gateway reads until it has a response.
+  void OnStarted(Instant aNow) { mStartedAt = aNow; }
+  /// The first list of gateways is complete.
+  void OnPeersListed(Instant aNow);
+
   /// Gateways of other data centres are ignored.
   void SetPeer(const GatewayPeer& aPeer);
   void RemovePeer(std::string_view aName);
 
-  /// The parent in the relay tree: the first gateway before this one that
-  /// responds, if any.
+  /// Number of gateways that select the first one, in a data centre of this
+  /// many gateways: a power of two, so that it seldom changes, of about the
+  /// square root.
+  static std::size_t ChildrenOfRoot(std::size_t aGateways);
+
+  /// The parent in the relay tree, a gateway before this one that responds, if
+  /// any.
   std::optional<std::string> Parent(Instant aNow) const;
-  /// The first gateway before this one that responds and can reach the store:
-  /// the one to send requests to.
+  /// The same among the gateways that can reach the store: the one to send
+  /// requests to.
   std::optional<std::string> Relay(Instant aNow) const;
   /// Whether this gateway has to read the store itself.
   bool ShouldRead(Instant aNow) const;
+  /// The same for the list of gateways, from which it learns who else reads.
+  bool ShouldReadPeers(Instant aNow) const;
+
+  /// Number of gateways of the data centre that come before this one.
+  std::size_t Rank() const;
 
-  /// Another gateway sent a request to this one.
-  void OnRequest(Instant aNow) { mRequestedAt = aNow; }
   /// A gateway that can reach the store responded.
   void OnResponse(std::string_view aName, Instant aNow);
   /// A gateway responded that it can't reach the store.
@@ -78,12 +108,15 @@
   {
   }
   template<typename Condition>
-  std::optional<std::string> FirstEligible(const Condition& aIsEligible) const;
+  std::optional<std::string> Select(const Condition& aIsEligible) const;
   bool IsBeforeSelf(std::string_view aName, const Peer& aPeer) const;
+  /// Whether the start phase still keeps this gateway from reading.
+  bool IsStarting(Instant aNow) const;
 
   GatewayPeer mSelf;
   std::map<std::string, Peer, std::less<>> mPeers;
-  std::optional<Instant> mRequestedAt;
+  std::optional<Instant> mStartedAt;
+  std::optional<Instant> mPeersListedAt;
   std::optional<Instant> mRespondedAt;
 };
 
--- a/src/cactusgw/gateway/store_freshness.cpp
+++ b/src/cactusgw/gateway/store_freshness.cpp
@@ -30,6 +30,13 @@
   return mIsKnown && (aLimit == Milliseconds::zero() || aNow - mAsOf < aLimit);
 }
 
+bool
+StoreFreshness::HasContact(Milliseconds aMaxAge, BootTime aNow) const
+{
+  return mIsKnown ? aNow - mAsOf < aMaxAge
+                  : mMissingAsOf && aNow - *mMissingAsOf < aMaxAge;
+}
+
 Milliseconds
 StoreFreshness::Age(BootTime aNow) const
 {
--- a/src/cactusgw/gateway/store_freshness.hpp
+++ b/src/cactusgw/gateway/store_freshness.hpp
@@ -7,6 +7,8 @@
 
 #include "cactusgw/core/verdict.hpp"
 
+#include <optional>
+
 namespace cactusgw {
 
 /// Time since boot, including time in suspension.
@@ -32,6 +34,12 @@
   /// Records that all changes of the configuration up to this time are known.
   /// Ignored while the latest version is unusable.
   void OnConfirmed(BootTime aAsOf);
+  /// Records that the store had no configuration yet at this time.
+  void OnMissing(BootTime aAsOf) { mMissingAsOf = aAsOf; }
+  /// Whether the store has been heard of within this time, by the latest
+  /// configuration or by the lack of any.
+  bool HasContact(Milliseconds aMaxAge, BootTime aNow) const;
+  bool HasEverHadContact() const { return mIsKnown || mMissingAsOf; }
   /// Sets whether the latest version of the configuration is usable. While it
   /// is not, confirmations don't reset the age of the version in use.
   void SetUsable(bool aIsUsable) { mIsUsable = aIsUsable; }
@@ -55,6 +63,7 @@
   bool mIsKnown = false;
   bool mIsUsable = true;
   BootTime mAsOf{ 0 };
+  std::optional<BootTime> mMissingAsOf;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/store_relay.cpp
+++ b/src/cactusgw/gateway/store_relay.cpp
@@ -129,7 +129,6 @@
                       const wire::StoreQuestion& aQuestion)
 {
   const Instant now = SteadyNow();
-  mSelector.OnRequest(now);
   HeldRequest held;
   held.mIdentity = std::string{ aIdentity };
   held.mId = aQuestion.id();
@@ -146,8 +145,7 @@
 StoreRelay::IsStoreReachable() const
 {
   return !mIsStopping && !mState.mIsUpstreamWatchDown &&
-         mState.mFreshness.IsKnown() &&
-         mState.mFreshness.Age(BootNow()) < kMaxContactAge;
+         mState.mFreshness.HasContact(kMaxContactAge, BootNow());
 }
 
 bool
@@ -157,7 +155,9 @@
   const bool isInContact = IsStoreReachable();
   const bool hasChanges =
     isInContact && mView.HasChangesSince(aHeld.mKnownRevisions);
-  if (!hasChanges && held < kLongPollTime && !mIsStopping) {
+  const Milliseconds longest =
+    mState.mFreshness.HasEverHadContact() ? kLongPollTime : kStartPollTime;
+  if (!hasChanges && held < longest && !mIsStopping) {
     return false;
   }
   wire::Envelope envelope;
@@ -165,6 +165,7 @@
   answer->set_id(aHeld.mId);
   answer->set_in_contact(isInContact);
   answer->set_held_ms(static_cast<std::uint32_t>(held.count()));
+  answer->set_no_config(!mState.mFreshness.IsKnown());
   answer->set_age_ms(
     static_cast<std::uint32_t>(mState.mFreshness.Age(BootNow()).count()));
   answer->set_lapse_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(
@@ -206,9 +207,13 @@
   // The relay's boot clock has a different origin, so only durations are used.
   // The response can't have been sent before the request had been held for
   // held_ms.
-  mState.mFreshness.OnConfirmed(request.mSentAtBoot +
-                                Milliseconds{ aAnswer.held_ms() } -
-                                Milliseconds{ aAnswer.age_ms() });
+  const BootTime heldUntil =
+    request.mSentAtBoot + Milliseconds{ aAnswer.held_ms() };
+  if (aAnswer.no_config()) {
+    mState.mFreshness.OnMissing(heldUntil);
+  } else {
+    mState.mFreshness.OnConfirmed(heldUntil - Milliseconds{ aAnswer.age_ms() });
+  }
 }
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/store_relay.hpp
+++ b/src/cactusgw/gateway/store_relay.hpp
@@ -27,6 +27,9 @@
 public:
   /// How long a request is held while there are no changes.
   static constexpr Milliseconds kLongPollTime{ 400 };
+  /// How long a request is held by a gateway that has not reached the store
+  /// since its start.
+  static constexpr Milliseconds kStartPollTime{ 800 };
   /// Timeout of a request: the long-poll time and a margin for a busy machine.
   static constexpr Milliseconds kResponseTimeout{ 1000 };
   /// A gateway whose configuration was confirmed longer ago than this counts as
@@ -38,9 +41,20 @@
   void SetPeer(const GatewayPeer& aPeer) { mSelector.SetPeer(aPeer); }
   void RemovePeer(std::string_view aName) { mSelector.RemovePeer(aName); }
 
+  void OnStarted(Instant aNow) { mSelector.OnStarted(aNow); }
+  void OnPeersListed(Instant aNow) { mSelector.OnPeersListed(aNow); }
+  /// Number of gateways of the data centre that come before this one.
+  std::size_t Rank() const { return mSelector.Rank(); }
+
   /// Whether this gateway currently has to read the store itself.
   bool ShouldRead(Instant aNow) const { return mSelector.ShouldRead(aNow); }
 
+  /// Whether this gateway currently has to read the list of gateways itself.
+  bool ShouldReadPeers(Instant aNow) const
+  {
+    return mSelector.ShouldReadPeers(aNow);
+  }
+
   /// The parent of this gateway in the relay tree, if any.
   std::optional<std::string> Parent(Instant aNow) const
   {
