Keep the set of calls while calls outlive their gateway

Cause: a call that is destroyed with its event loop erased itself from a set that had gone with the gateway: a double free at the end of BadBytesTest.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -623,9 +623,9 @@
 Gateway::GiveUpOpenCalls()
 {
   // A call may end, and leave the set, while it is interrupted.
-  const std::set<GatewayCall*> calls = mState.mCalls;
+  const std::set<GatewayCall*> calls = *mState.mCalls;
   for (GatewayCall* const call : calls) {
-    if (mState.mCalls.contains(call)) {
+    if (mState.mCalls->contains(call)) {
       call->GiveUp();
     }
   }
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -65,18 +65,19 @@
 
 GatewayCall::GatewayCall(GatewayState& aState, HttpExchange& aExchange)
   : mState(aState)
+  , mCalls(aState.mCalls)
   , mExchange(aExchange)
   , mStart(SteadyNow())
   , mRequestId(aExchange.Header(aState.mNames.mRequestId))
   , mTable(aState.mTable)
   , mSelector(aState, mStart)
 {
-  mState.mCalls.insert(this);
+  mCalls->insert(this);
 }
 
 GatewayCall::~GatewayCall()
 {
-  mState.mCalls.erase(this);
+  mCalls->erase(this);
   if (!mGeneration) {
     return;
   }
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -80,6 +80,7 @@
   Milliseconds Elapsed() const;
 
   GatewayState& mState;
+  std::shared_ptr<std::set<GatewayCall*>> mCalls;
   HttpExchange& mExchange;
   Instant mStart;
   std::string mRequestId;
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -133,8 +133,10 @@
   ResponseTimes mResponseTimes;
   /// Set once this gateway is stopping.
   std::optional<StopSchedule> mStop;
-  /// The calls in progress.
-  std::set<GatewayCall*> mCalls;
+  /// The calls in progress. Shared with them, as a call that is destroyed with
+  /// the event loop may outlive this state.
+  std::shared_ptr<std::set<GatewayCall*>> mCalls =
+    std::make_shared<std::set<GatewayCall*>>();
   std::uint32_t mGatewayCount = kMinGateways;
   /// Position of this gateway among all, ordered by name.
   std::uint32_t mGatewayRank = 0;
--- a/tests/gateway/planned_stop_test.cpp
+++ b/tests/gateway/planned_stop_test.cpp
@@ -129,7 +129,7 @@
         isDone = true;
       };
       net::co_spawn(mContext, call(), net::detached);
-      while (mGateway->State().mCalls.empty()) {
+      while (mGateway->State().mCalls->empty()) {
         co_await net::post(net::use_awaitable);
       }
       mGateway->Stop([&] { isStopped = true; });
