Isolate exceptions of handlers; tell responses of the store apart; fewer calls

Cause: an exception in a handler of a request or of a peer's message left the event loop and ended the process. A second SIGTERM during a graceful stop ended it at once, with its requests. A response without its array was taken for an empty list, so that a repeated response of a watch would have removed all objects. Change: HttpServer answers 500 or closes; PeerExchange logs and drops; SIGTERM is ignored once the stop has begun (SIGINT twice still ends it). Lists and watches need their own arrays.

--- a/src/cactusgw/gateway/peer_exchange.cpp
+++ b/src/cactusgw/gateway/peer_exchange.cpp
@@ -3,6 +3,7 @@
 #include "cactusgw/gateway/gateway_state.hpp"
 #include "cactusgw/net/steady_now.hpp"
 
+#include <exception>
 #include <iterator>
 
 namespace cactusgw {
@@ -116,8 +117,16 @@
 PeerExchange::OnMessage(std::string_view aIdentity, std::string_view aPayload)
 {
   const Result<wire::Envelope> envelope = mCodec.Decode(aPayload);
-  if (envelope) { // The codec has logged decoding errors.
+  if (!envelope) {
+    return; // The codec has logged the error.
+  }
+  try {
     mOnMessage(aIdentity, envelope.value());
+  } catch (const std::exception& e) {
+    mState.mLog.Write("peer-message-failed",
+                      { { "peer", envelope.value().sender_vm() },
+                        { "error", std::string{ e.what() } } },
+                      SteadyNow());
   }
 }
 
--- a/src/cactusgw/net/http_server.cpp
+++ b/src/cactusgw/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "cactusgw/net/address.hpp"
 #include "cactusgw/net/problem.hpp"
+#include "cactusgw/telemetry/log.hpp"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -20,6 +21,8 @@
 #include <boost/beast/http/write.hpp>
 
 #include <array>
+#include <exception>
+#include <string>
 #include <utility>
 #include <variant>
 
@@ -443,12 +446,32 @@
   }
   HttpExchange exchange{ aStream, parser.release(), limits, mDraining };
   ++mOpenExchanges;
-  co_await mHandler(exchange);
+  std::string error;
+  try {
+    co_await mHandler(exchange);
+  } catch (const std::exception& e) {
+    error = e.what(); // Nothing can be awaited here.
+  }
+  if (!error.empty()) {
+    co_await FailExchange(exchange, std::move(error));
+  }
   --mOpenExchanges;
   exchange.StopWatching();
   co_return exchange.KeepsAlive() && !mStopping;
 }
 
+Task<void>
+HttpServer::FailExchange(HttpExchange& aExchange, std::string aError)
+{
+  PartLog{ "http" }.Error("event=handler-failed error=\"" + aError + "\"");
+  if (aExchange.HasBegun()) {
+    aExchange.Abort();
+  } else {
+    co_await aExchange.Reply(
+      ProblemResponse(MayHaveRun(FailureCode::Internal, "internal error")));
+  }
+}
+
 Task<void>
 HttpServer::Refuse(TcpStream& aStream, http::status aStatus)
 {
--- a/src/cactusgw/net/http_server.hpp
+++ b/src/cactusgw/net/http_server.hpp
@@ -120,6 +120,9 @@
   Task<bool> WaitForRequest(TcpStream& aStream,
                             const beast::flat_buffer& aBuffer,
                             Milliseconds aTime);
+  /// Ends an exchange whose handler threw, so that one request can't end the
+  /// process.
+  static Task<void> FailExchange(HttpExchange& aExchange, std::string aError);
   Task<void> Refuse(TcpStream& aStream, http::status aStatus);
 
   net::io_context& mContext;
--- a/src/cactusgw/programs/event_loop.cpp
+++ b/src/cactusgw/programs/event_loop.cpp
@@ -29,9 +29,13 @@
     co_return;
   }
   aOnStop();
-  co_await aSignals->async_wait(net::redirect_error(net::use_awaitable, ec));
-  if (!ec) {
-    std::_Exit(EXIT_FAILURE);
+  while (!ec) {
+    const int signal = co_await aSignals->async_wait(
+      net::redirect_error(net::use_awaitable, ec));
+    // A platform may repeat SIGTERM during a graceful stop.
+    if (!ec && signal == SIGINT) {
+      std::_Exit(EXIT_FAILURE);
+    }
   }
 }
 
--- a/tests/platform/unreadable_objects_test.cpp
+++ b/tests/platform/unreadable_objects_test.cpp
@@ -12,6 +12,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <random>
 #include <string>
 #include <vector>
 
@@ -175,7 +176,78 @@
     return std::string{ aInfo.param.mName };
   });
 
-TEST(ObjectNameTest, IsEncodedWhenItContinuesAList)
+/// A response that answers another call, as when a store sends one twice.
+class ForeignResponseTest : public UnreadableObjectTest
+{};
+
+// Without its array a list would remove all objects.
+TEST_F(ForeignResponseTest, AWatchIsNotTakenForAList)
+{
+  EXPECT_FALSE(Read(R"({"events":[],"storeRevision":9})", false).has_value());
+}
+
+TEST_F(ForeignResponseTest, AListIsNotTakenForAWatch)
+{
+  EXPECT_FALSE(
+    Read(R"({"items":[],"more":false,"storeRevision":9})", true).has_value());
+}
+
+// Bytes of a response are changed, removed and repeated at random. Nothing may
+// throw, and what is read must be usable by other gateways.
+TEST_F(ForeignResponseTest, NoMutatedResponseEndsTheProcess)
+{
+  const std::string whole = R"({"items":[)" +
+                            Object("a", Document("slots", "32")) + "," +
+                            Object("b", Document("born", "1700000000000")) +
+                            R"(],"more":false,"storeRevision":9})";
+  std::mt19937 random{ 1 };
+  for (int i = 0; i < 500; ++i) {
+    std::string text = whole;
+    for (unsigned edits = 1 + random() % 4; edits > 0; --edits) {
+      const std::size_t at = random() % text.size();
+      switch (random() % 4) {
+        case 0:
+          text[at] = static_cast<char>(random() % 256);
+          break;
+        case 1:
+          text.erase(at, 1 + random() % 8);
+          break;
+        case 2:
+          text.insert(at, text.substr(at, 1 + random() % 40));
+          break;
+        default:
+          text.insert(at,
+                      std::string(1 + random() % 64, "[{\"9-e"[random() % 6]));
+          break;
+      }
+    }
+    // A list that announces more pages would be read forever.
+    if (text.find("\"more\":false") == std::string::npos) {
+      continue;
+    }
+    const Result<CollectionUpdate> update = Read(text, false);
+    for (std::size_t n = 0; update && n < update.value().mObjects.size(); ++n) {
+      const StoredObject& object = update.value().mObjects[n];
+      json::error_code ec;
+      const json::value document = json::parse(object.mDocument.value(), ec);
+      EXPECT_FALSE(ec) << text;
+      static_cast<void>(DecodeUpstream(object.mName, document));
+      static_cast<void>(DecodePeer(object.mName, document));
+      static_cast<void>(DecodeQuarantine(object.mName, document));
+      static_cast<void>(DecodeConfig(document));
+    }
+  }
+}
+
+/// The targets of the calls that read a list of two pages.
+class ListTargetTest : public ::testing::Test
+{
+protected:
+  static std::vector<std::string> TargetsOf(ListConsistency aConsistency);
+};
+
+std::vector<std::string>
+ListTargetTest::TargetsOf(ListConsistency aConsistency)
 {
   net::io_context context{ 1 };
   Counter calls{ { "calls", "", "" } };
@@ -193,7 +265,7 @@
                                 (isFirst ? "true" : "false") +
                                 R"(,"storeRevision":9})");
                           } };
-  StoreSource source{ "servers", store.Address(), calls };
+  StoreSource source{ "servers", store.Address(), calls, aConsistency };
   bool done = false;
   const auto read = [&]() -> Task<void> {
     const Result<CollectionUpdate> listing = co_await source.List();
@@ -205,10 +277,23 @@
   while (!done) {
     context.run_one();
   }
+  return targets;
+}
+
+TEST_F(ListTargetTest, NameOfAnObjectIsEncoded)
+{
   EXPECT_THAT(
-    targets,
+    TargetsOf(ListConsistency::Newest),
     ::testing::ElementsAre("/v1/objects/servers",
                            "/v1/objects/servers?afterRevision=a%20b%26c"));
 }
 
+TEST_F(ListTargetTest, EachPageMayBeOld)
+{
+  EXPECT_THAT(TargetsOf(ListConsistency::MayBeOld),
+              ::testing::ElementsAre(
+                "/v1/objects/servers?staleOk=1",
+                "/v1/objects/servers?staleOk=1&afterRevision=a%20b%26c"));
+}
+
 } // namespace cactusgw::platform::test
--- a/tests/system/gateway_process_test.cpp
+++ b/tests/system/gateway_process_test.cpp
@@ -108,6 +108,18 @@
   EXPECT_EQ(gateway.WaitForExit(), 0);
 }
 
+// A repeated SIGTERM must not cut off the requests that a stop still answers.
+TEST(GatewayProcessTest, ARepeatedSigtermChangesNothing)
+{
+  GatewayProcess gateway{ "" };
+  EXPECT_TRUE(gateway.WaitForLine("event=started"));
+  gateway.Signal(SIGTERM);
+  EXPECT_TRUE(gateway.WaitForLine("event=stopping"));
+  gateway.Signal(SIGTERM);
+  EXPECT_TRUE(gateway.WaitForLine("event=stopped"));
+  EXPECT_EQ(gateway.WaitForExit(), 0);
+}
+
 TEST(GatewayProcessTest, ReloadsOnSighup)
 {
   GatewayProcess gateway{ "" };
