--- a/tests/gateway/relay_tree_test.cpp
+++ b/tests/gateway/relay_tree_test.cpp
@@ -151,13 +151,16 @@
     }
   }
 
-  void SetLoad(std::size_t aNode, const std::string& aUpstream, std::uint32_t n)
+  void SetLoad(std::size_t aNode,
+               const std::string& aUpstream,
+               std::uint32_t aRequests)
   {
     Node& node = mNodes[aNode];
-    if (n == 0) {
+    if (aRequests == 0) {
       node.mOwn.erase(aUpstream);
     } else {
-      node.mOwn[aUpstream] = { { n, n * 1000ULL, 0, 0, 0 }, {} };
+      node.mOwn[aUpstream] = { { aRequests, aRequests * 1000ULL, 0, 0, 0 },
+                               {} };
     }
   }
 
