Draw random loads in a fixed order in the tests of the relay tree

Cause: the order in which arguments are evaluated is unspecified, so that a seed could mean other loads on another machine.

--- a/tests/gateway/relay_tree_test.cpp
+++ b/tests/gateway/relay_tree_test.cpp
@@ -348,9 +348,11 @@
 {
   constexpr unsigned kUpstreams = 130;
   for (int i = 0; i < aChanges; ++i) {
-    aFleet.SetLoad(aRandom() % aFleet.Size(),
-                   "u" + std::to_string(aRandom() % kUpstreams),
-                   aRandom() % 3);
+    // One by one: the order in which arguments are evaluated is unspecified.
+    const std::size_t node = aRandom() % aFleet.Size();
+    const std::string upstream = "u" + std::to_string(aRandom() % kUpstreams);
+    const std::uint32_t requests = aRandom() % 3;
+    aFleet.SetLoad(node, upstream, requests);
   }
 }
 
