--- a/review/harness/harness.hpp
+++ b/review/harness/harness.hpp
@@ -668,6 +668,9 @@
   int Port() const { return mServer.Port(); }
   const std::string& Id() const { return mId; }
 
+  /// Counts as a new start of the replica from now on.
+  void StartAgain() { mBorn += 1 + NowMs(); }
+
   /// Writes the entry of the replica into the store.
   void Beat(const std::string& aState)
   {
@@ -710,7 +713,7 @@
   std::string mId;
   std::string mService;
   Run mRun;
-  long mBorn = 1'780'000'000'000 + NowMs();
+  std::atomic<long> mBorn{ 1'780'000'000'000 + NowMs() };
   std::atomic<long> mSequence{ 0 };
   Server mServer;
 };
