Log suspected, refuted and cleared crashes of a request

The logs showed each send of a request that crashes upstreams, but not how many crashes the gateway knew of, nor when one was recorded, refuted or cleared. Three hypotheses of the incident differ in just that. sent names the known crashes; crash-suspected, crash-refuted and suspicion-cleared are new events, one line each. No decision changes.

--- a/src/cactusgw/core/request_crashes.cpp
+++ b/src/cactusgw/core/request_crashes.cpp
@@ -61,32 +61,34 @@
   Put(aRequest, { HashOf(aUpstream), aSentAt, aNow, false });
 }
 
-void
+bool
 RequestCrashes::OnServed(RequestFingerprint aRequest)
 {
   mStored.erase(aRequest);
   const auto it = mRequests.find(aRequest.mValue);
   if (it == mRequests.end()) {
-    return;
+    return false;
   }
+  const bool wasSuspect = Count(it->second).mCrashes > 0;
   // Put() may move the entry.
   const std::vector<RequestCrash> crashes = it->second.mCrashes;
   for (RequestCrash crash : crashes) {
     crash.mIsCleared = true;
     Put(aRequest, crash);
   }
+  return wasSuspect;
 }
 
-void
+bool
 RequestCrashes::OnResponse(const UpstreamStart& aUpstream, Instant aSentAt)
 {
   if (mCrashedUpstreams.empty()) {
-    return;
+    return false;
   }
   const std::uint64_t upstream = HashOf(aUpstream);
   const auto crashed = mCrashedUpstreams.find(upstream);
   if (crashed == mCrashedUpstreams.end() || aSentAt <= crashed->second) {
-    return;
+    return false;
   }
   mCrashedUpstreams.erase(crashed);
   for (auto& [request, entry] : mRequests) {
@@ -97,6 +99,7 @@
       Put(RequestFingerprint{ request }, refuted);
     }
   }
+  return true;
 }
 
 void
@@ -176,7 +179,8 @@
   std::vector<Rank> ranks;
   ranks.reserve(mRequests.size());
   for (const auto& [request, entry] : mRequests) {
-    ranks.push_back({ CountCauses(entry), LastCrash(entry.mCrashes), request });
+    ranks.push_back(
+      { Count(entry).mCauses, LastCrash(entry.mCrashes), request });
   }
   // Several at once, as finding the least takes a pass over all.
   constexpr std::ptrdiff_t kDropped = kMaxRequests / 8;
@@ -196,8 +200,15 @@
   return mRequests.erase(aAt);
 }
 
-std::size_t
-RequestCrashes::CountCauses(const Entry& aEntry)
+CrashCount
+RequestCrashes::CountOf(RequestFingerprint aRequest) const
+{
+  const auto it = mRequests.find(aRequest.mValue);
+  return it == mRequests.end() ? CrashCount{} : Count(it->second);
+}
+
+CrashCount
+RequestCrashes::Count(const Entry& aEntry)
 {
   std::vector<RequestCrash> active;
   std::copy_if(aEntry.mCrashes.begin(),
@@ -218,14 +229,14 @@
       last = crash.mAt;
     }
   }
-  return causes;
+  return { active.size(), causes };
 }
 
 bool
 RequestCrashes::IsRefuted(RequestFingerprint aRequest) const
 {
   const auto it = mRequests.find(aRequest.mValue);
-  return it != mRequests.end() && CountCauses(it->second) == 0;
+  return it != mRequests.end() && Count(it->second).mCauses == 0;
 }
 
 void
@@ -256,7 +267,7 @@
       it = Erase(it);
       continue;
     }
-    if (CountCauses(entry) >= kMinCrashes) {
+    if (Count(entry).mCauses >= kMinCrashes) {
       current.insert(RequestFingerprint{ it->first });
     }
     ++it;
@@ -291,7 +302,7 @@
 {
   const auto it = mRequests.find(aRequest.mValue);
   return (mStored.contains(aRequest) && !IsRefuted(aRequest)) ||
-         (it != mRequests.end() && CountCauses(it->second) >= kMinCrashes);
+         (it != mRequests.end() && Count(it->second).mCauses >= kMinCrashes);
 }
 
 std::optional<Milliseconds>
@@ -303,7 +314,7 @@
     return kQuarantineRetryAfter;
   }
   const auto it = mRequests.find(aRequest.mValue);
-  if (it == mRequests.end() || CountCauses(it->second) < kMinCrashesToHold) {
+  if (it == mRequests.end() || Count(it->second).mCauses < kMinCrashesToHold) {
     return std::nullopt;
   }
   const Instant until = LastCrash(it->second.mCrashes) + kHoldTime;
--- a/src/cactusgw/core/request_crashes.hpp
+++ b/src/cactusgw/core/request_crashes.hpp
@@ -46,6 +46,14 @@
   std::vector<RequestCrash> mCrashes;
 };
 
+/// Active crashes of a request.
+struct CrashCount
+{
+  std::size_t mCrashes = 0;
+  /// Number of causes that the crashes have at least.
+  std::size_t mCauses = 0;
+};
+
 /// Requests whose quarantine began and ended with an update.
 struct RequestQuarantineChanges
 {
@@ -85,10 +93,12 @@
                Instant aSentAt,
                Instant aNow);
   /// Records that an upstream served the request.
-  void OnServed(RequestFingerprint aRequest);
+  /// @return whether that cleared a crash
+  bool OnServed(RequestFingerprint aRequest);
   /// Records a response of an upstream: if its request was sent after a
   /// supposed crash, there was none.
-  void OnResponse(const UpstreamStart& aUpstream, Instant aSentAt);
+  /// @return whether that refuted a crash
+  bool OnResponse(const UpstreamStart& aUpstream, Instant aSentAt);
   /// Adds what another gateway reports.
   void Merge(const RequestSuspicion& aSuspicion, Instant aNow);
   /// Replaces the quarantines that the platform's store holds. They apply until
@@ -110,6 +120,7 @@
   {
     return mQuarantined;
   }
+  CrashCount CountOf(RequestFingerprint aRequest) const;
   /// Whether one request is a suspect of all these crashes.
   bool HasSuspectOfAll(std::span<const UpstreamStart> aUpstreams) const;
 
@@ -140,8 +151,7 @@
   void OnChanged(std::uint64_t aRequest, Entry& aEntry);
   void MakeRoom();
   Requests::iterator Erase(Requests::iterator aAt);
-  /// Number of causes that the active crashes have at least.
-  static std::size_t CountCauses(const Entry& aEntry);
+  static CrashCount Count(const Entry& aEntry);
   /// Whether the request was served after all crashes that are known.
   bool IsRefuted(RequestFingerprint aRequest) const;
 
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -279,6 +279,7 @@
       { "continues", mContinuation ? mContinuation->mHandle : "nothing" },
       { "parts", JoinParts(mAdmitted.mOrigin.mSharedParts) },
       { "fingerprint", ToString(mAdmitted.mOrigin.mFingerprint) },
+      { "crashes", KnownCrashes() },
       { "afterMs", Elapsed().count() } },
     now);
   const Result<void> header = co_await Exchange(
@@ -453,8 +454,14 @@
     return;
   }
   const UpstreamTarget& upstream = mConnection->Target();
-  mState.mRequestCrashes.OnResponse({ upstream.mId, upstream.mStartedMs },
-                                    mSentAt);
+  if (mState.mRequestCrashes.OnResponse({ upstream.mId, upstream.mStartedMs },
+                                        mSentAt)) {
+    mState.mLog.Write("crash-refuted",
+                      { { "request", mRequestId },
+                        { "upstream", upstream.mId },
+                        { "startedMs", upstream.mStartedMs } },
+                      SteadyNow());
+  }
 }
 
 void
@@ -531,6 +538,26 @@
   mState.mCrashes.OnCrash(upstream, mAdmitted.mOrigin.mSharedParts, now);
   mState.mRequestCrashes.OnCrash(
     mAdmitted.mOrigin.mFingerprint, upstream, mSentAt, now);
+  const CrashCount count =
+    mState.mRequestCrashes.CountOf(mAdmitted.mOrigin.mFingerprint);
+  mState.mLog.Write(
+    "crash-suspected",
+    { { "request", mRequestId },
+      { "fingerprint", ToString(mAdmitted.mOrigin.mFingerprint) },
+      { "upstream", upstream.mId },
+      { "startedMs", upstream.mStartedMs },
+      { "sentAgoMs",
+        std::chrono::duration_cast<Milliseconds>(now - mSentAt).count() },
+      { "crashes", static_cast<std::int64_t>(count.mCrashes) },
+      { "causes", static_cast<std::int64_t>(count.mCauses) } },
+    now);
+}
+
+std::int64_t
+GatewayCall::KnownCrashes() const
+{
+  return static_cast<std::int64_t>(
+    mState.mRequestCrashes.CountOf(mAdmitted.mOrigin.mFingerprint).mCrashes);
 }
 
 void
@@ -538,7 +565,23 @@
 {
   if (!std::exchange(mIsServed, true)) {
     mState.mCrashes.OnServed(mAdmitted.mOrigin.mSharedParts, SteadyNow());
-    mState.mRequestCrashes.OnServed(mAdmitted.mOrigin.mFingerprint);
+    ClearSuspicion();
+  }
+}
+
+void
+GatewayCall::ClearSuspicion()
+{
+  const RequestFingerprint fingerprint = mAdmitted.mOrigin.mFingerprint;
+  if (mState.mRequestCrashes.OnServed(fingerprint)) {
+    mState.mLog.Write(
+      "suspicion-cleared",
+      { { "request", mRequestId },
+        { "fingerprint", ToString(fingerprint) },
+        { "upstream", mUpstream },
+        { "status",
+          static_cast<std::int64_t>(mConnection->Response().Status()) } },
+      SteadyNow());
   }
 }
 
@@ -574,7 +617,7 @@
   }
   // Also when the upstream failed: the request did not crash it.
   if (!response.IsCloseDelimited()) {
-    mState.mRequestCrashes.OnServed(mAdmitted.mOrigin.mFingerprint);
+    ClearSuspicion();
   }
   mState.mMetrics.mCompleted.Add();
   mState.mMetrics.mResponseTime.Record(now - mStart);
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -71,6 +71,10 @@
   /// before it visibly began to respond.
   void ReportCrash(const KnownUpstream& aUpstream, const Failure& aFailure);
   void OnServed();
+  /// Clears the crashes that this request is a suspect of.
+  void ClearSuspicion();
+  /// Number of crashes that this request is known to be a suspect of.
+  std::int64_t KnownCrashes() const;
   void OnAttemptFailed(const Failure& aFailure);
   /// Frees the state of a generation whose continuation was held back.
   void DropContinuation();
