Send one copy of a suspected request at a time

Cause: each gateway decided alone. Nothing told it that another one had a copy of the suspect in progress, all let it pass in the same moment when the time of holding back ended, and copies that ended all upstreams of a small service within 100 ms counted as one crash. The time of holding back applied only to the first send of a client request, so that a send after a 421 passed with two crashes known.

Change: a send of a suspect is a trial, which gateways share with the crashes; copies are held back until its outcome. After the time of holding back the gateways take turns. Two causes with three crashes are enough for a quarantine. SendGate applies the same check to each send of a request.

--- a/src/cactusgw/core/request_crashes.cpp
+++ b/src/cactusgw/core/request_crashes.cpp
@@ -15,6 +15,9 @@
 constexpr Milliseconds kExpiryCheckInterval{ 1000 };
 /// Minimum time between two updates while crashes are reported.
 constexpr Milliseconds kMinUpdateInterval{ 200 };
+/// Retry-After while a copy of the request is on trial, which mostly ends
+/// sooner.
+constexpr Milliseconds kTrialRetryAfter{ 500 };
 
 std::uint64_t
 HashOf(const UpstreamStart& aUpstream)
@@ -31,6 +34,16 @@
                     (aCrash.mIsCleared ? ",cleared" : ""));
 }
 
+std::uint64_t
+DigestOf(std::uint64_t aRequest, const RequestTrial& aTrial)
+{
+  return aTrial.mNumber == 0 ? 0
+                             : StableHash(std::to_string(aRequest) + ",trial," +
+                                          std::to_string(aTrial.mNumber) + "," +
+                                          std::to_string(aTrial.mGateway) +
+                                          (aTrial.mIsEnded ? ",ended" : ""));
+}
+
 std::vector<RequestCrash>::iterator
 FindUpstream(std::vector<RequestCrash>& aCrashes, std::uint64_t aUpstream)
 {
@@ -40,12 +53,13 @@
     });
 }
 
+/// When the last crash happened that is not cleared.
 Instant
 LastCrash(const std::vector<RequestCrash>& aCrashes)
 {
   Instant last;
   for (const RequestCrash& crash : aCrashes) {
-    last = std::max(last, crash.mAt);
+    last = crash.mIsCleared ? last : std::max(last, crash.mAt);
   }
   return last;
 }
@@ -102,6 +116,30 @@
   return true;
 }
 
+std::optional<RequestTrial>
+RequestCrashes::BeginTrial(RequestFingerprint aRequest, Instant aNow)
+{
+  const auto it = mRequests.find(aRequest.mValue);
+  if (it == mRequests.end() || Count(it->second).mCrashes == 0) {
+    return std::nullopt;
+  }
+  const RequestTrial trial{ it->second.mTrial.mTrial.mNumber + 1,
+                            mPlace.mId,
+                            false };
+  MergeTrial(aRequest, { trial, aNow });
+  return trial;
+}
+
+void
+RequestCrashes::EndTrial(RequestFingerprint aRequest, RequestTrial aTrial)
+{
+  const auto it = mRequests.find(aRequest.mValue);
+  if (it != mRequests.end()) {
+    aTrial.mIsEnded = true;
+    MergeTrial(aRequest, { aTrial, it->second.mTrial.mSentAt });
+  }
+}
+
 void
 RequestCrashes::Merge(const RequestSuspicion& aSuspicion, Instant aNow)
 {
@@ -110,6 +148,23 @@
       Put(aSuspicion.mRequest, crash);
     }
   }
+  MergeTrial(aSuspicion.mRequest, aSuspicion.mTrial);
+}
+
+void
+RequestCrashes::MergeTrial(RequestFingerprint aRequest,
+                           const KnownTrial& aTrial)
+{
+  const auto it = mRequests.find(aRequest.mValue);
+  if (it == mRequests.end()) {
+    return;
+  }
+  KnownTrial& known = it->second.mTrial;
+  const std::uint64_t before = DigestOf(aRequest.mValue, known.mTrial);
+  if (known.Merge(aTrial)) {
+    mDigest += DigestOf(aRequest.mValue, known.mTrial) - before;
+    OnChanged(aRequest.mValue, it->second);
+  }
 }
 
 void
@@ -196,6 +251,7 @@
   for (const RequestCrash& crash : aAt->second.mCrashes) {
     mDigest -= DigestOf(aAt->first, crash);
   }
+  mDigest -= DigestOf(aAt->first, aAt->second.mTrial.mTrial);
   mByVersion.erase(aAt->second.mVersion);
   return mRequests.erase(aAt);
 }
@@ -232,6 +288,15 @@
   return { active.size(), causes };
 }
 
+bool
+RequestCrashes::IsGuilty(const Entry& aEntry)
+{
+  const CrashCount count = Count(aEntry);
+  // Crashes at the same time may have had a common cause, but not the crash of
+  // another upstream that the request was sent to before or after.
+  return count.mCauses >= kMinCrashesToHold && count.mCrashes >= kMinCrashes;
+}
+
 bool
 RequestCrashes::IsRefuted(RequestFingerprint aRequest) const
 {
@@ -267,7 +332,7 @@
       it = Erase(it);
       continue;
     }
-    if (Count(entry).mCauses >= kMinCrashes) {
+    if (IsGuilty(entry)) {
       current.insert(RequestFingerprint{ it->first });
     }
     ++it;
@@ -302,7 +367,7 @@
 {
   const auto it = mRequests.find(aRequest.mValue);
   return (mStored.contains(aRequest) && !IsRefuted(aRequest)) ||
-         (it != mRequests.end() && Count(it->second).mCauses >= kMinCrashes);
+         (it != mRequests.end() && IsGuilty(it->second));
 }
 
 std::optional<Milliseconds>
@@ -314,10 +379,18 @@
     return kQuarantineRetryAfter;
   }
   const auto it = mRequests.find(aRequest.mValue);
-  if (it == mRequests.end() || Count(it->second).mCauses < kMinCrashesToHold) {
+  if (it == mRequests.end()) {
+    return std::nullopt;
+  }
+  const CrashCount count = Count(it->second);
+  if (count.mCrashes > 0 && it->second.mTrial.IsRunning(aNow)) {
+    return kTrialRetryAfter;
+  }
+  if (count.mCauses < kMinCrashesToHold) {
     return std::nullopt;
   }
-  const Instant until = LastCrash(it->second.mCrashes) + kHoldTime;
+  const Instant until =
+    LastCrash(it->second.mCrashes) + kHoldTime + mPlace.TurnDelay(aRequest);
   return aNow < until
            ? std::optional{ std::chrono::ceil<Milliseconds>(until - aNow) }
            : std::nullopt;
@@ -361,8 +434,9 @@
       completeTo = std::prev(it)->first;
       break;
     }
+    const Entry& entry = mRequests.at(it->second);
     changed.push_back(
-      { RequestFingerprint{ it->second }, mRequests.at(it->second).mCrashes });
+      { RequestFingerprint{ it->second }, entry.mCrashes, entry.mTrial });
   }
   return { std::move(changed), completeTo };
 }
--- a/src/cactusgw/core/request_crashes.hpp
+++ b/src/cactusgw/core/request_crashes.hpp
@@ -11,6 +11,7 @@
 /// and however often they arrive: a cleared fact stays cleared.
 
 #include "cactusgw/core/request_fingerprint.hpp"
+#include "cactusgw/core/request_trial.hpp"
 #include "cactusgw/core/upstream_start.hpp"
 #include "cactusgw/core/verdict.hpp"
 
@@ -44,6 +45,7 @@
 {
   RequestFingerprint mRequest;
   std::vector<RequestCrash> mCrashes;
+  KnownTrial mTrial;
 };
 
 /// Active crashes of a request.
@@ -67,8 +69,7 @@
 public:
   /// Crashes after which a request is quarantined.
   static constexpr std::size_t kMinCrashes = 3;
-  /// Crashes after which a request is held back for a while. Retries for the
-  /// same client request go on: they are few.
+  /// Crashes after which a request is held back for a while.
   static constexpr std::size_t kMinCrashesToHold = 2;
   /// Time after its last crash for which such a request is held back. Crashed
   /// upstreams take a few seconds to start again; a further crash before would
@@ -87,6 +88,9 @@
 
   static RequestCrashes Create() { return RequestCrashes{}; }
 
+  /// Sets this gateway's place among those that share the evidence.
+  void SetPlace(const GatewayPlace& aPlace) { mPlace = aPlace; }
+
   /// Records that an upstream crashed while the request was in progress there.
   void OnCrash(RequestFingerprint aRequest,
                const UpstreamStart& aUpstream,
@@ -99,6 +103,12 @@
   /// supposed crash, there was none.
   /// @return whether that refuted a crash
   bool OnResponse(const UpstreamStart& aUpstream, Instant aSentAt);
+  /// Records that the request is sent. A suspect is on trial then.
+  /// @return the trial, which must be ended; nullopt if the request is none
+  std::optional<RequestTrial> BeginTrial(RequestFingerprint aRequest,
+                                         Instant aNow);
+  /// Records that the upstream has responded, crashed or refused the request.
+  void EndTrial(RequestFingerprint aRequest, RequestTrial aTrial);
   /// Adds what another gateway reports.
   void Merge(const RequestSuspicion& aSuspicion, Instant aNow);
   /// Replaces the quarantines that the platform's store holds. They apply until
@@ -109,8 +119,8 @@
   /// Drops expired crashes, and determines which quarantines have changed.
   RequestQuarantineChanges Update(Instant aNow);
 
-  /// Time for which a client's request must not be sent for the first time;
-  /// nullopt if it may be sent.
+  /// Time for which a request must not be sent by this gateway; nullopt if it
+  /// may be sent.
   std::optional<Milliseconds> HeldFor(RequestFingerprint aRequest,
                                       Instant aNow) const;
   /// Whether the request must not be sent at all, nor be continued.
@@ -140,6 +150,7 @@
   struct Entry
   {
     std::vector<RequestCrash> mCrashes;
+    KnownTrial mTrial;
     std::uint64_t mVersion = 0;
   };
   using Requests = std::unordered_map<std::uint64_t, Entry>;
@@ -148,13 +159,16 @@
 
   /// Adds a fact or clears a known one.
   void Put(RequestFingerprint aRequest, const RequestCrash& aCrash);
+  void MergeTrial(RequestFingerprint aRequest, const KnownTrial& aTrial);
   void OnChanged(std::uint64_t aRequest, Entry& aEntry);
   void MakeRoom();
   Requests::iterator Erase(Requests::iterator aAt);
   static CrashCount Count(const Entry& aEntry);
+  static bool IsGuilty(const Entry& aEntry);
   /// Whether the request was served after all crashes that are known.
   bool IsRefuted(RequestFingerprint aRequest) const;
 
+  GatewayPlace mPlace;
   Requests mRequests;
   /// When the crash of each upstream with active facts was last reported, by
   /// the stable hash of its start.
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "cactusgw/gateway/gateway.hpp"
 
+#include "cactusgw/core/hash.hpp"
 #include "cactusgw/gateway/gateway_call.hpp"
 #include "cactusgw/gateway/message_headers.hpp"
 #include "cactusgw/gateway/store_backoff.hpp"
@@ -653,7 +654,10 @@
   const std::uint32_t known =
     static_cast<std::uint32_t>(mPeers->PeerCount()) + 1;
   mState.mGatewayCount = std::max(GatewayState::kMinGateways, known);
-  mState.mGatewayRank = mPeers->CountBefore(mState.mSettings.mPlace.mVm);
+  const std::string& vm = mState.mSettings.mPlace.mVm;
+  mState.mGatewayRank = mPeers->CountBefore(vm);
+  mState.mRequestCrashes.SetPlace(
+    { mState.mGatewayRank, known, StableHash(vm) });
 }
 
 void
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -222,6 +222,11 @@
     if (!result && !mIsGivenUp) {
       ReportCrash(upstream, result.error());
     }
+    // An upstream may still crash on a request that its client has left.
+    if (mTrial && !mHasClientDisconnected) {
+      mState.mRequestCrashes.EndTrial(mAdmitted.mOrigin.mFingerprint, *mTrial);
+    }
+    mTrial.reset();
   }
   if (mConnection) {
     const bool isReusable =
@@ -252,9 +257,7 @@
     co_return allowed.error();
   }
   Result<SendClearance> clearance = mState.Gate(BootNow()).Clear(
-    mAdmitted.mOrigin,
-    mConnection->Target(),
-    mContinuation ? SendPurpose::Continuation : SendPurpose::Request);
+    mAdmitted.mOrigin, mConnection->Target(), Purpose());
   if (!clearance) {
     mIsHeldBack = true;
     co_return clearance.error();
@@ -262,6 +265,8 @@
   const Instant now = SteadyNow();
   const Instant until = AttemptDeadline(now);
   mState.OnSent(aUpstream, now);
+  mTrial =
+    mState.mRequestCrashes.BeginTrial(mAdmitted.mOrigin.mFingerprint, now);
   mSentAt = now;
   ++mAttempts;
   mState.mLog.Write(
@@ -508,14 +513,17 @@
   return known == nullptr || known->mRecord.mIsDraining;
 }
 
+SendPurpose
+GatewayCall::Purpose() const
+{
+  return mContinuation ? SendPurpose::Continuation : SendPurpose::Request;
+}
+
 Result<void>
 GatewayCall::CheckQuarantine()
 {
-  const SendGate gate = mState.Gate(BootNow());
-  Result<void> allowed = gate.CheckQuarantine(mAdmitted.mOrigin);
-  if (allowed && mAttempts == 0) {
-    allowed = gate.CheckFirstSend(mAdmitted.mOrigin);
-  }
+  Result<void> allowed =
+    mState.Gate(BootNow()).CheckCrashes(mAdmitted.mOrigin, Purpose());
   if (!allowed) {
     mState.mMetrics.mQuarantinedRequests.Add();
   }
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -64,6 +64,7 @@
   void OnEventsRelayed();
   void OnCompleted();
 
+  SendPurpose Purpose() const;
   /// Whether the next send must not happen, as upstreams may crash on this
   /// request. Errors: NotRun with Quarantined.
   Result<void> CheckQuarantine();
@@ -117,6 +118,8 @@
   StreamProgress mProgress;
   /// When the current attempt was sent.
   Instant mSentAt;
+  /// Set while the current attempt is the trial of a suspect of crashes.
+  std::optional<RequestTrial> mTrial;
   /// When the current attempt relayed its first event.
   std::optional<Instant> mFirstEventAt;
   /// Whether the current attempt counts as served in the evidence of crashes.
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -59,6 +59,7 @@
   , mRecorder(mSettings.mPlace.mVm + "/gateway")
   , mLog("gateway")
 {
+  mRequestCrashes.SetPlace({ 0, 1, StableHash(mSettings.mPlace.mVm) });
   mCrashes.SetOneRequestCheck(
     [this](std::span<const UpstreamStart> aUpstreams) {
       return mRequestCrashes.HasSuspectOfAll(aUpstreams);
--- a/src/cactusgw/gateway/send_gate.cpp
+++ b/src/cactusgw/gateway/send_gate.cpp
@@ -128,23 +128,42 @@
                   "upstreams crash on prompt parts " + JoinParts(parts->mParts),
                   kPartsRetryAfter);
   }
-  return mFacts.mRequestCrashes.IsQuarantined(aOrigin.mFingerprint)
-           ? CheckFirstSend(aOrigin)
+  const RequestCrashes& crashes = mFacts.mRequestCrashes;
+  return crashes.IsQuarantined(aOrigin.mFingerprint)
+           ? HeldBack(aOrigin)
            : boost::outcome_v2::success();
 }
 
 Result<void>
-SendGate::CheckFirstSend(const RequestOrigin& aOrigin) const
+SendGate::CheckSuspicion(const RequestOrigin& aOrigin) const
 {
+  const Result<void> allowed = CheckQuarantine(aOrigin);
+  return allowed ? HeldBack(aOrigin) : allowed;
+}
+
+Result<void>
+SendGate::CheckCrashes(const RequestOrigin& aOrigin, SendPurpose aPurpose) const
+{
+  return aPurpose == SendPurpose::Request ? CheckSuspicion(aOrigin)
+                                          : CheckQuarantine(aOrigin);
+}
+
+Result<void>
+SendGate::HeldBack(const RequestOrigin& aOrigin) const
+{
+  const RequestCrashes& crashes = mFacts.mRequestCrashes;
   const std::optional<Milliseconds> heldFor =
-    mFacts.mRequestCrashes.HeldFor(aOrigin.mFingerprint, mFacts.mNow);
+    crashes.HeldFor(aOrigin.mFingerprint, mFacts.mNow);
   if (!heldFor) {
     return boost::outcome_v2::success();
   }
-  return NotRun(FailureCode::Quarantined,
-                "upstreams crash on requests with fingerprint " +
-                  ToString(aOrigin.mFingerprint),
-                *heldFor);
+  return NotRun(
+    FailureCode::Quarantined,
+    "upstreams crash on requests with fingerprint " +
+      ToString(aOrigin.mFingerprint) + " (" +
+      std::to_string(crashes.CountOf(aOrigin.mFingerprint).mCrashes) +
+      " crashes known)",
+    *heldFor);
 }
 
 Result<SendClearance>
@@ -157,9 +176,9 @@
     return NotRun(FailureCode::UpstreamUnreachable,
                   "upstream " + aTarget.mId + " has left, restarted or moved");
   }
-  const Result<void> unquarantined = CheckQuarantine(aOrigin);
-  if (!unquarantined) {
-    return unquarantined.error();
+  const Result<void> isSafe = CheckCrashes(aOrigin, aPurpose);
+  if (!isSafe) {
+    return isSafe.error();
   }
   const UpstreamRecord& record = known->mRecord;
   const bool acceptsWork =
--- a/src/cactusgw/gateway/send_gate.hpp
+++ b/src/cactusgw/gateway/send_gate.hpp
@@ -106,9 +106,14 @@
   /// Refuses a request that crashed upstreams, or whose prompt parts did.
   /// Errors: NotRun with Quarantined.
   Result<void> CheckQuarantine(const RequestOrigin& aOrigin) const;
-  /// Also refuses a request that may have crashed upstreams a moment ago. For
-  /// the first time that a client's request is sent. Errors: as above.
-  Result<void> CheckFirstSend(const RequestOrigin& aOrigin) const;
+  /// Also refuses a request that may have crashed upstreams a moment ago, or of
+  /// which a copy is on trial. Errors: as above.
+  Result<void> CheckSuspicion(const RequestOrigin& aOrigin) const;
+
+  /// The one of the two checks that applies to a send. The state of a
+  /// generation is where it is already: it is not held back.
+  Result<void> CheckCrashes(const RequestOrigin& aOrigin,
+                            SendPurpose aPurpose) const;
 
   /// Clears one send. Errors, all NotRun: Quarantined; UpstreamUnreachable when
   /// the upstream has left, restarted or moved, is paused, or accepts no new
@@ -118,6 +123,7 @@
                               SendPurpose aPurpose) const;
 
 private:
+  Result<void> HeldBack(const RequestOrigin& aOrigin) const;
   AllowedRegions RouteRegionsFor(const RequestOrigin& aOrigin) const;
   AllowedRegions WorkspaceRegionsFor(const RequestOrigin& aOrigin) const;
   /// Whether the newest configuration serves the request as at admission.
--- a/src/cactusgw/messaging/crash_messages.cpp
+++ b/src/cactusgw/messaging/crash_messages.cpp
@@ -77,12 +77,26 @@
     entry->set_in_progress_ms(EncodeAge(crash.mSentAt, crash.mAt));
     entry->set_cleared(crash.mIsCleared);
   }
+  const RequestTrial& trial = aSuspicion.mTrial.mTrial;
+  if (trial.mNumber > 0) {
+    wire::RequestTrial* const entry = aMessage.mutable_trial();
+    entry->set_number(trial.mNumber);
+    entry->set_gateway(trial.mGateway);
+    entry->set_age_ms(EncodeAge(aSuspicion.mTrial.mSentAt, aNow));
+    entry->set_ended(trial.mIsEnded);
+  }
 }
 
 RequestSuspicion
 DecodeSuspicion(const wire::RequestSuspicion& aMessage, Instant aNow)
 {
-  RequestSuspicion suspicion{ { aMessage.fingerprint() }, {} };
+  const wire::RequestTrial& trial = aMessage.trial();
+  RequestSuspicion suspicion{
+    { aMessage.fingerprint() },
+    {},
+    { { trial.number(), trial.gateway(), trial.ended() },
+      aNow - DecodeAge(trial.age_ms()) }
+  };
   for (const wire::SuspectedCrash& entry : aMessage.crashes()) {
     const Instant at = aNow - DecodeAge(entry.age_ms());
     suspicion.mCrashes.push_back({ entry.upstream(),
--- a/tests/core/request_crashes_test.cpp
+++ b/tests/core/request_crashes_test.cpp
@@ -90,6 +90,18 @@
   EXPECT_TRUE(crashes.IsQuarantined(kDeadly));
 }
 
+// Copies of a request ended all upstreams of a small service at once, which
+// counted as one crash, each time that they were back.
+TEST(RequestCrashesTest, CopiesAtOnceAndAnotherCrashQuarantineTheRequest)
+{
+  RequestCrashes crashes = RequestCrashes::Create();
+  crashes.OnCrash(kDeadly, { "a", 1 }, At(0), At(100));
+  crashes.OnCrash(kDeadly, { "b", 1 }, At(10), At(110));
+  EXPECT_FALSE(crashes.IsQuarantined(kDeadly));
+  crashes.OnCrash(kDeadly, { "c", 1 }, At(3000), At(3100));
+  EXPECT_TRUE(crashes.IsQuarantined(kDeadly));
+}
+
 // Several connections of one upstream end with each of its crashes.
 TEST(RequestCrashesTest, OneStartOfAnUpstreamCrashesOnce)
 {
--- a/tests/gateway/suspicion_fleet.hpp
+++ b/tests/gateway/suspicion_fleet.hpp
@@ -59,9 +59,11 @@
   };
 
   static std::size_t ParentOf(std::size_t aGateway);
+  void SetPlace(std::size_t aGateway);
   void Exchange(std::size_t aFrom, std::size_t aTo);
   void Deliver();
 
+  std::size_t mCount;
   NetworkFaults mFaults;
   std::mt19937 mRandom;
   std::vector<std::unique_ptr<RequestCrashes>> mGateways;
