Bound the size lines of chunks, trailers and messages of peers

Operators of a similar system reported a faulty replica that sent bytes without end until its caller ran out of memory, and other clients' requests with it.

It could happen here. The parser bounds headers, but not the size line of a chunk, with its extensions, nor trailers: it holds them until their end comes, and the read buffer had no limit. That holds for upstreams, engines, the store and clients. Messages of peers had no limit either.

--- a/src/cactusgw/messaging/message_socket.cpp
+++ b/src/cactusgw/messaging/message_socket.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <cstdint>
 #include <utility>
 
 namespace cactusgw {
@@ -10,6 +11,9 @@
 
 /// Messages queued per peer before new ones are dropped.
 constexpr int kHighWaterMark = 2000;
+/// Larger messages close their connection before they are held. Responses of
+/// the store, which are passed on, have up to 8 MiB.
+constexpr std::int64_t kMaxMessageBytes = std::int64_t{ 16 } * 1024 * 1024;
 /// Silence on a connection after which ZeroMQ probes it, and then closes it.
 constexpr int kHeartbeatIntervalMs = 2000;
 constexpr int kHeartbeatTimeoutMs = 6000;
@@ -37,6 +41,7 @@
   mSocket.set(zmq::sockopt::linger, 0);
   mSocket.set(zmq::sockopt::sndhwm, kHighWaterMark);
   mSocket.set(zmq::sockopt::rcvhwm, kHighWaterMark);
+  mSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
   mSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatIntervalMs);
   mSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
   mSocket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
--- a/src/cactusgw/net/http_server.cpp
+++ b/src/cactusgw/net/http_server.cpp
@@ -20,6 +20,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <exception>
 #include <string>
@@ -32,6 +33,9 @@
 
 namespace {
 
+/// Received bytes that are held beyond a header until they can be parsed.
+constexpr std::size_t kReadAheadBytes = std::size_t{ 64 } * 1024;
+
 using RequestParser = http::request_parser<http::string_body>;
 
 /// Result of reading the header or body of a request.
@@ -428,6 +432,10 @@
   RequestParser parser;
   parser.header_limit(limits.mMaxHeaderBytes);
   parser.body_limit(limits.mMaxBodyBytes);
+  // The parser bounds neither the size lines of chunks nor trailers.
+  aBuffer.max_size(
+    std::max<std::size_t>(limits.mMaxHeaderBytes, aBuffer.size()) +
+    kReadAheadBytes);
   aStream.expires_never();
   if (!co_await WaitForRequest(aStream, aBuffer, limits.mIdleTime)) {
     co_return false;
