Count a crash of an upstream that was thought to have crashed before

A sick upstream that closes connections and goes on is refuted as crashed by its next response. The fact about the request and this start then stayed cleared for good, so that a real end of the same start under the request did not count, and the request went on to further upstreams.

A cleared fact now becomes active again, as its next round, when the start ends under a send later than the crash that was cleared; a copy sent before doesn't count. Gateways merge the higher round, whatever arrives first.

--- a/src/cactusgw/core/request_crashes.cpp
+++ b/src/cactusgw/core/request_crashes.cpp
@@ -29,9 +29,9 @@
 std::uint64_t
 DigestOf(std::uint64_t aRequest, const RequestCrash& aCrash)
 {
-  return StableHash(std::to_string(aRequest) + "," +
-                    std::to_string(aCrash.mUpstream) +
-                    (aCrash.mIsCleared ? ",cleared" : ""));
+  return StableHash(
+    std::to_string(aRequest) + "," + std::to_string(aCrash.mUpstream) + "," +
+    std::to_string(aCrash.mRound) + (aCrash.mIsCleared ? ",cleared" : ""));
 }
 
 std::uint64_t
@@ -72,7 +72,18 @@
                         Instant aSentAt,
                         Instant aNow)
 {
-  Put(aRequest, { HashOf(aUpstream), aSentAt, aNow, false });
+  RequestCrash crash{ HashOf(aUpstream), aSentAt, aNow, false, 0 };
+  const auto it = mRequests.find(aRequest.mValue);
+  if (it != mRequests.end()) {
+    const auto known = FindUpstream(it->second.mCrashes, crash.mUpstream);
+    if (known != it->second.mCrashes.end()) {
+      // A copy that was sent before may have ended with the crash that was
+      // cleared.
+      const bool isAnother = known->mIsCleared && aSentAt >= known->mAt;
+      crash.mRound = known->mRound + (isAnother ? 1 : 0);
+    }
+  }
+  Put(aRequest, crash);
 }
 
 bool
@@ -177,7 +188,14 @@
   }
   std::vector<RequestCrash>& crashes = entry->second.mCrashes;
   const auto known = FindUpstream(crashes, aCrash.mUpstream);
-  if (known != crashes.end()) {
+  if (known != crashes.end() && aCrash.mRound > known->mRound) {
+    mDigest -= DigestOf(aRequest.mValue, *known);
+    *known = aCrash;
+    mDigest += DigestOf(aRequest.mValue, *known);
+  } else if (known != crashes.end()) {
+    if (aCrash.mRound < known->mRound) {
+      return;
+    }
     const Milliseconds progress =
       std::chrono::duration_cast<Milliseconds>(known->mAt - known->mSentAt);
     known->mAt = std::min(known->mAt, aCrash.mAt);
--- a/src/cactusgw/core/request_crashes.hpp
+++ b/src/cactusgw/core/request_crashes.hpp
@@ -8,7 +8,8 @@
 ///
 /// A suspicion is a fact about a request and a start of an upstream, and is
 /// either active or cleared. Gateways merge facts in any order, however late
-/// and however often they arrive: a cleared fact stays cleared.
+/// and however often they arrive: a cleared fact stays cleared until the same
+/// start ends under a later send, which begins the next round of the fact.
 
 #include "cactusgw/core/request_fingerprint.hpp"
 #include "cactusgw/core/request_trial.hpp"
@@ -38,6 +39,8 @@
   Instant mAt;
   /// Whether the request was served since, or the upstream has not crashed.
   bool mIsCleared = false;
+  /// Counts the times that the fact became active again.
+  std::uint32_t mRound = 0;
 };
 
 /// All crashes that one request is a suspect of.
--- a/src/cactusgw/messaging/crash_messages.cpp
+++ b/src/cactusgw/messaging/crash_messages.cpp
@@ -76,6 +76,7 @@
     entry->set_age_ms(EncodeAge(crash.mAt, aNow));
     entry->set_in_progress_ms(EncodeAge(crash.mSentAt, crash.mAt));
     entry->set_cleared(crash.mIsCleared);
+    entry->set_round(crash.mRound);
   }
   const RequestTrial& trial = aSuspicion.mTrial.mTrial;
   if (trial.mNumber > 0) {
@@ -102,7 +103,8 @@
     suspicion.mCrashes.push_back({ entry.upstream(),
                                    at - DecodeAge(entry.in_progress_ms()),
                                    at,
-                                   entry.cleared() });
+                                   entry.cleared(),
+                                   entry.round() });
   }
   return suspicion;
 }
--- a/tests/core/request_crashes_test.cpp
+++ b/tests/core/request_crashes_test.cpp
@@ -149,6 +149,46 @@
   EXPECT_FALSE(other.IsQuarantined(kSound));
 }
 
+// A sick upstream closed the connection of a request and went on; later the
+// same start ended under that request, which did not count.
+TEST(RequestCrashesTest, ACrashAfterARefutedOneCounts)
+{
+  RequestCrashes crashes = RequestCrashes::Create();
+  RequestCrashes other = RequestCrashes::Create();
+  for (const char* const upstream : { "a", "b", "c" }) {
+    crashes.OnCrash(kDeadly, { upstream, 1 }, At(0), At(10));
+    Report(crashes, other, 10);
+    crashes.OnResponse({ upstream, 1 }, At(20));
+  }
+  EXPECT_EQ(crashes.CountOf(kDeadly).mCrashes, 0U);
+  const std::vector<RequestSuspicion> cleared =
+    crashes.ChangedSince(0, 10).first;
+  std::int64_t at = 1000;
+  for (const char* const upstream : { "a", "b", "c" }) {
+    crashes.OnCrash(kDeadly, { upstream, 1 }, At(at), At(at + 100));
+    at += 1000;
+  }
+  EXPECT_TRUE(crashes.IsQuarantined(kDeadly));
+  // The news of the refuted crashes comes late, and again.
+  Report(crashes, other, 4000);
+  for (const RequestSuspicion& late : cleared) {
+    other.Merge(late, At(4000));
+  }
+  EXPECT_TRUE(other.IsQuarantined(kDeadly));
+  EXPECT_EQ(crashes.Digest(), other.Digest());
+}
+
+// The connections of two copies end with one crash, the second one after the
+// first copy was served elsewhere.
+TEST(RequestCrashesTest, ACopyOfTheClearedCrashDoesNotCount)
+{
+  RequestCrashes crashes = RequestCrashes::Create();
+  crashes.OnCrash(kSound, { "a", 1 }, At(0), At(10));
+  crashes.OnServed(kSound);
+  crashes.OnCrash(kSound, { "a", 1 }, At(5), At(15));
+  EXPECT_EQ(crashes.CountOf(kSound).mCrashes, 0U);
+}
+
 // The report of a crash may arrive after the news that the request was served,
 // and again from a gateway that has not heard it.
 TEST(RequestCrashesTest, AClearedCrashStaysCleared)
