Don't clear a request by an error of a sick upstream

Any complete response cleared all that was known of a request, also a 500 that a sick upstream sends without running it; a request that crashes its upstreams then began anew and ended more of them. Only responses other than server errors clear now. SickUpstreamTest.AnErrorDoesNotClearARequest failed before (0 crashes known, 1 expected). A sound request that always fails stays a suspect of the crashes that it was in progress at; the start that responds is still refuted.

--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -623,8 +623,8 @@
   if (IsSuccess(response.Status()) && !response.IsCloseDelimited()) {
     OnServed();
   }
-  // Also when the upstream failed: the request did not crash it.
-  if (!response.IsCloseDelimited()) {
+  // A sick upstream fails requests that it has not run.
+  if (!IsServerError(response.Status()) && !response.IsCloseDelimited()) {
     ClearSuspicion();
   }
   mState.mMetrics.mCompleted.Add();
--- a/tests/gateway/crash_quarantine_test.cpp
+++ b/tests/gateway/crash_quarantine_test.cpp
@@ -297,6 +297,101 @@
   EXPECT_TRUE(IsQuarantined());
 }
 
+/// An upstream answers while other upstreams crash on the request.
+class SickUpstreamTest : public GatewayTest
+{
+protected:
+  /// Ends the connection or fails the request, in turn.
+  Script CrashOrFail(unsigned aStatus)
+  {
+    return [this, aStatus](ScriptedExchange& aExchange) -> Task<void> {
+      mIsFailing = !mIsFailing;
+      if (mIsFailing) {
+        co_await aExchange.Answer(aStatus, "", "");
+      } else {
+        aExchange.Close();
+      }
+    };
+  }
+
+  /// Sends a request that is known to have crashed some upstreams.
+  /// @return how many crashes are known after the response
+  std::size_t CrashesAfterResponse(unsigned aStatus)
+  {
+    AddUpstream("a", "app", CrashOrFail(aStatus));
+    StartGateway();
+    RequestCrashes& crashes = mGateway->State().mRequestCrashes;
+    std::size_t known = 0;
+    Run([&]() -> Task<void> {
+      co_await Call(MakeRequest(http::verb::post, "/write/x"));
+      const RequestFingerprint request =
+        crashes.ChangedSince(0, 1).first.empty()
+          ? RequestFingerprint{}
+          : crashes.ChangedSince(0, 1).first.front().mRequest;
+      // Sent before the first crash: the request is not held back.
+      const Instant now = SteadyNow();
+      crashes.OnCrash(
+        request, { "b", 1 }, now - std::chrono::seconds{ 1 }, now);
+      co_await Call(MakeRequest(http::verb::post, "/write/x"));
+      known = crashes.CountOf(request).mCrashes;
+    });
+    return known;
+  }
+
+private:
+  bool mIsFailing = true;
+};
+
+// A sick upstream answered a request that it had not run with an error; all
+// that was known of the request was forgotten, and it went on crashing
+// upstreams.
+TEST_F(SickUpstreamTest, AnErrorDoesNotClearARequest)
+{
+  EXPECT_EQ(CrashesAfterResponse(500), 1U);
+}
+
+TEST_F(SickUpstreamTest, AResponseToTheRequestClearsIt)
+{
+  EXPECT_EQ(CrashesAfterResponse(404), 0U);
+}
+
+/// Crashes become known while an upstream, which is another one than expected,
+/// refuses the request.
+class MisdirectedRequestTest : public GatewayTest
+{
+protected:
+  Script RefuseAfterCrashes()
+  {
+    return [this](ScriptedExchange& aExchange) -> Task<void> {
+      RequestCrashes& crashes = mGateway->State().mRequestCrashes;
+      const Instant now = SteadyNow();
+      const RequestFingerprint request =
+        FingerprintOf({ "POST", "host.test", "/read/x", "workspace", "" });
+      for (const char* const upstream : { "x", "y" }) {
+        crashes.OnCrash(request, { upstream, 1 }, now, now);
+      }
+      co_await aExchange.Answer(421, "Not-Run: 1\r\n", "");
+    };
+  }
+};
+
+// The time for which a request is held back applied to the first send only: one
+// that a new upstream had refused with 421 was sent again and crashed it.
+TEST_F(MisdirectedRequestTest, TheNextSendIsDecidedAnew)
+{
+  AddUpstream("a", "app", RefuseAfterCrashes());
+  AddUpstream("b", "app", RefuseAfterCrashes());
+  StartGateway();
+  Run([&]() -> Task<void> {
+    const ClientResponse response =
+      co_await Call(MakeRequest(http::verb::post, "/read/x"));
+    EXPECT_EQ(response.mStatus, 503);
+    EXPECT_NE(response.mRetryAfter, "");
+  });
+  EXPECT_EQ(mUpstreams[0]->Requests().size() + mUpstreams[1]->Requests().size(),
+            1U);
+}
+
 /// Two gateways of one data centre.
 class SharedEvidenceTest : public GatewayTest
 {
