Hold the only suspect of two crashes back for longer

Each request that crashes its upstreams ended three of them: two at once, by a retry or a copy, and one three seconds later, when the time of holding back ended and a service of three had just come back.

A request that was in progress at two crashes, while no other request was at both, is held back for thirty seconds instead. Others that share both crashes are held back for three as before: among them are sound ones. Where news of another suspect comes late, the time falls to three seconds then.

SuspicionFleetTest and CrashingCopiesTest run longer than the new time, with the same checks.

--- a/src/cactusgw/core/request_crashes.cpp
+++ b/src/cactusgw/core/request_crashes.cpp
@@ -407,13 +407,45 @@
   if (count.mCauses < kMinCrashesToHold) {
     return std::nullopt;
   }
-  const Instant until =
-    LastCrash(it->second.mCrashes) + kHoldTime + mPlace.TurnDelay(aRequest);
+  const Instant last = LastCrash(it->second.mCrashes);
+  const bool isHeldLonger =
+    aNow < last + kSoleSuspectHoldTime + mPlace.TurnDelay(aRequest) &&
+    IsSoleSuspect(aRequest, it->second);
+  const Instant until = last +
+                        (isHeldLonger ? kSoleSuspectHoldTime : kHoldTime) +
+                        mPlace.TurnDelay(aRequest);
   return aNow < until
            ? std::optional{ std::chrono::ceil<Milliseconds>(until - aNow) }
            : std::nullopt;
 }
 
+bool
+RequestCrashes::IsSuspectOf(const Entry& aEntry, std::uint64_t aUpstream)
+{
+  return std::any_of(aEntry.mCrashes.begin(),
+                     aEntry.mCrashes.end(),
+                     [&](const RequestCrash& aCrash) {
+                       return aCrash.mUpstream == aUpstream &&
+                              !aCrash.mIsCleared;
+                     });
+}
+
+bool
+RequestCrashes::IsSoleSuspect(RequestFingerprint aRequest,
+                              const Entry& aEntry) const
+{
+  const auto sharesAllCrashes = [&](const auto& aOther) {
+    return aOther.first != aRequest.mValue &&
+           std::all_of(aEntry.mCrashes.begin(),
+                       aEntry.mCrashes.end(),
+                       [&](const RequestCrash& aCrash) {
+                         return aCrash.mIsCleared ||
+                                IsSuspectOf(aOther.second, aCrash.mUpstream);
+                       });
+  };
+  return std::none_of(mRequests.begin(), mRequests.end(), sharesAllCrashes);
+}
+
 bool
 RequestCrashes::HasSuspectOfAll(std::span<const UpstreamStart> aUpstreams) const
 {
@@ -422,21 +454,13 @@
   for (const UpstreamStart& upstream : aUpstreams) {
     upstreams.push_back(HashOf(upstream));
   }
-  const auto isSuspectOf = [](const Entry& aEntry, std::uint64_t aUpstream) {
-    return std::any_of(aEntry.mCrashes.begin(),
-                       aEntry.mCrashes.end(),
-                       [&](const RequestCrash& aCrash) {
-                         return aCrash.mUpstream == aUpstream &&
-                                !aCrash.mIsCleared;
-                       });
-  };
   return std::any_of(
     mRequests.begin(), mRequests.end(), [&](const auto& aEntry) {
       return aEntry.second.mCrashes.size() >= upstreams.size() &&
              std::all_of(upstreams.begin(),
                          upstreams.end(),
                          [&](std::uint64_t aUpstream) {
-                           return isSuspectOf(aEntry.second, aUpstream);
+                           return IsSuspectOf(aEntry.second, aUpstream);
                          });
     });
 }
--- a/src/cactusgw/core/request_crashes.hpp
+++ b/src/cactusgw/core/request_crashes.hpp
@@ -78,6 +78,9 @@
   /// upstreams take a few seconds to start again; a further crash before would
   /// leave a small service without upstreams.
   static constexpr Milliseconds kHoldTime{ 3000 };
+  /// The same for the only request that was in progress at all these crashes:
+  /// it is most likely their cause, and a sound one is seldom sent again.
+  static constexpr Milliseconds kSoleSuspectHoldTime{ 30'000 };
   /// Crashes this close to each other have a common cause, such as a loss of
   /// power, and count as one, unless the request was sent to the second
   /// upstream after the first one had crashed.
@@ -168,6 +171,9 @@
   Requests::iterator Erase(Requests::iterator aAt);
   static CrashCount Count(const Entry& aEntry);
   static bool IsGuilty(const Entry& aEntry);
+  /// Whether no other request is a suspect of all crashes of this one.
+  bool IsSoleSuspect(RequestFingerprint aRequest, const Entry& aEntry) const;
+  static bool IsSuspectOf(const Entry& aEntry, std::uint64_t aUpstream);
   /// Whether the request was served after all crashes that are known.
   bool IsRefuted(RequestFingerprint aRequest) const;
 
--- a/tests/core/request_crashes_test.cpp
+++ b/tests/core/request_crashes_test.cpp
@@ -58,8 +58,11 @@
 TEST(RequestCrashesTest, ASecondCrashHoldsTheRequestBackForAWhile)
 {
   RequestCrashes crashes = RequestCrashes::Create();
-  Crash(crashes, kDeadly, 0);
-  Crash(crashes, kDeadly, 60);
+  // A sound request was in progress at both upstreams, too.
+  for (const std::int64_t at : { 0, 60 }) {
+    Crash(crashes, kDeadly, at);
+    Crash(crashes, kSound, at);
+  }
   EXPECT_EQ(crashes.HeldFor(kDeadly, At(60)), RequestCrashes::kHoldTime);
   EXPECT_EQ(crashes.HeldFor(kDeadly, At(61)),
             RequestCrashes::kHoldTime - Milliseconds{ 1 });
@@ -67,6 +70,25 @@
             std::nullopt);
 }
 
+// Each request that crashes its upstreams ended three of them within seconds,
+// all that a small service has.
+TEST(RequestCrashesTest, TheOnlySuspectOfTwoCrashesIsHeldBackLonger)
+{
+  RequestCrashes crashes = RequestCrashes::Create();
+  Crash(crashes, kDeadly, 0);
+  Crash(crashes, kSound, 0);
+  Crash(crashes, kDeadly, 1000);
+  EXPECT_EQ(crashes.HeldFor(kDeadly, At(1000)),
+            RequestCrashes::kSoleSuspectHoldTime);
+  EXPECT_EQ(crashes.HeldFor(kSound, At(1000)), std::nullopt);
+  EXPECT_EQ(
+    crashes.HeldFor(kDeadly, At(1000) + RequestCrashes::kSoleSuspectHoldTime),
+    std::nullopt);
+  // The news that it is not the only one comes late.
+  Crash(crashes, kSound, 1000);
+  EXPECT_EQ(crashes.HeldFor(kDeadly, At(1000)), RequestCrashes::kHoldTime);
+}
+
 // A data centre lost its power while one popular request was in progress at
 // many upstreams.
 TEST(RequestCrashesTest, SimultaneousCrashesCountAsOne)
--- a/tests/gateway/crashing_copies_test.cpp
+++ b/tests/gateway/crashing_copies_test.cpp
@@ -139,7 +139,7 @@
     for (unsigned seed = 1; seed <= 5; ++seed) {
       SuspicionFleet fleet{ GetParam(), faults, seed };
       CrashingService service{ fleet, seed };
-      service.Run(30'000, 1);
+      service.Run(60'000, 1);
       EXPECT_LE(service.LateSends(), kMaxLateSends)
         << "seed " << seed << ", loss " << faults.mLoss;
     }
@@ -160,7 +160,7 @@
         fleet.Run(1000);
       }
       CrashingService service{ fleet, seed };
-      service.Run(20'000, 2);
+      service.Run(60'000, 2);
       // Gateways that messages don't reach have the stable window to learn.
       const bool isPrompt = faults.mLoss == 0;
       EXPECT_LE(isPrompt ? service.Sends() : service.LateSends(), kMaxLateSends)
--- a/tests/gateway/suspicion_sender_test.cpp
+++ b/tests/gateway/suspicion_sender_test.cpp
@@ -14,6 +14,9 @@
 constexpr RequestFingerprint kDeadly = SuspicionFleet::kDeadly;
 constexpr RequestFingerprint kSound = SuspicionFleet::kSound;
 
+/// Longer than a request is held back before it is quarantined.
+constexpr std::size_t kRounds = 60;
+
 /// A request comes every 700 ms at some gateway; a sound one is served
 /// everywhere meanwhile.
 void
@@ -21,7 +24,7 @@
 {
   std::mt19937 random{ aSeed };
   std::uniform_int_distribution<std::size_t> any{ 0, aFleet.Size() - 1 };
-  for (int i = 0; i < 40; ++i) {
+  for (std::size_t i = 0; i < kRounds; ++i) {
     aFleet.Send(any(random), kDeadly, true);
     aFleet.Run(350);
     aFleet.Send(any(random), kSound, false);
@@ -45,7 +48,7 @@
     SuspicionFleet fleet{ GetParam(), {}, seed };
     PlayDeadlyRequest(fleet, seed);
     EXPECT_EQ(fleet.Sends(kDeadly), RequestCrashes::kMinCrashes);
-    EXPECT_EQ(fleet.Sends(kSound), 40U);
+    EXPECT_EQ(fleet.Sends(kSound), kRounds);
     for (std::size_t i = 0; i < fleet.Size(); ++i) {
       EXPECT_TRUE(fleet.Gateway(i).IsQuarantined(kDeadly));
       EXPECT_FALSE(fleet.Gateway(i).IsQuarantined(kSound));
