--- a/src/cactusgw/net/http_connection.cpp
+++ b/src/cactusgw/net/http_connection.cpp
@@ -22,7 +22,7 @@
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
 /// Bytes that are held until they can be parsed. The parser bounds headers
 /// itself, but neither the size lines of chunks nor trailers.
-constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxResponseHeaderBytes;
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 128 } * 1024;
 /// Interim (1xx) responses that are skipped before the final one.
 constexpr int kMaxInterimResponses = 8;
 /// Time that sent data may stay unacknowledged before the peer is considered
--- a/tests/gateway/endless_response_test.cpp
+++ b/tests/gateway/endless_response_test.cpp
@@ -79,7 +79,7 @@
 protected:
   /// More than a gateway may hold, with what the kernel buffers.
   static constexpr std::size_t kMaxBytes = std::size_t{ 64 } << 20U;
-  static constexpr long kMaxGrowthKiB = 16 * 1024;
+  static constexpr long kMaxGrowthKiB = 16L * 1024;
 
   Script EndlessScript()
   {
@@ -190,7 +190,7 @@
                               std::string(std::size_t{ 64 } * 1024, 'x'));
     }
   });
-  EXPECT_LT(PeakMemory() - before, 16 * 1024);
+  EXPECT_LT(PeakMemory() - before, 16L * 1024);
   EXPECT_TRUE(mUpstreams.front()->Requests().empty());
 }
 
