Retry a client request whose own attempts were at all known crashes

Two breaks of one stream look like two crashes, and it is the only suspect of both.

The time of holding back now applies to crashes beyond the request's own; a send after a 421 has none of its own and stays held back. Quarantines and trials apply as before.

--- a/src/cactusgw/core/request_crashes.cpp
+++ b/src/cactusgw/core/request_crashes.cpp
@@ -389,7 +389,9 @@
 }
 
 std::optional<Milliseconds>
-RequestCrashes::HeldFor(RequestFingerprint aRequest, Instant aNow) const
+RequestCrashes::HeldFor(RequestFingerprint aRequest,
+                        Instant aNow,
+                        std::size_t aOwnCrashes) const
 {
   /// Quarantines last for minutes.
   constexpr Milliseconds kQuarantineRetryAfter{ 60'000 };
@@ -404,7 +406,7 @@
   if (count.mCrashes > 0 && it->second.mTrial.IsRunning(aNow)) {
     return kTrialRetryAfter;
   }
-  if (count.mCauses < kMinCrashesToHold) {
+  if (count.mCauses < kMinCrashesToHold || count.mCrashes <= aOwnCrashes) {
     return std::nullopt;
   }
   const Instant last = LastCrash(it->second.mCrashes);
--- a/src/cactusgw/core/request_crashes.hpp
+++ b/src/cactusgw/core/request_crashes.hpp
@@ -127,8 +127,11 @@
 
   /// Time for which a request must not be sent by this gateway; nullopt if it
   /// may be sent.
+  /// @param aOwnCrashes crashes that ended attempts of the same client request;
+  ///   without others it is retried at once
   std::optional<Milliseconds> HeldFor(RequestFingerprint aRequest,
-                                      Instant aNow) const;
+                                      Instant aNow,
+                                      std::size_t aOwnCrashes = 0) const;
   /// Whether the request must not be sent at all, nor be continued.
   bool IsQuarantined(RequestFingerprint aRequest) const;
   /// Quarantined requests as of the last update.
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -542,6 +542,7 @@
     return;
   }
   mState.mMetrics.mCrashSuspects.Add();
+  ++mAdmitted.mOrigin.mOwnCrashes;
   const UpstreamStart upstream = StartOf(aUpstream.mRecord);
   mState.mCrashes.OnCrash(upstream, mAdmitted.mOrigin.mSharedParts, now);
   mState.mRequestCrashes.OnCrash(
--- a/src/cactusgw/gateway/send_gate.cpp
+++ b/src/cactusgw/gateway/send_gate.cpp
@@ -153,7 +153,7 @@
 {
   const RequestCrashes& crashes = mFacts.mRequestCrashes;
   const std::optional<Milliseconds> heldFor =
-    crashes.HeldFor(aOrigin.mFingerprint, mFacts.mNow);
+    crashes.HeldFor(aOrigin.mFingerprint, mFacts.mNow, aOrigin.mOwnCrashes);
   if (!heldFor) {
     return boost::outcome_v2::success();
   }
--- a/src/cactusgw/gateway/send_gate.hpp
+++ b/src/cactusgw/gateway/send_gate.hpp
@@ -15,6 +15,7 @@
 #include "cactusgw/gateway/upstream_directory.hpp"
 #include "cactusgw/gateway/upstream_pauses.hpp"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +41,9 @@
   AllowedRegions mRouteRegions = AllowedRegions::Everywhere();
   AllowedRegions mWorkspaceRegions = AllowedRegions::Everywhere();
   RequestFingerprint mFingerprint;
+  /// Supposed crashes that ended attempts of this request itself. A sound
+  /// stream may be broken off more than once and is retried for its client.
+  std::size_t mOwnCrashes = 0;
   /// IDs of the prompt's parts that other requests may share.
   std::vector<std::string> mSharedParts;
 };
--- a/tests/core/request_crashes_test.cpp
+++ b/tests/core/request_crashes_test.cpp
@@ -70,6 +70,19 @@
             std::nullopt);
 }
 
+// A sound stream was broken off twice, and its client's request ended instead
+// of being resumed a second time.
+TEST(RequestCrashesTest, ARequestIsRetriedAfterItsOwnTwoCrashes)
+{
+  RequestCrashes crashes = RequestCrashes::Create();
+  Crash(crashes, kSound, 0);
+  Crash(crashes, kSound, 1000);
+  EXPECT_EQ(crashes.HeldFor(kSound, At(1000), 2), std::nullopt);
+  EXPECT_TRUE(crashes.HeldFor(kSound, At(1000), 1));
+  Crash(crashes, kSound, 2000);
+  EXPECT_TRUE(crashes.HeldFor(kSound, At(2000), 3));
+}
+
 // Each request that crashes its upstreams ended three of them within seconds,
 // all that a small service has.
 TEST(RequestCrashesTest, TheOnlySuspectOfTwoCrashesIsHeldBackLonger)
