--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -334,6 +334,10 @@
       member.mProcess->Signal(SIGHUP);
       break;
     case ActionKind::OddSettings:
+      if (member.mReadyMs < 0) {
+        // A process that starts with a faulty file ends, as it must.
+        return;
+      }
       Note(DisturbanceKind::Reload, aAction.mTarget, aAction.mDurationMs);
       member.mProcess->WriteOddSettings(aAction.mVariant);
       member.mProcess->Signal(SIGHUP);
