--- a/tests/soak/gateway_process.cpp
+++ b/tests/soak/gateway_process.cpp
@@ -90,6 +90,8 @@
   const std::string settings = SettingsFile();
   const rlimit descriptors{ static_cast<rlim_t>(mOptions.mDescriptors),
                             static_cast<rlim_t>(mOptions.mDescriptors) };
+  int executed[2] = { -1, -1 };
+  static_cast<void>(!pipe2(executed, O_CLOEXEC));
   const pid_t pid = fork();
   if (pid == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -105,6 +107,12 @@
           static_cast<char*>(nullptr));
     _exit(127);
   }
+  // Until the program is executed, signals and memory are those of a copy of
+  // this process.
+  close(executed[1]);
+  char none = 0;
+  static_cast<void>(!read(executed[0], &none, 1));
+  close(executed[0]);
   mPid = pid;
 }
 
--- a/tests/soak/soak_client.cpp
+++ b/tests/soak/soak_client.cpp
@@ -168,18 +168,16 @@
   const bool isSent = SendRequest(aPlan);
   if (isSent && !aPlan.mLeavesWhileSending) {
     sent.mWholeMs = NowMs();
-    if (aPlan.mLeavesAfterMs >= 0) {
-      // Bytes that arrive meanwhile are left in the socket.
-      SleepMs(std::max(0L, sent.mBeganMs + aPlan.mLeavesAfterMs - NowMs()));
-    } else {
-      ReadAnswer(aPlan);
-    }
-  } else if (!aPlan.mLeavesWhileSending) {
-    // The gateway may have answered before it has read the body.
-    ReadAnswer(aPlan);
   }
-  if (aPlan.mLeavesAfterMs >= 0) {
+  if (aPlan.mLeavesWhileSending) {
+    Leave(aPlan);
+  } else if (isSent && aPlan.mLeavesAfterMs >= 0) {
+    // Bytes that arrive meanwhile are left in the socket.
+    SleepMs(std::max(0L, sent.mBeganMs + aPlan.mLeavesAfterMs - NowMs()));
     Leave(aPlan);
+  } else {
+    // The gateway may have answered before it has read the body.
+    ReadAnswer(aPlan);
   }
   sent.mEndedMs = NowMs();
   mLedger.End(sent);
