--- a/tests/soak/checkers.cpp
+++ b/tests/soak/checkers.cpp
@@ -292,6 +292,22 @@
   return findings;
 }
 
+std::string
+DescribeCuts(const Records& aRecords)
+{
+  std::string text;
+  for (const auto& [id, sent] : aRecords.mSent) {
+    const bool hasBrokenOff =
+      std::any_of(sent.mRuns.begin(), sent.mRuns.end(), [](const Run& aRun) {
+        return aRun.mHasBrokenOff;
+      });
+    if (IsCut(sent) && !sent.mRuns.empty() && !hasBrokenOff) {
+      text += Describe(sent) + "\n";
+    }
+  }
+  return text;
+}
+
 std::vector<Finding>
 FindAll(const Records& aRecords, const Limits& aLimits)
 {
--- a/tests/soak/checkers.hpp
+++ b/tests/soak/checkers.hpp
@@ -53,6 +53,10 @@
 /// Responses and requests that aren't those of their id.
 std::vector<Finding> FindMixed(const Records& aRecords);
 
+/// One line each for the requests that ran and were cut although no upstream
+/// broke off, whatever excuses them.
+std::string DescribeCuts(const Records& aRecords);
+
 std::vector<Finding> FindAll(const Records& aRecords, const Limits& aLimits);
 
 } // namespace cactusgw::soak
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <string_view>
 
 /// cactusgw-soak --seed N [--seconds S] [--gateways G] [--clients C]
@@ -82,6 +83,7 @@
               options.mSeed,
               Summarize(records).c_str(),
               report.mFindings.size());
+  std::ofstream{ options.mFolder + "/cuts.txt" } << DescribeCuts(records);
   int code = 0;
   if (!report.mFindings.empty()) {
     std::printf("%s", Explain(report).c_str());
--- a/tests/soak/store_standin.cpp
+++ b/tests/soak/store_standin.cpp
@@ -55,9 +55,10 @@
   }
   const std::size_t at = aRequest.mBody.find(kName);
   const std::size_t specification = aRequest.mBody.find("\"specification\"");
-  return at > specification
-           ? 0
-           : std::strtoull(&aRequest.mBody[at + kName.size()], nullptr, 10);
+  if (at == std::string::npos || at > specification) {
+    return 0;
+  }
+  return std::strtoull(&aRequest.mBody[at + kName.size()], nullptr, 10);
 }
 
 void
