--- a/tests/soak/soak_client.hpp
+++ b/tests/soak/soak_client.hpp
@@ -25,6 +25,8 @@
   std::vector<int> mFronts;
   /// Bodies and answers of up to 4 MB are sent too.
   bool mHasLargeBodies = true;
+  /// Longest usual pause between two requests; some are 50 times as long.
+  int mPauseMs = 30;
 };
 
 class SoakClient
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,6 +1,7 @@
 #include "soak_report.hpp"
 #include "soak_run.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -9,7 +10,8 @@
 #include <string_view>
 
 /// cactusgw-soak --seed N [--seconds S] [--gateways G] [--clients C]
-/// [--profile planned|partners|all] [--descriptors D] [--small] [--direct]
+/// [--profile planned|partners|all] [--descriptors D] [--pause MS] [--small]
+/// [--direct]
 /// [--gateway PROGRAM] [--folder PATH]
 /// Exit codes: 0 nothing found, 1 findings, 2 could not run.
 int
@@ -45,6 +47,8 @@
       options.mGateways = static_cast<int>(number);
     } else if (name == "--clients") {
       options.mClients = static_cast<int>(number);
+    } else if (name == "--pause") {
+      options.mPauseMs = static_cast<int>(std::max(1L, number));
     } else if (name == "--descriptors") {
       options.mDescriptors = number;
     } else if (name == "--profile") {
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -31,6 +31,7 @@
   int mClients = 42;
   long mDescriptors = 4100;
   bool mHasLargeBodies = true;
+  int mPauseMs = 30;
   /// Peers reach each other over links that can be harmed.
   bool mHasPeerLinks = true;
   std::string mProgram;
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,16 +1,18 @@
 #!/usr/bin/env bash
 # Runs gateways as real processes under seeded faults; docs/contributing.md.
 # tools/soak.sh --seed N [--minutes M] [--gateways G] [options of the program]
-# tools/soak.sh --cases    runs the cases of tests/soak/cases.txt
+# tools/soak.sh --cases        runs the cases of tests/soak/cases.txt for CI
+# tools/soak.sh --all-cases    runs all of them
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 program=build/tests/cactusgw-soak
-has_cases=false
+cases=
 options=()
 while [ $# -gt 0 ]; do
   case "$1" in
-    --cases) has_cases=true ;;
+    --cases) cases='^ci ' ;;
+    --all-cases) cases='^(ci|long) ' ;;
     --program)
       program="$2"
       shift
@@ -23,14 +25,13 @@
   esac
   shift
 done
-if ! $has_cases; then
+if [ -z "$cases" ]; then
   exec "$program" "${options[@]}"
 fi
-# Each case: seed | options | the cause that it guards against.
 failed=0
-while IFS='|' read -r seed case_options cause; do
+while IFS='|' read -r _ seed case_options cause; do
   read -ra words <<<"$case_options"
   echo "case: seed $seed;$cause"
   "$program" --seed "${seed// /}" "${words[@]}" "${options[@]}" || failed=1
-done < <(grep -v '^#' tests/soak/cases.txt)
+done < <(grep -E "$cases" tests/soak/cases.txt)
 exit $failed
