--- a/tests/soak/soak_client.cpp
+++ b/tests/soak/soak_client.cpp
@@ -54,6 +54,12 @@
   return static_cast<int>(mRandom() % static_cast<unsigned>(aBelow));
 }
 
+std::size_t
+SoakClient::Below(int aBelow)
+{
+  return static_cast<std::size_t>(Random(aBelow));
+}
+
 void
 SoakClient::Run()
 {
@@ -96,8 +102,8 @@
   const int role = mOptions.mNumber % 7;
   long timeoutMs = 2000;
   aPlan.mWork.mMs = 10 + Random(60);
-  aPlan.mWork.mBytes = static_cast<std::size_t>(20 + Random(3000));
-  aPlan.mBodyBytes = static_cast<std::size_t>(10 + Random(2000));
+  aPlan.mWork.mBytes = 20 + Below(3000);
+  aPlan.mBodyBytes = 10 + Below(2000);
   if (role == 0 || role == 1) {
     aPlan.mSent.mKind = RequestKind::AtMostOnce;
     aPlan.mPrefix = "/submit/";
@@ -115,7 +121,7 @@
     aPlan.mPrefix = role == 6 ? "/other/" : "/read/";
     timeoutMs = 6000;
     if (role == 3) {
-      aPlan.mWork.mBytes = static_cast<std::size_t>(100'000 + Random(900'000));
+      aPlan.mWork.mBytes = 100'000 + Below(900'000);
     }
     if (mOptions.mHasLargeBodies && role == 3 && Random(6) == 0) {
       aPlan.mWork.mBytes = kLargeBytes;
--- a/tests/soak/soak_client.hpp
+++ b/tests/soak/soak_client.hpp
@@ -69,6 +69,7 @@
   /// What is wrong with a response to the plan's request.
   std::string DefectOf(const Plan& aPlan, const Message& aAnswer) const;
   int Random(int aBelow);
+  std::size_t Below(int aBelow);
 
   Ledger& mLedger;
   ClientOptions mOptions;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -72,7 +72,7 @@
       }
     }
     mMembers[i]->mStoreLink =
-      std::make_unique<LinkProxy>(mStore.Open(std::move(rewrites)));
+      std::make_unique<LinkProxy>(mStore.Open(rewrites));
     mMembers[i]->mProcess->SetStorePort(mMembers[i]->mStoreLink->Port());
   }
 }
--- a/tests/soak/store_standin.cpp
+++ b/tests/soak/store_standin.cpp
@@ -74,7 +74,7 @@
 } // namespace
 
 int
-StoreStandin::Open(Rewrites aRewrites)
+StoreStandin::Open(const Rewrites& aRewrites)
 {
   mListeners.push_back(std::make_unique<Listener>(
     [this, aRewrites](Channel& aChannel) { Serve(aChannel, aRewrites); }));
--- a/tests/soak/store_standin.hpp
+++ b/tests/soak/store_standin.hpp
@@ -48,7 +48,7 @@
   using Rewrites = std::vector<std::pair<std::string, std::string>>;
 
   /// Opens a port that shows the objects with the rewrites.
-  int Open(Rewrites aRewrites);
+  int Open(const Rewrites& aRewrites);
   void SetFault(StoreFault aFault) { mFault = aFault; }
   void Put(std::string_view aKind,
            std::string_view aName,
