Give an attempt all of the request's time once it can't be repeated

Callers of idempotent routes saw responses over 256 KiB end in the middle, their connection closed, when the upstream was slow but would have been whole before the route's timeout. Smaller ones became a 502 at half of the time when no other upstream had room or the retry budget was spent.

Cause: the deadline of a first attempt left half of the time for a retry, whether or not that retry could still happen. It was fixed when the attempt was sent, and went on after the response to the client had begun.

Change: reads of an attempt end with the request. AttemptDeadline decides, with time passed in, whether the attempt makes way: only while the response to the client has not begun, and only if the retry can begin at once. The call asks from half of the time on, each 50 ms, and the retry that it grants is taken from the budget at that moment. AttemptWatch holds the timer and never calls after its end, also when its call is queued.

Resumable streams had all of their time already; they keep it.

--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -18,9 +18,9 @@
 /// TCP retransmits a lost SYN only after a second; trying another upstream is
 /// faster.
 constexpr Milliseconds kConnectTimeout{ 500 };
-/// Extra time to wait for a response after the deadline: upstreams enforce the
-/// deadline themselves, and their own error response is preferred.
-constexpr Milliseconds kResponseGrace{ 100 };
+/// Interval at which an attempt that is due for a retry looks for an upstream
+/// and for a share of the retry budget.
+constexpr Milliseconds kRetryCheckInterval{ 50 };
 /// Subtracted from the client's remaining time, for the latency of the response
 /// to the client.
 constexpr Milliseconds kReturnLatency{ 10 };
@@ -177,19 +177,36 @@
   return mContinuation->mUpstream;
 }
 
-Instant
-GatewayCall::AttemptDeadline(Instant aNow) const
+std::optional<Instant>
+GatewayCall::CheckAttempt(const AttemptDeadline& aDeadline)
 {
-  const bool canRetry = mAdmitted.mRoute->mKind == RouteKind::Idempotent &&
-                        mPossibleRuns + 1 < mAdmitted.mRoute->mMaxAttempts;
-  if (!canRetry) {
-    return mAdmitted.mDeadline + kResponseGrace;
+  const Instant now = SteadyNow();
+  if (aDeadline.MakesWayForRetry({ mExchange.HasBegun(), CanRepeat() }, now) &&
+      mState.RetryBudgetFor(mAdmitted.mService->mName)
+        .TryWithdraw(mState.mGatewayCount, now)) {
+    mMakesWay = true;
+    mConnection->Close();
+  }
+  const Instant next = now + kRetryCheckInterval;
+  if (mMakesWay || mExchange.HasBegun() || next >= mAdmitted.mDeadline) {
+    return std::nullopt;
   }
-  // Leaves time for a retry: this attempt gets half of the remaining time, but
-  // at least the latency objective.
-  const Milliseconds half =
-    std::chrono::duration_cast<Milliseconds>((mAdmitted.mDeadline - aNow) / 2);
-  return aNow + std::max(mAdmitted.mRoute->mLatencyObjective, half);
+  return next;
+}
+
+bool
+GatewayCall::MayRepeat() const
+{
+  return mAdmitted.mRoute->mKind == RouteKind::Idempotent &&
+         mPossibleRuns + 1 < mAdmitted.mRoute->mMaxAttempts &&
+         mAttempts < kMaxAttempts;
+}
+
+bool
+GatewayCall::CanRepeat() const
+{
+  return MayRepeat() && !mIsGivenUp && !mHasClientDisconnected &&
+         mSelector.HasAvailable(mAdmitted, mTriedUpstreams);
 }
 
 Task<Result<void>>
@@ -206,6 +223,7 @@
   mFirstEventAt.reset();
   mIsServed = false;
   mIsHeldBack = false;
+  mMakesWay = false;
   mPendingPromptTokens = mContinuation ? 0 : mAdmitted.mTokenNeed.mPrompt;
   UpstreamLoad load{ 1, mAdmitted.mTokenNeed.mTotal, mPendingPromptTokens, 0 };
   mState.mLoads.Add(mUpstream, load);
@@ -218,6 +236,10 @@
   }
   if (result) {
     result = co_await SendAndRelay(upstream);
+    if (!result && mMakesWay) {
+      result = MayHaveRun(FailureCode::UpstreamSilent,
+                          "no whole response in time for a retry");
+    }
     // A connection that this gateway closed says nothing about the upstream.
     if (!result && !mIsGivenUp) {
       ReportCrash(upstream, result.error());
@@ -263,7 +285,8 @@
     co_return clearance.error();
   }
   const Instant now = SteadyNow();
-  const Instant until = AttemptDeadline(now);
+  const AttemptDeadline deadline = AttemptDeadline::Create(
+    now, mAdmitted.mDeadline, mAdmitted.mRoute->mLatencyObjective);
   mState.OnSent(aUpstream, now);
   mTrial =
     mState.mRequestCrashes.BeginTrial(mAdmitted.mOrigin.mFingerprint, now);
@@ -287,8 +310,15 @@
       { "crashes", KnownCrashes() },
       { "afterMs", Elapsed().count() } },
     now);
-  const Result<void> header = co_await Exchange(
-    std::move(clearance.value()), MakeRequest(aUpstream.mRecord), until);
+  const net::any_io_executor executor = co_await net::this_coro::executor;
+  std::optional<AttemptWatch> watch;
+  if (MayRepeat()) {
+    watch.emplace(
+      executor, deadline.RetryAt(), [&] { return CheckAttempt(deadline); });
+  }
+  const Result<void> header = co_await Exchange(std::move(clearance.value()),
+                                                MakeRequest(aUpstream.mRecord),
+                                                deadline.End());
   if (!header) {
     co_return header;
   }
@@ -305,7 +335,7 @@
                                   IsRetryable(mAdmitted.mRoute->mKind) &&
                                     mPossibleRuns + 1 <
                                       mAdmitted.mRoute->mMaxAttempts };
-  co_return co_await relay.Relay(rules, until);
+  co_return co_await relay.Relay(rules, deadline.End());
 }
 
 Task<void>
@@ -693,8 +723,8 @@
   if (mIsHeldBack || aFailure.mCode == FailureCode::UpstreamUnreachable) {
     return true;
   }
-  if (!mState.RetryBudgetFor(mAdmitted.mService->mName)
-         .TryWithdraw(mState.mGatewayCount, SteadyNow())) {
+  if (!mMakesWay && !mState.RetryBudgetFor(mAdmitted.mService->mName)
+                       .TryWithdraw(mState.mGatewayCount, SteadyNow())) {
     mState.mLog.Write(
       "repeat-denied",
       { { "request", mRequestId }, { "service", mAdmitted.mService->mName } },
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -3,6 +3,8 @@
 
 /// A client request, from its receipt to its final response.
 
+#include "cactusgw/core/attempt_deadline.hpp"
+#include "cactusgw/gateway/attempt_watch.hpp"
 #include "cactusgw/gateway/call_admission.hpp"
 #include "cactusgw/gateway/gateway_state.hpp"
 #include "cactusgw/gateway/migratable_generation.hpp"
@@ -80,7 +82,15 @@
   /// Frees the state of a generation whose continuation was held back.
   void DropContinuation();
   bool TryRetry(const Failure& aFailure);
-  Instant AttemptDeadline(Instant aNow) const;
+  /// Gives the current attempt up if it makes way for a retry. Returns when to
+  /// ask again.
+  std::optional<Instant> CheckAttempt(const AttemptDeadline& aDeadline);
+  /// Whether the rules of the route leave the request an attempt beside the one
+  /// in progress.
+  bool MayRepeat() const;
+  /// Whether the request could be sent again at once, beside the attempt in
+  /// progress.
+  bool CanRepeat() const;
   Task<void> Refuse(const Failure& aFailure);
   void OnClientDisconnected();
   /// Ends whatever the call is waiting for.
@@ -126,6 +136,9 @@
   bool mIsServed = false;
   /// Whether the gate held the current attempt back, so that nothing was sent.
   bool mIsHeldBack = false;
+  /// Whether the current attempt was given up for a retry, which the retry
+  /// budget already counts.
+  bool mMakesWay = false;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/upstream_selector.cpp
+++ b/src/cactusgw/gateway/upstream_selector.cpp
@@ -37,11 +37,9 @@
   if (!homes) {
     co_return homes.error();
   }
-  if (!mState.mWaitQueue.HasWaiterAheadOf(QueueOf(aRequest), aRequest.mRank)) {
-    std::string found = SelectAvailable(aRequest, aTried);
-    if (!found.empty()) {
-      co_return found;
-    }
+  std::string found = SelectAtOnce(aRequest, aTried);
+  if (!found.empty()) {
+    co_return found;
   }
   const Result<void> unpaused = CheckPauses(aRequest);
   if (!unpaused) {
@@ -50,6 +48,24 @@
   co_return co_await Wait(aRequest, aTried);
 }
 
+bool
+UpstreamSelector::HasAvailable(const AdmittedRequest& aRequest,
+                               std::span<const std::string> aTried) const
+{
+  return aRequest.mService != nullptr &&
+         !SelectAtOnce(aRequest, aTried).empty();
+}
+
+std::string
+UpstreamSelector::SelectAtOnce(const AdmittedRequest& aRequest,
+                               std::span<const std::string> aTried) const
+{
+  if (mState.mWaitQueue.HasWaiterAheadOf(QueueOf(aRequest), aRequest.mRank)) {
+    return {};
+  }
+  return SelectAvailable(aRequest, aTried);
+}
+
 std::string
 UpstreamSelector::QueueOf(const AdmittedRequest& aRequest) const
 {
--- a/src/cactusgw/gateway/upstream_selector.hpp
+++ b/src/cactusgw/gateway/upstream_selector.hpp
@@ -26,6 +26,9 @@
   /// @param aTried upstreams that the request was already sent to; excluded
   Task<Result<std::string>> Find(const AdmittedRequest& aRequest,
                                  std::span<const std::string> aTried);
+  /// Whether Find would return an upstream without a wait.
+  bool HasAvailable(const AdmittedRequest& aRequest,
+                    std::span<const std::string> aTried) const;
   /// Cancels a pending wait; Find then returns an error.
   void Cancel();
 
@@ -41,6 +44,9 @@
   /// Returns an empty string when no upstream has free capacity.
   std::string SelectAvailable(const AdmittedRequest& aRequest,
                               std::span<const std::string> aTried) const;
+  /// The same, and when other requests wait ahead of this one.
+  std::string SelectAtOnce(const AdmittedRequest& aRequest,
+                           std::span<const std::string> aTried) const;
 
   GatewayState& mState;
   Instant mStart;
