Take a request in a planned stop only if its deadline fits

Clients that were still sending when the process ended got no answer, and a request that waited in a socket or in the backlog when accepting stopped was dropped.

Cause: a request was taken if the 0.9 quantile of its route's last 64 responses fitted into the stop. Most streams are shorter than the longest, and nothing tells which one this is. The stop waited for exchanges, which begin with a whole request, and closed idle connections without a look at their sockets.

Change: a request is taken if the earlier of the route's timeout and the client's deadline lies before the answers of the stop; others are refused as not run. ResponseTimes has no use any more and is removed. Requests of which a part has arrived count as open, and are answered with 503 at the answers of the stop. Accepting ends with the backlog, and an idle connection with input is served.

Tests that stated the old promise: ResponseTimesTest (2) tested the removed class. StopScheduleTest.HasTimeUpToTheAnswers became CoversDeadlinesUpToTheAnswers, with the same bounds. LateRequestTest recorded response times of 1,400 and 300 ms by hand; it now serves real requests of three kinds of route first, and states the client's time. IsRefusedWhenItsBodyIsLate states a client's time that fits at the signal and no longer when the body is whole; without it, it would be refused for the route's timeout alone.

The other gateway tests were not run on this change.

--- a/src/cactusgw/gateway/call_admission.cpp
+++ b/src/cactusgw/gateway/call_admission.cpp
@@ -43,22 +43,21 @@
   return boost::outcome_v2::success();
 }
 
-/// While the gateway is stopping, refuses a request that would probably be cut
-/// off. Until there is a response to predict from, a response is expected
-/// within the latency objective.
+/// While the gateway is stopping, refuses a request that may take longer than
+/// the gateway runs: the client can still go elsewhere, and no length of
+/// earlier requests bounds this one.
 Result<void>
-CheckStop(const GatewayState& aState, const GatewayRoute& aRoute, Instant aNow)
+CheckStop(const GatewayState& aState, Instant aDeadline, Instant aNow)
 {
-  const Milliseconds expected =
-    std::min(aRoute.mTimeout,
-             aState.mResponseTimes.Predict(aRoute.mName)
-               .value_or(aRoute.mLatencyObjective));
-  if (!aState.mStop || aState.mStop->HasTimeFor(expected, aNow)) {
+  if (!aState.mStop || aState.mStop->Covers(aDeadline)) {
     return boost::outcome_v2::success();
   }
-  return NotRun(FailureCode::Stopping,
-                "the gateway stops before a response that takes " +
-                  std::to_string(expected.count()) + " ms");
+  return NotRun(
+    FailureCode::Stopping,
+    "the gateway stops before the request's deadline in " +
+      std::to_string(
+        std::chrono::duration_cast<Milliseconds>(aDeadline - aNow).count()) +
+      " ms");
 }
 
 RequestOrigin
@@ -187,10 +186,6 @@
   if (!homes) {
     return homes.error();
   }
-  const Result<void> stop = CheckStop(aState, *request.mRoute, aStart);
-  if (!stop) {
-    return stop.error();
-  }
   request.mTokenNeed = EstimateTokens(aExchange, names);
   const std::optional<std::uint64_t> timeLeft =
     ParseNumber(aExchange.Header(names.mRemainingTime));
@@ -198,6 +193,10 @@
     timeLeft ? Milliseconds{ *timeLeft } : request.mRoute->mTimeout;
   request.mClientDeadline = aStart + clientTime;
   request.mDeadline = aStart + std::min(clientTime, request.mRoute->mTimeout);
+  const Result<void> stop = CheckStop(aState, request.mDeadline, aStart);
+  if (!stop) {
+    return stop.error();
+  }
   return request;
 }
 
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -728,9 +728,12 @@
   co_await timer.async_wait(net::use_awaitable);
   mServer->StopAccepting();
   bool hasGivenUp = false;
-  while (mServer->OpenExchanges() > 0 && SteadyNow() < schedule.End()) {
-    if (!hasGivenUp && SteadyNow() >= schedule.AnswerAt()) {
-      hasGivenUp = true;
+  while (mServer->OpenRequests() > 0 && SteadyNow() < schedule.End()) {
+    const bool isOver = SteadyNow() >= schedule.AnswerAt();
+    if (isOver) {
+      mServer->RefuseUnread();
+    }
+    if (isOver && !std::exchange(hasGivenUp, true)) {
       GiveUpOpenCalls();
     }
     timer.expires_after(kOpenRequestPollInterval);
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -660,7 +660,6 @@
   }
   mState.mMetrics.mCompleted.Add();
   mState.mMetrics.mResponseTime.Record(now - mStart);
-  mState.mResponseTimes.Record(mAdmitted.mRoute->mName, Elapsed());
   mState.mLog.Write(
     "answered",
     { { "request", mRequestId },
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -14,7 +14,6 @@
 #include "cactusgw/gateway/gateway_metrics.hpp"
 #include "cactusgw/gateway/header_names.hpp"
 #include "cactusgw/gateway/load_table.hpp"
-#include "cactusgw/gateway/response_times.hpp"
 #include "cactusgw/gateway/routing_table.hpp"
 #include "cactusgw/gateway/send_gate.hpp"
 #include "cactusgw/gateway/shared_retry_budget.hpp"
@@ -132,7 +131,6 @@
   /// Set by the owner of this state before the first call.
   GenerationMigrator* mMigrator = nullptr;
   StoreFreshness mFreshness;
-  ResponseTimes mResponseTimes;
   /// Set once this gateway is stopping.
   std::optional<StopSchedule> mStop;
   /// The calls in progress. Shared with them, as a call that is destroyed with
--- a/src/cactusgw/gateway/stop_schedule.hpp
+++ b/src/cactusgw/gateway/stop_schedule.hpp
@@ -29,12 +29,9 @@
   Instant AnswerAt() const { return mEnd - kAnswerMargin; }
   /// When the process exits.
   Instant End() const { return mEnd; }
-  /// Whether a request is likely to finish in time.
-  /// @param aExpected duration of most requests of its kind
-  bool HasTimeFor(Milliseconds aExpected, Instant aNow) const
-  {
-    return aNow + aExpected <= AnswerAt();
-  }
+  /// Whether a request ends in time however long it takes.
+  /// @param aDeadline of the request
+  bool Covers(Instant aDeadline) const { return aDeadline <= AnswerAt(); }
 
 private:
   StopSchedule(Instant aAcceptUntil, Instant aEnd)
--- a/src/cactusgw/net/http_server.cpp
+++ b/src/cactusgw/net/http_server.cpp
@@ -43,6 +43,8 @@
 {
   Done,
   Closed,
+  /// The server no longer waits for the rest.
+  Cancelled,
   TimedOut,
   HeaderTooLarge,
   BodyTooLarge,
@@ -61,6 +63,9 @@
   if (aError == http::error::body_limit) {
     return ReadOutcome::BodyTooLarge;
   }
+  if (aError == net::error::operation_aborted) {
+    return ReadOutcome::Cancelled;
+  }
   const bool isHttp = aError.category() ==
                       http::make_error_code(http::error::bad_method).category();
   const bool isCut = aError == http::error::end_of_stream ||
@@ -94,6 +99,14 @@
   co_return 0;
 }
 
+/// Whether bytes have arrived that were not read.
+bool
+HasInput(TcpStream& aStream)
+{
+  beast::error_code ec;
+  return aStream.socket().available(ec) > 0 && !ec;
+}
+
 /// Shuts down the sending side and discards input for a limited time. Closing
 /// a socket with unread input resets the connection, and the client may lose
 /// the response.
@@ -162,6 +175,23 @@
   return ec && ec != net::error::would_block && ec != net::error::try_again;
 }
 
+HttpResponse
+UnreadableResponse(http::status aStatus)
+{
+  return ProblemResponse(
+    NotRun(FailureCode::InvalidInput, "the request could not be read"),
+    aStatus);
+}
+
+HttpResponse
+StoppingResponse()
+{
+  return ProblemResponse(
+    NotRun(FailureCode::Stopping,
+           "the process stops before the request is whole"),
+    http::status::service_unavailable);
+}
+
 Task<void>
 WatchForClose(TcpStream& aStream, std::function<void()> aOnDisconnect)
 {
@@ -361,6 +391,7 @@
 HttpServer::StopAccepting()
 {
   mStopping = true;
+  AcceptBacklog();
   beast::error_code ec;
   mAcceptor.close(ec);
   for (TcpStream* const stream : mIdle) {
@@ -368,6 +399,28 @@
   }
 }
 
+void
+HttpServer::AcceptBacklog()
+{
+  beast::error_code ec;
+  mAcceptor.non_blocking(true, ec);
+  while (!ec) {
+    tcp::socket socket{ mContext };
+    mAcceptor.accept(socket, ec);
+    if (!ec) {
+      net::co_spawn(mContext, Serve(std::move(socket)), net::detached);
+    }
+  }
+}
+
+void
+HttpServer::RefuseUnread()
+{
+  for (TcpStream* const stream : mReading) {
+    stream->cancel();
+  }
+}
+
 Task<void>
 HttpServer::AcceptLoop()
 {
@@ -416,22 +469,19 @@
     co_return true;
   }
   if (mStopping) {
-    co_return false;
+    co_return HasInput(aStream);
   }
   mIdle.insert(&aStream);
   const ReadOutcome outcome = co_await ReadWithin(
     aTime, [&](beast::error_code& ec) { return WaitReadable(aStream, ec); });
   mIdle.erase(&aStream);
-  co_return outcome == ReadOutcome::Done;
+  co_return outcome == ReadOutcome::Done || (mStopping && HasInput(aStream));
 }
 
 Task<bool>
 HttpServer::ServeOne(TcpStream& aStream, beast::flat_buffer& aBuffer)
 {
   const HttpServerLimits limits = mLimits();
-  RequestParser parser;
-  parser.header_limit(limits.mMaxHeaderBytes);
-  parser.body_limit(limits.mMaxBodyBytes);
   // The parser bounds neither the size lines of chunks nor trailers.
   aBuffer.max_size(
     std::max<std::size_t>(limits.mMaxHeaderBytes, aBuffer.size()) +
@@ -440,19 +490,41 @@
   if (!co_await WaitForRequest(aStream, aBuffer, limits.mIdleTime)) {
     co_return false;
   }
+  ++mOpenRequests;
+  const bool keepsAlive = co_await ReadAndServe(aStream, aBuffer, limits);
+  --mOpenRequests;
+  co_return keepsAlive;
+}
+
+Task<bool>
+HttpServer::ReadAndServe(TcpStream& aStream,
+                         beast::flat_buffer& aBuffer,
+                         HttpServerLimits aLimits)
+{
+  RequestParser parser;
+  parser.header_limit(aLimits.mMaxHeaderBytes);
+  parser.body_limit(aLimits.mMaxBodyBytes);
+  mReading.insert(&aStream);
   ReadOutcome outcome =
-    co_await ReadHeader(aStream, aBuffer, parser, limits.mReadHeaderTime);
-  if (outcome == ReadOutcome::Closed) {
+    co_await ReadHeader(aStream, aBuffer, parser, aLimits.mReadHeaderTime);
+  const bool hasLeft = outcome == ReadOutcome::Closed;
+  if (outcome == ReadOutcome::Done) {
+    outcome =
+      co_await ReadBody(aStream, aBuffer, parser, aLimits.mReadBodyTime);
+  }
+  mReading.erase(&aStream);
+  if (outcome == ReadOutcome::Cancelled) {
+    co_await Refuse(aStream, StoppingResponse());
     co_return false;
   }
-  if (outcome == ReadOutcome::Done) {
-    outcome = co_await ReadBody(aStream, aBuffer, parser, limits.mReadBodyTime);
+  if (hasLeft) {
+    co_return false;
   }
   if (outcome != ReadOutcome::Done) {
-    co_await Refuse(aStream, StatusOf(outcome));
+    co_await Refuse(aStream, UnreadableResponse(StatusOf(outcome)));
     co_return false;
   }
-  HttpExchange exchange{ aStream, parser.release(), limits, mDraining };
+  HttpExchange exchange{ aStream, parser.release(), aLimits, mDraining };
   ++mOpenExchanges;
   std::string error;
   try {
@@ -481,17 +553,14 @@
 }
 
 Task<void>
-HttpServer::Refuse(TcpStream& aStream, http::status aStatus)
+HttpServer::Refuse(TcpStream& aStream, HttpResponse aResponse)
 {
-  const Failure failure =
-    NotRun(FailureCode::InvalidInput, "the request could not be read");
-  HttpResponse response = ProblemResponse(failure, aStatus);
-  response.keep_alive(false);
-  response.prepare_payload();
+  aResponse.keep_alive(false);
+  aResponse.prepare_payload();
   beast::error_code ec;
   aStream.expires_after(Milliseconds{ 1000 });
   co_await http::async_write(
-    aStream, response, net::redirect_error(net::use_awaitable, ec));
+    aStream, aResponse, net::redirect_error(net::use_awaitable, ec));
   if (!ec) {
     co_await DiscardInput(aStream);
   }
--- a/src/cactusgw/net/http_server.hpp
+++ b/src/cactusgw/net/http_server.hpp
@@ -105,8 +105,13 @@
   /// response.
   void Drain() { mDraining = true; }
   /// Stops accepting connections and closes idle ones. Requests in progress
-  /// continue.
+  /// continue, and those that wait in sockets are served.
   void StopAccepting();
+  /// Answers requests that are not whole as not run. To be called again while
+  /// there are open requests: a read that is just done goes on with the next.
+  void RefuseUnread();
+  /// Requests of which a part has arrived and that are not answered.
+  std::size_t OpenRequests() const { return mOpenRequests; }
   std::size_t OpenExchanges() const { return mOpenExchanges; }
   std::size_t OpenConnections() const { return mOpenConnections; }
 
@@ -117,13 +122,19 @@
   Task<void> AcceptLoop();
   Task<void> Serve(net::ip::tcp::socket aSocket);
   Task<bool> ServeOne(TcpStream& aStream, beast::flat_buffer& aBuffer);
+  /// Reads, serves and answers a request of which a part has arrived.
+  Task<bool> ReadAndServe(TcpStream& aStream,
+                          beast::flat_buffer& aBuffer,
+                          HttpServerLimits aLimits);
+  /// Serves the connections that the kernel has accepted already.
+  void AcceptBacklog();
   Task<bool> WaitForRequest(TcpStream& aStream,
                             const beast::flat_buffer& aBuffer,
                             Milliseconds aTime);
   /// Ends an exchange whose handler threw, so that one request can't end the
   /// process.
   static Task<void> FailExchange(HttpExchange& aExchange, std::string aError);
-  Task<void> Refuse(TcpStream& aStream, http::status aStatus);
+  static Task<void> Refuse(TcpStream& aStream, HttpResponse aResponse);
 
   net::io_context& mContext;
   net::ip::tcp::acceptor mAcceptor;
@@ -132,6 +143,9 @@
   bool mDraining = false;
   bool mStopping = false;
   std::set<TcpStream*> mIdle;
+  /// Connections in the middle of a request.
+  std::set<TcpStream*> mReading;
+  std::size_t mOpenRequests = 0;
   std::size_t mOpenExchanges = 0;
   std::size_t mOpenConnections = 0;
 };
--- a/tests/gateway/planned_stop_test.cpp
+++ b/tests/gateway/planned_stop_test.cpp
@@ -2,7 +2,6 @@
 /// response while there is time, as not run while that is true, and otherwise
 /// with an error before the process exits.
 
-#include "cactusgw/gateway/response_times.hpp"
 #include "cactusgw/gateway/stop_schedule.hpp"
 #include "cactusgw/net/address.hpp"
 #include "cactusgw/net/steady_now.hpp"
@@ -17,6 +16,9 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
 namespace cactusgw::test {
 
 TEST(StopScheduleTest, AcceptsAnswersAndEndsInThisOrder)
@@ -39,38 +41,14 @@
   }
 }
 
-TEST(StopScheduleTest, HasTimeUpToTheAnswers)
+TEST(StopScheduleTest, CoversDeadlinesUpToTheAnswers)
 {
   const Instant begun{ Milliseconds{ 1000 } };
   const StopSchedule schedule =
     StopSchedule::Create(begun, Milliseconds{ 2500 }, Milliseconds{ 8000 });
-  EXPECT_TRUE(schedule.HasTimeFor(Milliseconds{ 7250 }, begun));
-  EXPECT_FALSE(schedule.HasTimeFor(Milliseconds{ 7251 }, begun));
-  EXPECT_FALSE(schedule.HasTimeFor(Milliseconds{ 0 }, schedule.End()));
-}
-
-TEST(ResponseTimesTest, PredictsWhatMostResponsesTook)
-{
-  ResponseTimes times;
-  EXPECT_EQ(times.Predict("r"), std::nullopt);
-  times.Record("r", Milliseconds{ 70 });
-  EXPECT_EQ(times.Predict("r"), Milliseconds{ 70 });
-  for (int ms = 1; ms <= 100; ++ms) {
-    times.Record("r", Milliseconds{ ms });
-  }
-  // The last 64 took 37 to 100 ms.
-  EXPECT_EQ(times.Predict("r"), Milliseconds{ 94 });
-  EXPECT_EQ(times.Predict("other"), std::nullopt);
-}
-
-TEST(ResponseTimesTest, RemembersABoundedNumberOfRoutes)
-{
-  ResponseTimes times;
-  for (std::size_t i = 0; i <= ResponseTimes::kMaxRoutes; ++i) {
-    times.Record(std::to_string(i), Milliseconds{ 1 });
-  }
-  EXPECT_TRUE(times.Predict(std::to_string(ResponseTimes::kMaxRoutes - 1)));
-  EXPECT_FALSE(times.Predict(std::to_string(ResponseTimes::kMaxRoutes)));
+  EXPECT_TRUE(schedule.Covers(begun + Milliseconds{ 7250 }));
+  EXPECT_FALSE(schedule.Covers(begun + Milliseconds{ 7251 }));
+  EXPECT_FALSE(schedule.Covers(schedule.End()));
 }
 
 /// What a request is doing when the time of the stop is used up.
@@ -205,52 +183,70 @@
   });
 
 class LateRequestTest : public PlannedStopTest
-{};
-
-// A request that arrives late in a stop must not be sent when it is going to be
-// cut off: the client may send it elsewhere while it has not run.
-TEST_F(LateRequestTest, IsRefusedAsNotRun)
 {
-  ScriptedUpstream& upstream =
-    AddUpstream("a", "app", [](ScriptedExchange& aExchange) -> Task<void> {
-      co_await aExchange.WaitForClose();
+protected:
+  /// Serves a request of each target of aTargets, stops the gateway, and sends
+  /// the same again with the given time. Returns the later responses.
+  std::vector<ClientResponse> CallLate(const std::vector<std::string>& aTargets,
+                                       Milliseconds aTime)
+  {
+    std::vector<ClientResponse> late;
+    bool isStopped = false;
+    Run([&]() -> Task<void> {
+      for (const std::string& target : aTargets) {
+        const ClientResponse early =
+          co_await Call(MakeRequest(http::verb::post, target));
+        EXPECT_EQ(early.mStatus, 200U);
+      }
+      mGateway->Stop([&] { isStopped = true; });
+      for (const std::string& target : aTargets) {
+        HttpRequest request = MakeRequest(http::verb::post, target);
+        request.set("Time-Left", std::to_string(aTime.count()));
+        late.push_back(co_await Call(std::move(request)));
+      }
+      while (!isStopped) {
+        co_await net::post(net::use_awaitable);
+      }
     });
+    return late;
+  }
+
+  static Task<void> AnswerAtOnce(ScriptedExchange& aExchange)
+  {
+    const std::string headers =
+      std::string{ kSealed } + "Request-Id: " + aExchange.Header("Request-Id") +
+      "\r\n";
+    co_await aExchange.Answer(200, headers, "id: 1\ndata: x\n\n");
+  }
+
+  const std::vector<std::string> mTargets{ "/read/x", "/write/x", "/stream/x" };
+};
+
+// Streams that were longer than most of their route were taken late in a stop,
+// and cut at its end. The client may send a request elsewhere while it has not
+// run.
+TEST_F(LateRequestTest, IsRefusedAsNotRunHoweverShortEarlierOnesWere)
+{
+  ScriptedUpstream& app = AddUpstream("a", "app", AnswerAtOnce);
+  ScriptedUpstream& engine = AddUpstream("e", "engine", AnswerAtOnce);
   StartGateway();
-  mGateway->State().mResponseTimes.Record("/write/", Milliseconds{ 1400 });
-  bool isStopped = false;
-  Run([&]() -> Task<void> {
-    mGateway->Stop([&] { isStopped = true; });
-    const ClientResponse response =
-      co_await Call(MakeRequest(http::verb::post, "/write/x"));
+  for (const ClientResponse& response : CallLate(mTargets, kStopTime)) {
     EXPECT_EQ(response.mStatus, 503U);
     EXPECT_NE(response.mRetryAfter, "");
-    EXPECT_THAT(upstream.Requests(), ::testing::IsEmpty());
-    while (!isStopped) {
-      co_await net::post(net::use_awaitable);
-    }
-  });
+  }
+  EXPECT_EQ(app.Requests().size(), 2U);
+  EXPECT_EQ(engine.Requests().size(), 1U);
 }
 
-TEST_F(LateRequestTest, IsServedWhenThereIsTime)
+TEST_F(LateRequestTest, IsServedWhenItEndsBeforeTheStop)
 {
-  AddUpstream("a", "app", [](ScriptedExchange& aExchange) -> Task<void> {
-    co_await aExchange.Answer(200,
-                              std::string{ kSealed } + "Request-Id: " +
-                                aExchange.Header("Request-Id") + "\r\n",
-                              "ok");
-  });
+  AddUpstream("a", "app", AnswerAtOnce);
+  AddUpstream("e", "engine", AnswerAtOnce);
   StartGateway();
-  mGateway->State().mResponseTimes.Record("/write/", Milliseconds{ 300 });
-  bool isStopped = false;
-  Run([&]() -> Task<void> {
-    mGateway->Stop([&] { isStopped = true; });
-    const ClientResponse response =
-      co_await Call(MakeRequest(http::verb::post, "/write/x"));
+  for (const ClientResponse& response : CallLate(mTargets, kStopTime / 4)) {
     EXPECT_EQ(response.mStatus, 200U);
-    while (!isStopped) {
-      co_await net::post(net::use_awaitable);
-    }
-  });
+    EXPECT_TRUE(response.mIsWhole);
+  }
 }
 
 // The header arrives in time, the body at the end of the stop.
@@ -269,6 +265,7 @@
     co_await socket.async_connect(address.value(), net::use_awaitable);
     const std::string header =
       "POST /write/x HTTP/1.1\r\nHost: host.test\r\nRequest-Id: r1\r\n"
+      "Time-Left: 500\r\n"
       "Authorization: Bearer key\r\nContent-Length: 2\r\n\r\na";
     co_await net::async_write(socket, net::buffer(header), net::use_awaitable);
     mGateway->Stop([&] { isStopped = true; });
@@ -285,4 +282,56 @@
   });
 }
 
+class HalfSentRequestTest : public LateRequestTest
+{
+protected:
+  /// Sends these bytes, stops the gateway once it has read them, and returns
+  /// what it sent before the end of the stop.
+  std::string SendAndStop(const std::string& aBytes)
+  {
+    AddUpstream("a", "app", AnswerAtOnce);
+    StartGateway();
+    bool isStopped = false;
+    std::string received;
+    Run([&]() -> Task<void> {
+      net::ip::tcp::socket socket{ mContext };
+      const Result<net::ip::tcp::endpoint> address =
+        ParseEndpoint(GatewayAddress());
+      co_await socket.async_connect(address.value(), net::use_awaitable);
+      co_await net::async_write(
+        socket, net::buffer(aBytes), net::use_awaitable);
+      // The gateway reads its connections in the order of their requests.
+      co_await Call(MakeRequest(http::verb::post, "/write/x"));
+      socket.non_blocking(true);
+      mGateway->Stop([&] { isStopped = true; });
+      std::string text(1024, '\0');
+      while (!isStopped) {
+        beast::error_code ec;
+        const std::size_t n = socket.read_some(net::buffer(text), ec);
+        received += text.substr(0, ec ? 0 : n);
+        co_await net::post(net::use_awaitable);
+      }
+    });
+    return received;
+  }
+};
+
+// A client that was still sending when the process ended got no answer.
+TEST_F(HalfSentRequestTest, IsAnsweredBeforeTheEndWhenItsBodyIsNotWhole)
+{
+  const std::string received =
+    SendAndStop("POST /write/x HTTP/1.1\r\nHost: host.test\r\n"
+                "Request-Id: r1\r\nContent-Length: 2\r\n\r\na");
+  EXPECT_THAT(received, ::testing::StartsWith("HTTP/1.1 503 "));
+  EXPECT_THAT(received, ::testing::HasSubstr("Retry-After: "));
+}
+
+TEST_F(HalfSentRequestTest, IsAnsweredBeforeTheEndWhenItsHeaderIsNotWhole)
+{
+  const std::string received =
+    SendAndStop("POST /write/x HTTP/1.1\r\nHost: ho");
+  EXPECT_THAT(received, ::testing::StartsWith("HTTP/1.1 503 "));
+  EXPECT_THAT(received, ::testing::HasSubstr("Retry-After: "));
+}
+
 } // namespace cactusgw::test
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -1,9 +1,11 @@
+#include "cactusgw/net/address.hpp"
 #include "cactusgw/net/http_connection.hpp"
 #include "cactusgw/net/http_server.hpp"
 #include "cactusgw/net/steady_now.hpp"
 #include "free_address.hpp"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
 #include <stdexcept>
@@ -64,4 +66,52 @@
   EXPECT_EQ(server.value()->OpenExchanges(), 0U);
 }
 
+/// Runs the event loop until the condition holds.
+template<typename Condition>
+void
+RunUntil(net::io_context& aContext, Condition aHolds)
+{
+  while (!aHolds()) {
+    aContext.run_one();
+  }
+}
+
+// The server closed connections with a request that it had not yet read.
+TEST(HttpServerTest, AnswersRequestsThatWaitInSocketsWhenAcceptingStops)
+{
+  constexpr std::string_view kRequest =
+    "GET / HTTP/1.1\r\nHost: host.test\r\n\r\n";
+  net::io_context context{ 1 };
+  const std::string address = FreeAddress();
+  int served = 0;
+  const HttpHandler handler = [&](HttpExchange& aExchange) -> Task<void> {
+    ++served;
+    co_await aExchange.Reply(HttpResponse{ http::status::ok, 11 });
+  };
+  const Result<std::unique_ptr<HttpServer>> server = HttpServer::Listen(
+    context, address, [] { return HttpServerLimits{}; }, handler);
+  ASSERT_TRUE(server.has_value());
+  const net::ip::tcp::endpoint endpoint = ParseEndpoint(address).value();
+  net::ip::tcp::socket kept{ context };
+  kept.connect(endpoint);
+  kept.send(net::buffer(kRequest));
+  RunUntil(context, [&] { return served == 1; });
+  std::string text(1024, '\0');
+  kept.receive(net::buffer(text));
+  // The response is sent before the connection waits for its next request.
+  context.poll();
+  net::ip::tcp::socket fresh{ context };
+  fresh.connect(endpoint);
+  kept.send(net::buffer(kRequest));
+  fresh.send(net::buffer(kRequest));
+  server.value()->StopAccepting();
+  RunUntil(context, [&] { return server.value()->OpenConnections() == 0; });
+  EXPECT_EQ(served, 3);
+  for (net::ip::tcp::socket* const socket : { &kept, &fresh }) {
+    beast::error_code ec;
+    const std::size_t n = socket->receive(net::buffer(text), 0, ec);
+    EXPECT_TRUE(text.substr(0, ec ? 0 : n).starts_with("HTTP/1.1 200 "));
+  }
+}
+
 } // namespace cactusgw::test
