Clamp the client's time and its token counts where they are read

Upstreams were told a wrong time by requests with a huge X-Cactusgw-Deadline-Milliseconds: 1 ms left for 2^63 - 1 and more, or 9e12 ms for what just overflows the clock.

Cause: the number became milliseconds, and these a time of the clock, whose nanoseconds overflow, which is undefined. Token counts were added up unclamped, and a sum that wraps makes a request look light.

Change: the client's time is clamped to a year where it is read, token counts to 2^40 each. Also read: retry times were clamped already, keep-alive times fit into an int, and durations of a store relay into 32 bits; documents and settings have ranges. None of these overflows.

Result: HeaderTimesTest (7) and HeaderCountsTest pass. Not run with a sanitizer.

--- a/src/cactusgw/gateway/call_admission.cpp
+++ b/src/cactusgw/gateway/call_admission.cpp
@@ -3,6 +3,7 @@
 #include "cactusgw/core/hash.hpp"
 #include "cactusgw/gateway/message_headers.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -60,6 +61,20 @@
       " ms");
 }
 
+/// Parses the time that the client waits.
+std::optional<Milliseconds>
+ClientTime(std::string_view aText)
+{
+  // Longer than any request, and far from the range of the clock.
+  constexpr Milliseconds kLongest = std::chrono::hours{ 24 * 365 };
+  const std::optional<std::uint64_t> ms = ParseNumber(aText);
+  if (!ms) {
+    return std::nullopt;
+  }
+  constexpr std::uint64_t kMax = kLongest.count();
+  return Milliseconds{ static_cast<std::int64_t>(std::min(*ms, kMax)) };
+}
+
 RequestOrigin
 OriginOf(const RoutingTable& aTable,
          const AdmittedRequest& aRequest,
@@ -187,10 +202,9 @@
     return homes.error();
   }
   request.mTokenNeed = EstimateTokens(aExchange, names);
-  const std::optional<std::uint64_t> timeLeft =
-    ParseNumber(aExchange.Header(names.mRemainingTime));
   const Milliseconds clientTime =
-    timeLeft ? Milliseconds{ *timeLeft } : request.mRoute->mTimeout;
+    ClientTime(aExchange.Header(names.mRemainingTime))
+      .value_or(request.mRoute->mTimeout);
   request.mClientDeadline = aStart + clientTime;
   request.mDeadline = aStart + std::min(clientTime, request.mRoute->mTimeout);
   const Result<void> stop = CheckStop(aState, request.mDeadline, aStart);
--- a/src/cactusgw/gateway/message_headers.cpp
+++ b/src/cactusgw/gateway/message_headers.cpp
@@ -197,7 +197,10 @@
   if (!prompt || !output) {
     return std::nullopt;
   }
-  return TokenCounts{ *prompt, *output };
+  // Counts of all requests in progress are added up.
+  constexpr std::uint64_t kMaxTokens = std::uint64_t{ 1 } << 40U;
+  return TokenCounts{ std::min(*prompt, kMaxTokens),
+                      std::min(*output, kMaxTokens) };
 }
 
 } // namespace cactusgw
