Answer at the end of a stop also when the process was held up

A request that was sent and not answered got no answer at the end of a planned stop, if the process was held up for the 250 ms in which it should have given up: the loop saw the end and skipped the answers.

Found by AllStates/PlannedStopTest, UnsafeSent, which failed once, with the machine overloaded, and passed in the run before. That this is its cause is likely, not shown.

Change: calls are always given up, and get the time for their answers from then on, at the expense of the margin for the exit.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -727,15 +727,16 @@
   timer.expires_at(schedule.AcceptUntil());
   co_await timer.async_wait(net::use_awaitable);
   mServer->StopAccepting();
-  bool hasGivenUp = false;
-  while (mServer->OpenRequests() > 0 && SteadyNow() < schedule.End()) {
-    const bool isOver = SteadyNow() >= schedule.AnswerAt();
-    if (isOver) {
-      mServer->RefuseUnread();
-    }
-    if (isOver && !std::exchange(hasGivenUp, true)) {
-      GiveUpOpenCalls();
-    }
+  while (mServer->OpenRequests() > 0 && SteadyNow() < schedule.AnswerAt()) {
+    timer.expires_after(kOpenRequestPollInterval);
+    co_await timer.async_wait(net::use_awaitable);
+  }
+  GiveUpOpenCalls();
+  // A process that was held up until now still answers.
+  const Instant end =
+    std::max(schedule.End(), SteadyNow() + StopSchedule::kAnswerMargin);
+  while (mServer->OpenRequests() > 0 && SteadyNow() < end) {
+    mServer->RefuseUnread();
     timer.expires_after(kOpenRequestPollInterval);
     co_await timer.async_wait(net::use_awaitable);
   }
