Hold signals back until their handlers are set

Operators saw processes end by signal 1 or 15 in the first milliseconds, without a log line, when a reload or a stop came right after the start.

Cause: a SIGHUP, SIGINT or SIGTERM before the handlers were set had its default action. A daemon that a parent process started with these signals blocked never received them at all.

All three daemons share it.

--- a/src/cactusgw/programs/daemon_main.hpp
+++ b/src/cactusgw/programs/daemon_main.hpp
@@ -5,6 +5,7 @@
 
 #include "cactusgw/config/process_settings.hpp"
 #include "cactusgw/programs/command_line.hpp"
+#include "cactusgw/programs/early_signals.hpp"
 #include "cactusgw/programs/event_loop.hpp"
 #include "cactusgw/telemetry/log.hpp"
 
@@ -76,6 +77,9 @@
     std::fprintf(stderr, "%s: needs --settings FILE\n", aName);
     return kExitUsage;
   }
+  if (checkOnly) {
+    ReleaseSignals(); // There are no handlers to wait for.
+  }
   const SettingsResult<Settings> settings = ReadSettingsFile(aRead, path);
   if (!settings) {
     std::fprintf(stderr, "%s", ToString(settings.error()).c_str());
@@ -95,6 +99,7 @@
     ReloadOnSignal(
       context, [&] { daemon.value()->Reload(ReadSettingsFile(aRead, path)); });
   }
+  ReleaseSignals();
   daemon = Daemon::Start(context, settings.value());
   if (!daemon) {
     std::fprintf(stderr, "%s: %s\n", aName, daemon.error().mDetail.c_str());
