Repeat a start that finds its ports in use

A restart that overlapped with the former process ended at once with exit code 4 ("Address already in use"): for the operators the system did not start.

Cause: the first failure to listen was final, in all three daemons.

Evidence: a second start of the former binary on the ports of a running one ended with exit code 4.

Change: StartWithRetries repeats a start that fails for 20 s, on a new event loop each time, with one line event=start-delayed. Signals are held back until the daemon runs; a SIGTERM or SIGINT meanwhile ends the start with exit code 0, a SIGHUP is acted on afterwards. Then the exit code is 4, as before.

--- a/src/cactusgw/programs/daemon_main.hpp
+++ b/src/cactusgw/programs/daemon_main.hpp
@@ -7,6 +7,7 @@
 #include "cactusgw/programs/command_line.hpp"
 #include "cactusgw/programs/early_signals.hpp"
 #include "cactusgw/programs/event_loop.hpp"
+#include "cactusgw/programs/start_retries.hpp"
 #include "cactusgw/telemetry/log.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -45,7 +46,8 @@
   return aRead(*text, aPath);
 }
 
-/// Reads the settings, starts the daemon and runs it until a signal stops it.
+/// Reads the settings, starts the daemon and runs it until a signal stops it. A
+/// signal during the start is acted on once the daemon runs.
 ///
 /// @tparam Daemon has a static Start(context, settings) and a Stop(function)
 template<typename Daemon, typename Settings>
@@ -90,22 +92,26 @@
     return kExitOk;
   }
   StartLogging(settings.value().mLog);
-  boost::asio::io_context context{ 1 };
-  // A signal may come at any moment; it is acted on once the daemon runs.
+  std::unique_ptr<boost::asio::io_context> context;
   Result<std::unique_ptr<Daemon>> daemon = std::unique_ptr<Daemon>{};
-  StopOnSignals(context,
-                [&] { daemon.value()->Stop([&context] { context.stop(); }); });
+  const auto start = [&] {
+    // What a failed start has left on its event loop goes with the loop.
+    context = std::make_unique<boost::asio::io_context>(1);
+    daemon = Daemon::Start(*context, settings.value());
+    return daemon ? std::string{} : daemon.error().mDetail;
+  };
+  const StartResult result = StartWithRetries(aName, start);
+  if (result != StartResult::Started) {
+    return result == StartResult::Stopped ? kExitOk : kExitCannotListen;
+  }
+  StopOnSignals(*context,
+                [&] { daemon.value()->Stop([&context] { context->stop(); }); });
   if constexpr (Reloadable<Daemon, Settings>) {
     ReloadOnSignal(
-      context, [&] { daemon.value()->Reload(ReadSettingsFile(aRead, path)); });
+      *context, [&] { daemon.value()->Reload(ReadSettingsFile(aRead, path)); });
   }
   ReleaseSignals();
-  daemon = Daemon::Start(context, settings.value());
-  if (!daemon) {
-    std::fprintf(stderr, "%s: %s\n", aName, daemon.error().mDetail.c_str());
-    return kExitCannotListen;
-  }
-  context.run();
+  context->run();
   // Calls in progress refer to the daemon and the daemon to its sockets: the
   // process ends without taking them apart, which could wait for peers.
   std::fflush(nullptr);
--- a/src/cactusgw/programs/early_signals.cpp
+++ b/src/cactusgw/programs/early_signals.cpp
@@ -1,6 +1,8 @@
 #include "cactusgw/programs/early_signals.hpp"
 
+#include <chrono>
 #include <csignal>
+#include <ctime>
 
 namespace cactusgw {
 
@@ -32,6 +34,21 @@
 
 } // namespace
 
+bool
+TakeStopSignal(Milliseconds aTime)
+{
+  const std::chrono::seconds seconds =
+    std::chrono::duration_cast<std::chrono::seconds>(aTime);
+  timespec time{};
+  time.tv_sec = static_cast<std::time_t>(seconds.count());
+  time.tv_nsec = std::chrono::nanoseconds{ aTime - seconds }.count();
+  sigset_t signals{};
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGTERM);
+  return sigtimedwait(&signals, nullptr, &time) > 0;
+}
+
 void
 ReleaseSignals()
 {
