Never wait for the reader of the log

With a standard output that nobody read, all clients of a gateway stalled after some seconds, and a SIGTERM had no effect.

Cause: log lines were written with blocking writes on the event loop.

Evidence: BlockedOutputTest failed on the code before: with a full pipe as standard output neither the operators' nor the clients' port answered in 5 s.

Change: StreamAppender asks poll for room before each write to a pipe, socket or terminal and writes PIPE_BUF bytes at most. Other lines are queued, up to 64 KiB, then dropped and counted; event=log-lines-dropped tells the number with the next line that fits. No thread, no change of the descriptor's mode, one write for each line to a regular file. A standard stream that is closed is opened on /dev/null, as a client's socket could get its number.

Left: a pipe that another process fills between poll and write still makes the write wait. A log file that is a FIFO is opened as before.

--- a/src/cactusgw/programs/daemon_main.hpp
+++ b/src/cactusgw/programs/daemon_main.hpp
@@ -114,6 +114,7 @@
   context->run();
   // Calls in progress refer to the daemon and the daemon to its sockets: the
   // process ends without taking them apart, which could wait for peers.
+  log4cplus::Logger::getRoot().closeNestedAppenders(); // Writes queued lines.
   std::fflush(nullptr);
   std::_Exit(kExitOk);
 }
--- a/src/cactusgw/telemetry/log.cpp
+++ b/src/cactusgw/telemetry/log.cpp
@@ -1,13 +1,16 @@
 #include "cactusgw/telemetry/log.hpp"
 
-#include <log4cplus/consoleappender.h>
+#include "cactusgw/telemetry/stream_appender.hpp"
+
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <fcntl.h>
 #include <memory>
 #include <string>
+#include <unistd.h>
 
 namespace cactusgw {
 
@@ -31,25 +34,35 @@
 log4cplus::SharedAppenderPtr
 MakeAppender(const std::string& aOutput)
 {
-  constexpr bool kLogToStdErr = true;
   constexpr bool kFlushEachLine = true;
   if (aOutput == "stdout") {
-    return log4cplus::SharedAppenderPtr{ new log4cplus::ConsoleAppender(
-      !kLogToStdErr, kFlushEachLine) };
+    return log4cplus::SharedAppenderPtr{ new StreamAppender(STDOUT_FILENO) };
   }
   if (aOutput == "stderr") {
-    return log4cplus::SharedAppenderPtr{ new log4cplus::ConsoleAppender(
-      kLogToStdErr, kFlushEachLine) };
+    return log4cplus::SharedAppenderPtr{ new StreamAppender(STDERR_FILENO) };
   }
   return log4cplus::SharedAppenderPtr{ new log4cplus::FileAppender(
     aOutput, std::ios_base::app, kFlushEachLine) };
 }
 
+/// A socket that got the number of a closed standard stream would receive what
+/// is written to that stream.
+void
+OpenClosedStandardStreams()
+{
+  for (int i = STDIN_FILENO; i <= STDERR_FILENO; ++i) {
+    if (fcntl(i, F_GETFD) < 0) {
+      open("/dev/null", O_RDWR);
+    }
+  }
+}
+
 } // namespace
 
 void
 StartLogging(const LogSettings& aSettings)
 {
+  OpenClosedStandardStreams();
   static const log4cplus::Initializer sInitializer;
   log4cplus::SharedAppenderPtr appender = MakeAppender(aSettings.mOutput);
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
