Bound what senders on the peer port can take

Senders of frames with absurd lengths on the peer port took a gateway to several times the memory limit of 110 MB of the sites, where it is killed.

Cause: libzmq takes memory by the declared length of a frame, up to 16 MiB here, and queued 2,000 messages, both for each connection.

Change: the limits are a parameter of each socket (MessageLimits). The listening socket of gateways takes messages of 256 KiB and queues four for each connection; a faster sender has to wait, nothing is lost. Only requests, load and suspicions arrive there, about 63 KB at most at 700 upstreams by the sizes of the fields (an estimate, no measurement). The store's content goes the other way, to sockets that connect, so an older gateway is understood as before. A socket passes on 64 messages at a time, so that a flood leaves the event loop to others. At most 1,024 requests for the store's content are held. An error of libzmq in a send, a receive or the making of a socket is a dropped message or a refusal, no exception.

--- a/src/cactusgw/gateway/peer_exchange.cpp
+++ b/src/cactusgw/gateway/peer_exchange.cpp
@@ -8,6 +8,22 @@
 
 namespace cactusgw {
 
+namespace {
+
+/// Anyone can connect to the listening socket. It receives the load, the
+/// suspicions and the small requests of other gateways, and sends the store's
+/// content, one response at a time to each gateway.
+MessageLimits
+ListenerLimits()
+{
+  constexpr std::int64_t kMaxMessageBytes = std::int64_t{ 256 } * 1024;
+  constexpr int kMaxReceived = 4;
+  constexpr int kMaxUnsent = 4;
+  return { kMaxMessageBytes, kMaxReceived, kMaxUnsent };
+}
+
+} // namespace
+
 PeerExchange::PeerExchange(boost::asio::io_context& aContext,
                            GatewayState& aState)
   : mContext(aContext)
@@ -31,7 +47,8 @@
     aState.mSettings.mPeerListen,
     [self](std::string_view aIdentity, std::string_view aPayload) {
       self->OnMessage(aIdentity, aPayload);
-    });
+    },
+    ListenerLimits());
   if (!listener) {
     return listener.error();
   }
--- a/src/cactusgw/gateway/store_relay.cpp
+++ b/src/cactusgw/gateway/store_relay.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Requests held at a time; a sender may make up names.
+constexpr std::size_t kMaxHeldRequests = 1024;
+
 Milliseconds
 Since(Instant aThen, Instant aNow)
 {
@@ -131,6 +134,10 @@
                       const std::string& aPeer,
                       const wire::StoreQuestion& aQuestion)
 {
+  if (mHeldRequests.size() >= kMaxHeldRequests &&
+      !mHeldRequests.contains(aPeer)) {
+    return; // The sender's request times out.
+  }
   const Instant now = SteadyNow();
   HeldRequest held;
   held.mIdentity = std::string{ aIdentity };
--- a/src/cactusgw/messaging/message_socket.cpp
+++ b/src/cactusgw/messaging/message_socket.cpp
@@ -2,18 +2,15 @@
 
 #include <boost/asio/post.hpp>
 
-#include <cstdint>
+#include <exception>
 #include <utility>
 
 namespace cactusgw {
 
 namespace {
 
-/// Messages queued per peer before new ones are dropped.
-constexpr int kHighWaterMark = 2000;
-/// Larger messages close their connection before they are held. Responses of
-/// the store, which are passed on, have up to 8 MiB.
-constexpr std::int64_t kMaxMessageBytes = std::int64_t{ 16 } * 1024 * 1024;
+/// After this many messages other work of the event loop has its turn.
+constexpr int kMessagesAtOnce = 64;
 /// Silence on a connection after which ZeroMQ probes it, and then closes it.
 constexpr int kHeartbeatIntervalMs = 2000;
 constexpr int kHeartbeatTimeoutMs = 6000;
@@ -30,7 +27,8 @@
 MessageSocket::MessageSocket(zmq::context_t& aZmq,
                              boost::asio::io_context& aContext,
                              zmq::socket_type aType,
-                             MessageHandler aHandler)
+                             MessageHandler aHandler,
+                             const MessageLimits& aLimits)
   : mSocket(aZmq, aType)
   , mContext(aContext)
   , mDescriptor(aContext)
@@ -39,9 +37,9 @@
   , mAlive(std::make_shared<bool>(true))
 {
   mSocket.set(zmq::sockopt::linger, 0);
-  mSocket.set(zmq::sockopt::sndhwm, kHighWaterMark);
-  mSocket.set(zmq::sockopt::rcvhwm, kHighWaterMark);
-  mSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  mSocket.set(zmq::sockopt::sndhwm, aLimits.mMaxUnsent);
+  mSocket.set(zmq::sockopt::rcvhwm, aLimits.mMaxReceived);
+  mSocket.set(zmq::sockopt::maxmsgsize, aLimits.mMaxMessageBytes);
   mSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatIntervalMs);
   mSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
   mSocket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
@@ -51,38 +49,44 @@
 MessageSocket::Bind(zmq::context_t& aZmq,
                     boost::asio::io_context& aContext,
                     std::string_view aAddress,
-                    MessageHandler aHandler)
+                    MessageHandler aHandler,
+                    const MessageLimits& aLimits)
 {
-  std::unique_ptr<MessageSocket> socket{ new MessageSocket{
-    aZmq, aContext, zmq::socket_type::router, std::move(aHandler) } };
   try {
+    std::unique_ptr<MessageSocket> socket{
+      new MessageSocket{
+        aZmq, aContext, zmq::socket_type::router, std::move(aHandler), aLimits }
+    };
     socket->mSocket.bind(ZmqAddress(aAddress));
-  } catch (const zmq::error_t& e) {
+    socket->WaitReadable();
+    return socket;
+  } catch (const std::exception& e) { // No descriptor left, for example.
     return NotRun(FailureCode::InvalidInput,
                   "can't listen on " + std::string{ aAddress } + ": " +
                     e.what());
   }
-  socket->WaitReadable();
-  return socket;
 }
 
 Result<std::unique_ptr<MessageSocket>>
 MessageSocket::Connect(zmq::context_t& aZmq,
                        boost::asio::io_context& aContext,
                        std::string_view aAddress,
-                       MessageHandler aHandler)
+                       MessageHandler aHandler,
+                       const MessageLimits& aLimits)
 {
-  std::unique_ptr<MessageSocket> socket{ new MessageSocket{
-    aZmq, aContext, zmq::socket_type::dealer, std::move(aHandler) } };
   try {
+    std::unique_ptr<MessageSocket> socket{
+      new MessageSocket{
+        aZmq, aContext, zmq::socket_type::dealer, std::move(aHandler), aLimits }
+    };
     socket->mSocket.connect(ZmqAddress(aAddress));
-  } catch (const zmq::error_t& e) {
+    socket->WaitReadable();
+    return socket;
+  } catch (const std::exception& e) { // No descriptor left, for example.
     return NotRun(FailureCode::InvalidInput,
                   "can't connect to " + std::string{ aAddress } + ": " +
                     e.what());
   }
-  socket->WaitReadable();
-  return socket;
 }
 
 MessageSocket::~MessageSocket()
@@ -96,22 +100,28 @@
 bool
 MessageSocket::Send(std::string_view aPayload)
 {
-  const zmq::send_result_t sent =
-    mSocket.send(zmq::buffer(aPayload), zmq::send_flags::dontwait);
-  ScheduleDrain();
-  mDroppedSends += sent ? 0 : 1;
-  return sent.has_value();
+  return TrySend({}, aPayload);
 }
 
 bool
 MessageSocket::SendTo(std::string_view aIdentity, std::string_view aPayload)
+{
+  return TrySend(aIdentity, aPayload);
+}
+
+bool
+MessageSocket::TrySend(std::string_view aIdentity, std::string_view aPayload)
 {
   const zmq::send_flags more =
     zmq::send_flags::sndmore | zmq::send_flags::dontwait;
   bool sent = false;
-  if (mSocket.send(zmq::buffer(aIdentity), more)) {
-    sent = mSocket.send(zmq::buffer(aPayload), zmq::send_flags::dontwait)
-             .has_value();
+  try {
+    if (!mIsRouter || mSocket.send(zmq::buffer(aIdentity), more)) {
+      sent = mSocket.send(zmq::buffer(aPayload), zmq::send_flags::dontwait)
+               .has_value();
+    }
+  } catch (const zmq::error_t&) {
+    sent = false; // Counted as dropped, like a message to a full queue.
   }
   ScheduleDrain();
   mDroppedSends += sent ? 0 : 1;
@@ -142,18 +152,31 @@
 MessageSocket::Drain()
 {
   const std::shared_ptr<bool> alive = mAlive;
-  while (*alive && (mSocket.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0) {
+  for (int i = 0; *alive && i < kMessagesAtOnce; ++i) {
     zmq::message_t identity;
-    if (mIsRouter &&
-        !mSocket.recv(identity, zmq::recv_flags::dontwait).has_value()) {
-      return;
-    }
     zmq::message_t payload;
-    if (!mSocket.recv(payload, zmq::recv_flags::dontwait).has_value()) {
+    if (!Receive(identity, payload)) {
       return;
     }
     mHandler(identity.to_string_view(), payload.to_string_view());
   }
+  if (*alive) {
+    ScheduleDrain();
+  }
+}
+
+bool
+MessageSocket::Receive(zmq::message_t& aIdentity, zmq::message_t& aPayload)
+{
+  try {
+    return (mSocket.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0 &&
+           (!mIsRouter ||
+            mSocket.recv(aIdentity, zmq::recv_flags::dontwait).has_value()) &&
+           mSocket.recv(aPayload, zmq::recv_flags::dontwait).has_value();
+  } catch (const zmq::error_t&) {
+    ScheduleDrain(); // A signal interrupted the call, for example.
+    return false;
+  }
 }
 
 void
--- a/src/cactusgw/messaging/message_socket.hpp
+++ b/src/cactusgw/messaging/message_socket.hpp
@@ -23,6 +23,19 @@
 using MessageHandler =
   std::function<void(std::string_view aIdentity, std::string_view aPayload)>;
 
+/// What a socket holds for each connection. The memory that a peer can take is
+/// about the largest message times the queue of received ones.
+struct MessageLimits
+{
+  /// Larger messages close their connection before they are held. Responses of
+  /// the store, which are passed on, have up to 8 MiB.
+  std::int64_t mMaxMessageBytes = std::int64_t{ 16 } * 1024 * 1024;
+  /// Received messages that wait; beyond that the peer has to wait.
+  int mMaxReceived = 2000;
+  /// Messages to be sent; beyond that new ones are dropped.
+  int mMaxUnsent = 2000;
+};
+
 /// Not thread-safe; lives on one io_context.
 class MessageSocket
 {
@@ -32,14 +45,16 @@
     zmq::context_t& aZmq,
     boost::asio::io_context& aContext,
     std::string_view aAddress,
-    MessageHandler aHandler);
+    MessageHandler aHandler,
+    const MessageLimits& aLimits = {});
 
   /// A socket connected to one address; reconnects by itself.
   static Result<std::unique_ptr<MessageSocket>> Connect(
     zmq::context_t& aZmq,
     boost::asio::io_context& aContext,
     std::string_view aAddress,
-    MessageHandler aHandler);
+    MessageHandler aHandler,
+    const MessageLimits& aLimits = {});
 
   ~MessageSocket();
   MessageSocket(const MessageSocket&) = delete;
@@ -56,9 +71,14 @@
   MessageSocket(zmq::context_t& aZmq,
                 boost::asio::io_context& aContext,
                 zmq::socket_type aType,
-                MessageHandler aHandler);
+                MessageHandler aHandler,
+                const MessageLimits& aLimits);
   void WaitReadable();
+  /// Passes on what has arrived, a bounded number of messages at a time.
   void Drain();
+  /// @param aIdentity is ignored on a connecting socket
+  bool TrySend(std::string_view aIdentity, std::string_view aPayload);
+  bool Receive(zmq::message_t& aIdentity, zmq::message_t& aPayload);
   /// ZeroMQ signals edges, and a send may consume one: look again later.
   void ScheduleDrain();
 
