Watch of a client: ends with the call that it reports to

Callers saw the gateway end by signal 11 when clients left while responses were written to them (37 to 46 requests on kept connections run and not answered), and once a connection closed without cause.

Cause: when a client resets its connection, the write and the wait for the close complete at the same moment. The write's completion runs first, and the call ends; the wait's completion is queued already, so that its cancellation has no effect. The callback then ran on a freed GatewayCall, and the check of the socket on a freed stream. A handler that threw was also still watched while its error was written.

Change: ClientWatch owns the watch and is a member of what the callback refers to (GatewayCall, ModelAnswer). Its end clears socket and callback in a state that the completion handler shares; the handler refers to nothing else. The engine stand-in keeps the watch beside the variable that it sets.

--- a/src/cactusgw/entry/model_answer.cpp
+++ b/src/cactusgw/entry/model_answer.cpp
@@ -46,7 +46,7 @@
 {
   mCall = Call::Create(mContext, mScope, mRequest);
   const std::weak_ptr<Call> watched = mCall;
-  mExchange.WatchClient([watched] {
+  mClientWatch = mExchange.WatchClient([watched] {
     if (const std::shared_ptr<Call> call = watched.lock()) {
       call->OnCallerLeft();
     }
--- a/src/cactusgw/entry/model_answer.hpp
+++ b/src/cactusgw/entry/model_answer.hpp
@@ -43,6 +43,7 @@
   /// The text so far, for whole answers and for repeats by key.
   std::string mText;
   bool mKeepsText;
+  ClientWatch mClientWatch;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -104,7 +104,7 @@
   }
   mAdmitted = std::move(admitted.value());
   mForwarded = ForwardedRequest(mExchange.Request(), mState.mNames);
-  mExchange.WatchClient([this] { OnClientDisconnected(); });
+  mClientWatch = mExchange.WatchClient([this] { OnClientDisconnected(); });
   if (mAdmitted.mService != nullptr) {
     mState.RetryBudgetFor(mAdmitted.mService->mName).OnRequest(mStart);
   }
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -139,6 +139,8 @@
   /// Whether the current attempt was given up for a retry, which the retry
   /// budget already counts.
   bool mMakesWay = false;
+  /// Refers to the call, so that it is the last member and ends first.
+  ClientWatch mClientWatch;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/net/http_server.cpp
+++ b/src/cactusgw/net/http_server.cpp
@@ -4,7 +4,6 @@
 #include "cactusgw/net/problem.hpp"
 #include "cactusgw/telemetry/log.hpp"
 
-#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -164,17 +163,6 @@
   }
 }
 
-/// Whether the peer has closed a connection that became readable.
-bool
-IsClosed(tcp::socket& aSocket)
-{
-  char c = 0;
-  beast::error_code ec;
-  aSocket.non_blocking(true, ec);
-  aSocket.receive(net::buffer(&c, 1), tcp::socket::message_peek, ec);
-  return ec && ec != net::error::would_block && ec != net::error::try_again;
-}
-
 HttpResponse
 UnreadableResponse(http::status aStatus)
 {
@@ -192,17 +180,6 @@
     http::status::service_unavailable);
 }
 
-Task<void>
-WatchForClose(TcpStream& aStream, std::function<void()> aOnDisconnect)
-{
-  beast::error_code ec;
-  co_await aStream.socket().async_wait(
-    tcp::socket::wait_read, net::redirect_error(net::use_awaitable, ec));
-  if (!ec && IsClosed(aStream.socket())) {
-    aOnDisconnect();
-  }
-}
-
 Failure
 SecondResponse()
 {
@@ -326,26 +303,10 @@
   mStream.close();
 }
 
-void
+ClientWatch
 HttpExchange::WatchClient(std::function<void()> aOnDisconnect)
 {
-  mWatch = std::make_shared<net::cancellation_signal>();
-  const std::shared_ptr<net::cancellation_signal> watch = mWatch;
-  // The completion handler keeps the signal alive: the coroutine may end after
-  // the exchange.
-  net::co_spawn(mStream.get_executor(),
-                WatchForClose(mStream, std::move(aOnDisconnect)),
-                net::bind_cancellation_slot(
-                  watch->slot(), [watch](const std::exception_ptr&) {}));
-}
-
-void
-HttpExchange::StopWatching()
-{
-  if (mWatch) {
-    mWatch->emit(net::cancellation_type::terminal);
-    mWatch.reset();
-  }
+  return ClientWatch::Start(mStream, std::move(aOnDisconnect));
 }
 
 Result<std::unique_ptr<HttpServer>>
@@ -536,7 +497,6 @@
     co_await FailExchange(exchange, std::move(error));
   }
   --mOpenExchanges;
-  exchange.StopWatching();
   co_return exchange.KeepsAlive() && !mStopping;
 }
 
--- a/src/cactusgw/net/http_server.hpp
+++ b/src/cactusgw/net/http_server.hpp
@@ -3,9 +3,9 @@
 
 /// HTTP server with size limits and timeouts, for clients and operators.
 
+#include "cactusgw/net/client_watch.hpp"
 #include "cactusgw/net/http_types.hpp"
 
-#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -68,11 +68,10 @@
   bool HasBegun() const { return mBegun; }
   bool KeepsAlive() const { return mKeepAlive; }
 
-  /// Calls the function once if the client closes its connection before the
-  /// exchange ends. A client that sends further data first is no longer
-  /// watched.
-  void WatchClient(std::function<void()> aOnDisconnect);
-  void StopWatching();
+  /// Calls the function once if the client closes its connection while the
+  /// watch exists. The watch must end before the exchange; keep it with what
+  /// the function refers to.
+  [[nodiscard]] ClientWatch WatchClient(std::function<void()> aOnDisconnect);
 
 private:
   Task<Result<void>> WriteResult(const beast::error_code& aError);
@@ -83,7 +82,6 @@
   bool mBegun = false;
   const bool& mIsDraining;
   bool mKeepAlive = true;
-  std::shared_ptr<net::cancellation_signal> mWatch;
 };
 
 using HttpHandler = std::function<Task<void>(HttpExchange&)>;
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -422,7 +422,7 @@
   }
   if (TakeOne(mFaults.mSilentMidStream)) {
     bool left = false;
-    aExchange.WatchClient([&left] { left = true; });
+    const ClientWatch watch = aExchange.WatchClient([&left] { left = true; });
     while (!left && aSequence.mReaders >= 0) {
       boost::system::error_code ec;
       co_await mProgress.async_wait(
