Tasks: one way to start them; none ends unseen

A task that nobody waits for and that threw (out of memory, an error of a socket) was gone without a line: a periodic one for good, so that all that it would have done was lost later.

Cause: co_spawn(..., detached) drops exceptions. An exception out of a plain handler ended the process; one out of a message's handler left the socket without a wait for the next message.

Change: SpawnTask logs and counts (event=task-failed task= error=, cactusgw_task_failures_total), SpawnLoop also starts the task again after 200 ms, RunGuarded does so for callbacks, RunToEnd for what comes out of a handler. A connection that throws is taken out of the counts and out of the idle ones; a migration that throws leaves the others of its upstream.

Not changed: the agent, the entry and the load generator start their tasks as before. A stop that throws is logged, but the process does not end by itself then. A migration that throws half way may leave its load counted.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -5,11 +5,10 @@
 #include "cactusgw/gateway/message_headers.hpp"
 #include "cactusgw/gateway/store_backoff.hpp"
 #include "cactusgw/net/operator_port.hpp"
+#include "cactusgw/net/spawn.hpp"
 #include "cactusgw/net/steady_now.hpp"
 #include "cactusgw/programs/event_loop.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -119,11 +118,17 @@
     return listening.error();
   }
   Gateway* const self = gateway.get();
-  net::co_spawn(
-    aContext, gateway->mMigrator.PollWhileWatchIsDown(), net::detached);
-  net::co_spawn(aContext, gateway->StoreQuarantines(), net::detached);
+  SpawnLoop(aContext.get_executor(), "drain-poll", [self] {
+    return self->mMigrator.PollWhileWatchIsDown();
+  });
+  SpawnLoop(aContext.get_executor(), "quarantine-store", [self] {
+    return self->StoreQuarantines();
+  });
   RunEvery(
-    aContext, [] { return kTickInterval; }, [self] { return self->Tick(); });
+    aContext,
+    [] { return kTickInterval; },
+    [self] { return self->Tick(); },
+    "tick");
   const GatewaySettings& settings = gateway->mState.mSettings;
   gateway->mState.mLog.WriteAlways(
     "started",
@@ -224,7 +229,14 @@
 {
   mState.mMetrics.mConfigAge.Set(
     std::chrono::duration<double>(mState.mFreshness.Age(BootNow())).count());
-  return mState.mMetrics.Write();
+  // Counted for the whole process.
+  MetricRegistry tasks;
+  tasks
+    .AddCounter({ "cactusgw_task_failures_total",
+                  "Tasks that ended by an exception.",
+                  "" })
+    .Add(TaskFailures());
+  return mState.mMetrics.Write() + tasks.Write();
 }
 
 bool
@@ -588,7 +600,8 @@
     return;
   }
   if (!std::exchange(mIsRegistering, true)) {
-    net::co_spawn(mContext, Register(), net::detached);
+    SpawnLoop(
+      mContext.get_executor(), "registration", [this] { return Register(); });
   }
 }
 
@@ -697,8 +710,8 @@
     "stopping",
     { { "openRequests",
         static_cast<std::int64_t>(mServer->OpenExchanges()) } });
-  net::co_spawn(
-    mContext, FinishOpenRequests(std::move(aOnStopped)), net::detached);
+  SpawnTask(
+    mContext.get_executor(), "stop", FinishOpenRequests(std::move(aOnStopped)));
 }
 
 void
@@ -723,7 +736,7 @@
   net::steady_timer timer{ mContext };
   mServer->Drain();
   mRelay->Stop();
-  net::co_spawn(mContext, Deregister(), net::detached);
+  SpawnTask(mContext.get_executor(), "withdrawal", Deregister());
   timer.expires_at(schedule.AcceptUntil());
   co_await timer.async_wait(net::use_awaitable);
   mServer->StopAccepting();
--- a/src/cactusgw/gateway/generation_migrator.cpp
+++ b/src/cactusgw/gateway/generation_migrator.cpp
@@ -1,10 +1,9 @@
 #include "cactusgw/gateway/generation_migrator.hpp"
 
 #include "cactusgw/gateway/gateway_state.hpp"
+#include "cactusgw/net/spawn.hpp"
 #include "cactusgw/net/steady_now.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -93,7 +92,8 @@
 {
   Generations generations = TakeRunning(aUpstream);
   if (!generations.empty()) {
-    net::co_spawn(mContext, MigrateAll(std::move(generations)), net::detached);
+    SpawnTask(
+      mContext.get_executor(), "migration", MigrateAll(std::move(generations)));
   }
 }
 
@@ -115,7 +115,14 @@
     }
     // Migrations run one at a time: they share the source's link, so parallel
     // copies would lengthen the pause of each stream.
-    if (!co_await Migrate(generation)) {
+    bool isDone = true;
+    try {
+      isDone = co_await Migrate(generation);
+    } catch (...) {
+      // The others of the upstream must still be migrated.
+      ReportTaskFailure("migration", std::current_exception());
+    }
+    if (!isDone) {
       waiting.push_back(generation);
       net::steady_timer timer{ mContext };
       timer.expires_after(kMigrationRetryDelay);
@@ -191,7 +198,8 @@
                   });
     const KnownUpstream* const known = mState.mDirectory.Find(upstream);
     if (hasGenerations && known != nullptr && !known->mRecord.mIsDraining) {
-      net::co_spawn(mContext, PollUpstream(known->mRecord), net::detached);
+      SpawnTask(
+        mContext.get_executor(), "upstream-poll", PollUpstream(known->mRecord));
     }
   }
 }
@@ -361,9 +369,9 @@
 void
 GenerationMigrator::Free(const Continuation& aContinuation)
 {
-  net::co_spawn(mContext,
-                mControl.mFree(aContinuation.mSource, aContinuation.mHandle),
-                net::detached);
+  SpawnTask(mContext.get_executor(),
+            "free-copy",
+            mControl.mFree(aContinuation.mSource, aContinuation.mHandle));
 }
 
 void
--- a/src/cactusgw/messaging/message_socket.cpp
+++ b/src/cactusgw/messaging/message_socket.cpp
@@ -1,5 +1,7 @@
 #include "cactusgw/messaging/message_socket.hpp"
 
+#include "cactusgw/net/spawn.hpp"
+
 #include <boost/asio/post.hpp>
 
 #include <exception>
@@ -140,7 +142,7 @@
                            if (ec || !*alive) {
                              return;
                            }
-                           Drain();
+                           RunGuarded("peer-socket", [this] { Drain(); });
                            if (*alive) {
                              WaitReadable();
                            }
@@ -158,7 +160,11 @@
     if (!Receive(identity, payload)) {
       return;
     }
-    mHandler(identity.to_string_view(), payload.to_string_view());
+    // The socket reports new messages only: those after one whose handler
+    // throws would wait for the next.
+    RunGuarded("peer-message", [&] {
+      mHandler(identity.to_string_view(), payload.to_string_view());
+    });
   }
   if (*alive) {
     ScheduleDrain();
@@ -190,7 +196,7 @@
   boost::asio::post(mContext, [this, alive] {
     if (*alive) {
       mDrainScheduled = false;
-      Drain();
+      RunGuarded("peer-socket", [this] { Drain(); });
     }
   });
 }
--- a/src/cactusgw/net/client_watch.cpp
+++ b/src/cactusgw/net/client_watch.cpp
@@ -1,5 +1,7 @@
 #include "cactusgw/net/client_watch.hpp"
 
+#include "cactusgw/net/spawn.hpp"
+
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -83,7 +85,7 @@
         }
         const std::function<void()> onDisconnect =
           std::exchange(wait->mOnDisconnect, nullptr);
-        onDisconnect();
+        RunGuarded("client-watch", onDisconnect);
       }));
   return ClientWatch{ wait };
 }
--- a/src/cactusgw/net/http_server.cpp
+++ b/src/cactusgw/net/http_server.cpp
@@ -2,10 +2,9 @@
 
 #include "cactusgw/net/address.hpp"
 #include "cactusgw/net/problem.hpp"
+#include "cactusgw/net/spawn.hpp"
 #include "cactusgw/telemetry/log.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -334,7 +333,9 @@
                   "can't listen on " + std::string{ aAddress } + ": " +
                     ec.message());
   }
-  net::co_spawn(aContext, server->AcceptLoop(), net::detached);
+  SpawnLoop(aContext.get_executor(), "accept", [self = server.get()] {
+    return self->AcceptLoop();
+  });
   return server;
 }
 
@@ -393,7 +394,8 @@
       co_return;
     }
     if (!ec) {
-      net::co_spawn(mContext, Serve(std::move(socket)), net::detached);
+      SpawnTask(
+        mContext.get_executor(), "connection", Serve(std::move(socket)));
     }
   }
 }
@@ -413,9 +415,14 @@
   beast::flat_buffer buffer;
   ++mOpenConnections;
   bool keepsAlive = true;
-  while (keepsAlive) {
-    keepsAlive = co_await ServeOne(stream, buffer);
+  try {
+    while (keepsAlive) {
+      keepsAlive = co_await ServeOne(stream, buffer);
+    }
+  } catch (...) {
+    ReportTaskFailure("connection", std::current_exception());
   }
+  mIdle.erase(&stream);
   --mOpenConnections;
   beast::error_code ec;
   stream.socket().shutdown(tcp::socket::shutdown_send, ec);
@@ -492,9 +499,16 @@
     co_await mHandler(exchange);
   } catch (const std::exception& e) {
     error = e.what(); // Nothing can be awaited here.
+  } catch (...) {
+    error = "unknown";
   }
   if (!error.empty()) {
-    co_await FailExchange(exchange, std::move(error));
+    try {
+      co_await FailExchange(exchange, std::move(error));
+    } catch (...) {
+      ReportTaskFailure("exchange", std::current_exception());
+      exchange.Abort();
+    }
   }
   --mOpenExchanges;
   co_return exchange.KeepsAlive() && !mStopping;
--- a/src/cactusgw/programs/daemon_main.hpp
+++ b/src/cactusgw/programs/daemon_main.hpp
@@ -4,6 +4,7 @@
 /// What the main functions of the daemons share.
 
 #include "cactusgw/config/process_settings.hpp"
+#include "cactusgw/net/spawn.hpp"
 #include "cactusgw/programs/command_line.hpp"
 #include "cactusgw/programs/early_signals.hpp"
 #include "cactusgw/programs/event_loop.hpp"
@@ -111,7 +112,7 @@
       *context, [&] { daemon.value()->Reload(ReadSettingsFile(aRead, path)); });
   }
   ReleaseSignals();
-  context->run();
+  RunToEnd(*context);
   // Calls in progress refer to the daemon and the daemon to its sockets: the
   // process ends without taking them apart, which could wait for peers.
   log4cplus::Logger::getRoot().closeNestedAppenders(); // Writes queued lines.
--- a/src/cactusgw/programs/event_loop.cpp
+++ b/src/cactusgw/programs/event_loop.cpp
@@ -1,7 +1,7 @@
 #include "cactusgw/programs/event_loop.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "cactusgw/net/spawn.hpp"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -52,7 +52,9 @@
 }
 
 net::awaitable<void>
-Repeat(std::function<Milliseconds()> aInterval, std::function<bool()> aFunction)
+Repeat(std::function<Milliseconds()> aInterval,
+       std::function<bool()> aFunction,
+       std::string aName)
 {
   net::steady_timer timer{ co_await net::this_coro::executor };
   bool goesOn = true;
@@ -60,7 +62,10 @@
     timer.expires_after(aInterval());
     boost::system::error_code ec;
     co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
-    goesOn = !ec && aFunction();
+    goesOn = !ec;
+    if (goesOn) {
+      RunGuarded(aName, [&] { goesOn = aFunction(); });
+    }
   }
 }
 
@@ -72,8 +77,11 @@
   // Signals are caught from here on, not only once the loop runs.
   const SharedSignals signals =
     std::make_shared<net::signal_set>(aContext, SIGTERM, SIGINT);
-  net::co_spawn(
-    aContext, WaitForSignals(signals, std::move(aOnStop)), net::detached);
+  SpawnLoop(aContext.get_executor(),
+            "stop-signal",
+            [signals, onStop = std::move(aOnStop)] {
+              return WaitForSignals(signals, onStop);
+            });
 }
 
 void
@@ -81,18 +89,24 @@
 {
   const SharedSignals signals =
     std::make_shared<net::signal_set>(aContext, SIGHUP);
-  net::co_spawn(
-    aContext, WaitForReloads(signals, std::move(aOnReload)), net::detached);
+  SpawnLoop(aContext.get_executor(),
+            "reload-signal",
+            [signals, onReload = std::move(aOnReload)] {
+              return WaitForReloads(signals, onReload);
+            });
 }
 
 void
 RunEvery(net::io_context& aContext,
          std::function<Milliseconds()> aInterval,
-         std::function<bool()> aFunction)
+         std::function<bool()> aFunction,
+         std::string aName)
 {
-  net::co_spawn(aContext,
-                Repeat(std::move(aInterval), std::move(aFunction)),
-                net::detached);
+  SpawnLoop(aContext.get_executor(),
+            aName,
+            [interval = std::move(aInterval),
+             function = std::move(aFunction),
+             aName] { return Repeat(interval, function, aName); });
 }
 
 } // namespace cactusgw
--- a/src/cactusgw/programs/event_loop.hpp
+++ b/src/cactusgw/programs/event_loop.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <string>
 
 namespace cactusgw {
 
@@ -22,10 +23,12 @@
                     std::function<void()> aOnReload);
 
 /// Calls the function repeatedly until it returns false. The time between two
-/// calls is asked for anew each time.
+/// calls is asked for anew each time. An exception is reported as that of a
+/// task of this name, and the function is called again.
 void RunEvery(boost::asio::io_context& aContext,
               std::function<Milliseconds()> aInterval,
-              std::function<bool()> aFunction);
+              std::function<bool()> aFunction,
+              std::string aName = "periodic");
 
 } // namespace cactusgw
 
