HTTP server: pause when a connection can't be accepted

With more connections than descriptors, a gateway used all of a core: 2.99 s of processor time in 3 s with 600 connections and 256 descriptors.

Cause: an accept that fails for lack of descriptors or memory is repeated at once, and fails again.

Change: after such a failure the loop pauses for 50 ms. One line a second at most says so (event=accept-failed error= count= openConnections=). Connections in excess wait in the queue of the system; those that are open are served.

--- a/src/cactusgw/net/http_server.cpp
+++ b/src/cactusgw/net/http_server.cpp
@@ -3,6 +3,7 @@
 #include "cactusgw/net/address.hpp"
 #include "cactusgw/net/problem.hpp"
 #include "cactusgw/net/spawn.hpp"
+#include "cactusgw/net/steady_now.hpp"
 #include "cactusgw/telemetry/log.hpp"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -33,6 +34,8 @@
 
 /// Received bytes that are held beyond a header until they can be parsed.
 constexpr std::size_t kReadAheadBytes = std::size_t{ 64 } * 1024;
+/// Pause after a connection could not be accepted.
+constexpr Milliseconds kAcceptPause{ 50 };
 
 using RequestParser = http::request_parser<http::string_body>;
 
@@ -178,6 +181,30 @@
            "the process stops before the request is whole"),
     http::status::service_unavailable);
 }
+/// Logs accepts that failed, with their number, at most once a second.
+class AcceptFailures
+{
+public:
+  void Report(const beast::error_code& aError, std::size_t aOpenConnections)
+  {
+    constexpr Milliseconds kLogInterval{ 1000 };
+    const Instant now = SteadyNow();
+    ++mCount;
+    if (now - mLoggedAt < kLogInterval) {
+      return;
+    }
+    PartLog{ "http" }.Warn(
+      "event=accept-failed error=\"" + aError.message() +
+      "\" count=" + std::to_string(mCount) +
+      " openConnections=" + std::to_string(aOpenConnections));
+    mCount = 0;
+    mLoggedAt = now;
+  }
+
+private:
+  std::uint64_t mCount = 0;
+  Instant mLoggedAt;
+};
 
 Failure
 SecondResponse()
@@ -386,6 +413,8 @@
 Task<void>
 HttpServer::AcceptLoop()
 {
+  AcceptFailures failures;
+  net::steady_timer pause{ mContext };
   while (!mStopping) {
     beast::error_code ec;
     tcp::socket socket = co_await mAcceptor.async_accept(
@@ -396,6 +425,11 @@
     if (!ec) {
       SpawnTask(
         mContext.get_executor(), "connection", Serve(std::move(socket)));
+    } else if (ec != net::error::connection_aborted) {
+      // Without descriptors or memory, the next accept fails at once too.
+      failures.Report(ec, mOpenConnections);
+      pause.expires_after(kAcceptPause);
+      co_await pause.async_wait(net::redirect_error(net::use_awaitable, ec));
     }
   }
 }
