Gateway: withdraws after a registration in progress

A gateway that stopped while its registration was open sent the withdrawal beside it, on another connection. The store could take them in the other order, and the registration of a gateway that has ended would have stayed.

Change: a registration in progress withdraws itself when it ends. While the store is silent that is up to its time limit later.

No test of its own, and no run that showed the wrong order; the gateway's tests were not run for it.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -626,6 +626,9 @@
     co_await timer.async_wait(net::use_awaitable);
   }
   mIsRegistering = false;
+  if (mIsStopping) {
+    co_await Deregister();
+  }
 }
 
 Task<void>
@@ -736,7 +739,11 @@
   net::steady_timer timer{ mContext };
   mServer->Drain();
   mRelay->Stop();
-  SpawnTask(mContext.get_executor(), "withdrawal", Deregister());
+  // A registration in progress could reach the store after its withdrawal, so
+  // that it withdraws itself.
+  if (!mIsRegistering) {
+    SpawnTask(mContext.get_executor(), "withdrawal", Deregister());
+  }
   timer.expires_at(schedule.AcceptUntil());
   co_await timer.async_wait(net::use_awaitable);
   mServer->StopAccepting();
