--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -1,8 +1,8 @@
 # Functions that start and stop a system of stand-ins and daemons on loopback.
 # Sourced by the other scripts; the current folder is the repository's root.
 
-bin="build/src/cactusgw"
-standins="build/tests"
+bin="${CACTUSGW_BUILD:-build}/src/cactusgw"
+standins="${CACTUSGW_BUILD:-build}/tests"
 run="$(mktemp -d "${TMPDIR:-/tmp}/cactusgw.XXXXXX")"
 token="operator-token"
 vms=(gent-a:1 gent-a:2 gent-b:1 gent-b:2)
