--- a/src/cactusgw/programs/event_loop.cpp
+++ b/src/cactusgw/programs/event_loop.cpp
@@ -102,11 +102,13 @@
          std::function<bool()> aFunction,
          std::string aName)
 {
-  SpawnLoop(aContext.get_executor(),
-            aName,
-            [interval = std::move(aInterval),
-             function = std::move(aFunction),
-             aName] { return Repeat(interval, function, aName); });
+  std::string task = aName;
+  SpawnLoop(
+    aContext.get_executor(),
+    std::move(task),
+    [interval = std::move(aInterval),
+     function = std::move(aFunction),
+     name = std::move(aName)] { return Repeat(interval, function, name); });
 }
 
 } // namespace cactusgw
