Bound the memory of requests and responses in progress

Clients that sent large bodies at the same time took a gateway over its limit of memory. It was killed, and with it the requests of all others: ten bodies of 4 MB were enough at 110 MB.

Each body was held by the exchange, by the call and by each attempt, each was limited on its own, and nothing bounded their sum. glibc kept freed bodies, as its threshold for mapped blocks rises with each of them.

A ByteBudget of the process now counts bodies and buffered responses. A body is held once, by its exchange, and all attempts send it from there. A stated length is reserved before the body is read, another body as it arrives. What does not fit is refused as not run (503, Retry-After, reason out-of-memory), and its input is discarded for as long as a body may take, so that the client gets the response. An eighth of the budget is kept for bodies up to 64 KiB. A response that can't be buffered is relayed as it arrives, after the checks of a buffered one: they were left out for responses over 256 KiB, which could pass on an upstream's 503 as proof that a request did not run. Half events of streams count, but are not refused. The new setting memoryMb (default 100) gives the limit. Receive and send buffers of sockets have fixed sizes, so that unread bytes stay at their sender.

No interleaving takes the budget over its capacity, as each byte is reserved before it is held, and freed bodies go back to the system.

--- a/src/cactusgw/config/process_settings.cpp
+++ b/src/cactusgw/config/process_settings.cpp
@@ -174,6 +174,7 @@
   return ReadSettings<GatewaySettings>(aText, aFile, [](ObjectReader& aReader) {
     constexpr NumberRange kCapacityRange{ 0, 1000 };
     constexpr NumberRange kLinkRange{ 0.1, 1e6 };
+    constexpr NumberRange kMemoryRange{ 1, 1e7 };
     GatewaySettings settings;
     settings.mPlace = ReadPlace(aReader);
     settings.mRegions = ReadRegions(aReader);
@@ -189,6 +190,8 @@
       aReader.NumberOr("capacity", kCapacityRange, settings.mCapacity);
     settings.mLinkMbps =
       aReader.NumberOr("linkMbps", kLinkRange, settings.mLinkMbps);
+    settings.mMemoryMb =
+      aReader.NumberOr("memoryMb", kMemoryRange, settings.mMemoryMb);
     settings.mBounds = ReadGatewayBounds(aReader);
     settings.mLog = ReadLog(aReader, "stdout");
     settings.mUnreadyTime = TimeOr(aReader, "unready", 3000);
--- a/src/cactusgw/config/process_settings.hpp
+++ b/src/cactusgw/config/process_settings.hpp
@@ -99,6 +99,8 @@
   double mCapacity = 1;
   /// Bandwidth of this VM's link.
   double mLinkMbps = 1000;
+  /// Memory that this process may use, in units of 2^20 bytes.
+  double mMemoryMb = 100;
   GatewayBounds mBounds;
   LogSettings mLog;
   /// How long a stopping gateway still accepts, while it is unready.
--- a/src/cactusgw/core/verdict.cpp
+++ b/src/cactusgw/core/verdict.cpp
@@ -38,6 +38,8 @@
       return "quarantined";
     case FailureCode::RetryBudgetSpent:
       return "retry-budget-spent";
+    case FailureCode::OutOfMemory:
+      return "out-of-memory";
     case FailureCode::KeyInProgress:
       return "key-in-progress";
     case FailureCode::KeyMismatch:
--- a/src/cactusgw/core/verdict.hpp
+++ b/src/cactusgw/core/verdict.hpp
@@ -43,6 +43,8 @@
   Stopping,
   Quarantined,
   RetryBudgetSpent,
+  /// The memory for what is in progress is used up.
+  OutOfMemory,
   KeyInProgress,
   KeyMismatch,
   StoreUnavailable,
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "cactusgw/gateway/gateway.hpp"
 
 #include "cactusgw/core/hash.hpp"
+#include "cactusgw/gateway/client_memory.hpp"
 #include "cactusgw/gateway/gateway_call.hpp"
 #include "cactusgw/gateway/message_headers.hpp"
 #include "cactusgw/gateway/store_backoff.hpp"
@@ -146,7 +147,8 @@
     mContext,
     settings.mListen,
     [this] { return HttpLimits(); },
-    [this](HttpExchange& aExchange) { return ServeClient(aExchange); });
+    [this](HttpExchange& aExchange) { return ServeClient(aExchange); },
+    ClientMemory(mState));
   if (!server) {
     return server.error();
   }
@@ -236,6 +238,7 @@
                   "Tasks that ended by an exception.",
                   "" })
     .Add(TaskFailures());
+  SetMemoryMetrics(mState);
   return mState.mMetrics.Write() + tasks.Write();
 }
 
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -327,6 +327,7 @@
   ResponseRelay relay{ mExchange,
                        *mConnection,
                        mState.mMetrics,
+                       mState.mMemory,
                        mProgress,
                        { [this] { OnEventsRelayed(); },
                          [this] { return WasGenerationStopped(); },
@@ -393,11 +394,13 @@
   co_return boost::outcome_v2::success();
 }
 
-HttpRequest
+SharedBodyRequest
 GatewayCall::MakeRequest(const UpstreamRecord& aUpstream) const
 {
   const HeaderNames& names = mState.mNames;
-  HttpRequest request = mForwarded;
+  SharedBodyRequest request{ mForwarded.base() };
+  const std::string& body = mExchange.Request().body();
+  request.body() = { body.data(), body.size() };
   const Milliseconds left = std::chrono::duration_cast<Milliseconds>(
     std::min(mAdmitted.mDeadline, mAdmitted.mClientDeadline - kReturnLatency) -
     SteadyNow());
@@ -419,7 +422,7 @@
 
 Task<Result<void>>
 GatewayCall::Exchange(SendClearance aClearance,
-                      HttpRequest aRequest,
+                      SharedBodyRequest aRequest,
                       Instant aUntil)
 {
   ResponseAttribution& attribution = mConnection->Attribution();
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -49,9 +49,10 @@
   /// that the client has received its final response.
   Task<Result<void>> SendTo(const std::string& aUpstream);
   Task<Result<void>> Connect(const UpstreamRecord& aUpstream);
-  HttpRequest MakeRequest(const UpstreamRecord& aUpstream) const;
+  /// Refers to the body of the exchange.
+  SharedBodyRequest MakeRequest(const UpstreamRecord& aUpstream) const;
   Task<Result<void>> Exchange(SendClearance aClearance,
-                              HttpRequest aRequest,
+                              SharedBodyRequest aRequest,
                               Instant aUntil);
   /// Evaluates the limit that the upstream states in its response.
   void ReadStatedLimit();
@@ -106,6 +107,7 @@
   std::shared_ptr<const RoutingTable> mTable;
   UpstreamSelector mSelector;
   AdmittedRequest mAdmitted;
+  /// The header of each attempt. The body stays in the exchange.
   HttpRequest mForwarded;
 
   std::vector<std::string> mTriedUpstreams;
--- a/src/cactusgw/gateway/gateway_metrics.cpp
+++ b/src/cactusgw/gateway/gateway_metrics.cpp
@@ -96,6 +96,22 @@
                                     "Age of the configuration's last "
                                     "confirmation by the store.",
                                     "" }))
+  , mMemoryCapacity(
+      mRegistry.AddGauge({ "cactusgw_memory_capacity_bytes",
+                           "Memory for requests and answers in progress.",
+                           "" }))
+  , mMemoryUsed(
+      mRegistry.AddGauge({ "cactusgw_memory_used_bytes",
+                           "Memory of requests and answers in progress.",
+                           "" }))
+  , mMemoryPeak(mRegistry.AddGauge(
+      { "cactusgw_memory_peak_bytes",
+        "Maximum of cactusgw_memory_used_bytes since the start.",
+        "" }))
+  , mMemoryRefusals(
+      mRegistry.AddCounter({ "cactusgw_memory_refusals_total",
+                             "Requests refused for want of memory.",
+                             "" }))
   , mFirstByte(mRegistry.AddLatency(
       { "cactusgw_first_byte_seconds", "Time until the answer begins.", "" }))
   , mResponseTime(mRegistry.AddLatency(
--- a/src/cactusgw/gateway/gateway_metrics.hpp
+++ b/src/cactusgw/gateway/gateway_metrics.hpp
@@ -47,6 +47,10 @@
   Counter& mDrainingResponses;
   Gauge& mConfigVersion;
   Gauge& mConfigAge;
+  Gauge& mMemoryCapacity;
+  Gauge& mMemoryUsed;
+  Gauge& mMemoryPeak;
+  Counter& mMemoryRefusals;
   LatencyHistogram& mFirstByte;
   LatencyHistogram& mResponseTime;
   LatencyHistogram& mEventGap;
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -24,6 +24,14 @@
   return std::chrono::duration_cast<Milliseconds>(aBound * kFreshnessFraction);
 }
 
+ByteBudgetSizes
+MemorySizes(const GatewaySettings& aSettings)
+{
+  constexpr double kBytesPerMb = 1024.0 * 1024.0;
+  return ByteBudgetSizes::ForProcess(
+    static_cast<std::size_t>(aSettings.mMemoryMb * kBytesPerMb));
+}
+
 double
 TieBreakRank(const std::string& aVm, const std::string& aUpstream)
 {
@@ -56,6 +64,7 @@
   , mWaitQueue(WaitQueue::Create())
   , mFreshness(
       StoreFreshness::Create(FreshnessLimit(mSettings.mBounds.mKeyFreshness)))
+  , mMemory(ByteBudget::Create(MemorySizes(mSettings)))
   , mRecorder(mSettings.mPlace.mVm + "/gateway")
   , mLog("gateway")
 {
@@ -73,6 +82,8 @@
   mSettings.mRegions = aSettings.mRegions;
   mSettings.mUnreadyTime = aSettings.mUnreadyTime;
   mSettings.mStopTime = aSettings.mStopTime;
+  mSettings.mMemoryMb = aSettings.mMemoryMb;
+  mMemory->Resize(MemorySizes(mSettings));
   mFreshness.SetLimit(FreshnessLimit(aSettings.mBounds.mKeyFreshness));
 }
 
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -4,6 +4,7 @@
 /// State shared by all calls of a gateway.
 
 #include "cactusgw/config/process_settings.hpp"
+#include "cactusgw/core/byte_budget.hpp"
 #include "cactusgw/core/crash_evidence.hpp"
 #include "cactusgw/core/limit_pacer.hpp"
 #include "cactusgw/core/request_crashes.hpp"
@@ -140,6 +141,9 @@
   std::uint32_t mGatewayCount = kMinGateways;
   /// Position of this gateway among all, ordered by name.
   std::uint32_t mGatewayRank = 0;
+  /// Memory of requests and responses in progress. Shared with them, as they
+  /// may outlive this state.
+  std::shared_ptr<ByteBudget> mMemory;
   GatewayMetrics mMetrics;
   EventRecorder mRecorder;
   DecisionLog mLog;
--- a/src/cactusgw/gateway/message_headers.cpp
+++ b/src/cactusgw/gateway/message_headers.cpp
@@ -78,10 +78,9 @@
       forwarded.insert(name, field.value());
     }
   }
-  forwarded.body() = aRequest.body();
   const bool hadBody = aRequest.has_content_length() || aRequest.chunked();
   if (hadBody) {
-    forwarded.content_length(forwarded.body().size());
+    forwarded.content_length(aRequest.body().size());
   }
   return forwarded;
 }
--- a/src/cactusgw/gateway/message_headers.hpp
+++ b/src/cactusgw/gateway/message_headers.hpp
@@ -28,8 +28,8 @@
 /// Maximum number of shared prompt parts that are evaluated of one request.
 inline constexpr std::size_t kMaxPromptParts = 64;
 
-/// Copies a client's request for any upstream, dropping hop-by-hop and reserved
-/// headers and the client's key.
+/// Copies the header of a client's request for any upstream, dropping
+/// hop-by-hop and reserved headers and the client's key.
 HttpRequest ForwardedRequest(const HttpRequest& aRequest,
                              const HeaderNames& aNames);
 
--- a/src/cactusgw/gateway/response_relay.cpp
+++ b/src/cactusgw/gateway/response_relay.cpp
@@ -88,11 +88,13 @@
 ResponseRelay::ResponseRelay(HttpExchange& aExchange,
                              UpstreamConnection& aConnection,
                              GatewayMetrics& aMetrics,
+                             std::shared_ptr<ByteBudget> aMemory,
                              StreamProgress& aProgress,
                              ResponseRelayEvents aEvents)
   : mExchange(aExchange)
   , mConnection(aConnection)
   , mMetrics(aMetrics)
+  , mHeld(std::move(aMemory))
   , mProgress(aProgress)
   , mEvents(std::move(aEvents))
 {
@@ -126,7 +128,12 @@
       break;
     }
     body += piece.value();
-    if (body.size() > kMaxBufferedBytes) {
+    const bool fits = body.size() <= kMaxBufferedBytes;
+    if (!fits || !mHeld.TryGrowTo(body.size())) {
+      const Result<void> usable = CheckBuffered(aRules);
+      if (!usable) {
+        co_return usable;
+      }
       co_return co_await RelayUnbuffered(std::move(body), aUntil);
     }
   }
@@ -166,6 +173,8 @@
   std::string piece = std::move(aBegin);
   while (passed && !piece.empty()) {
     passed = co_await mExchange.Write(piece);
+    piece = {};
+    mHeld.Release();
     Result<std::string> next = co_await mConnection.ReadSome(aUntil);
     if (!next) {
       co_return next.error();
@@ -205,6 +214,8 @@
                              std::to_string(EventSplitter::kMaxEventBytes) +
                              " bytes");
     }
+    // Neither part of an event can be passed on nor a stream be refused.
+    mHeld.GrowTo(splitter.Remainder().size());
     if (events.empty()) {
       continue;
     }
@@ -222,6 +233,9 @@
       mProgress.mLastEventId = splitter.LastId();
     }
     mEvents.mOnEventsRelayed();
+    if (splitter.Remainder().empty()) {
+      mHeld.Release();
+    }
   }
   // The framing of such a stream doesn't tell that its upstream has crashed.
   const bool isEmpty =
--- a/src/cactusgw/gateway/response_relay.hpp
+++ b/src/cactusgw/gateway/response_relay.hpp
@@ -4,6 +4,7 @@
 /// Relays an upstream's response to the client. Short responses are buffered
 /// until complete; long responses and streams are relayed as they arrive.
 
+#include "cactusgw/core/byte_budget.hpp"
 #include "cactusgw/gateway/gateway_config.hpp"
 #include "cactusgw/gateway/gateway_metrics.hpp"
 #include "cactusgw/gateway/header_names.hpp"
@@ -11,6 +12,7 @@
 #include "cactusgw/net/http_server.hpp"
 
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace cactusgw {
@@ -65,6 +67,7 @@
   ResponseRelay(HttpExchange& aExchange,
                 UpstreamConnection& aConnection,
                 GatewayMetrics& aMetrics,
+                std::shared_ptr<ByteBudget> aMemory,
                 StreamProgress& aProgress,
                 ResponseRelayEvents aEvents);
 
@@ -81,6 +84,8 @@
   HttpExchange& mExchange;
   UpstreamConnection& mConnection;
   GatewayMetrics& mMetrics;
+  /// Memory of what is held of the response.
+  ByteReservation mHeld;
   StreamProgress& mProgress;
   ResponseRelayEvents mEvents;
 };
--- a/src/cactusgw/gateway/upstream_connection.cpp
+++ b/src/cactusgw/gateway/upstream_connection.cpp
@@ -14,17 +14,4 @@
     std::move(aTarget), std::move(connected.value()) } };
 }
 
-Task<Result<void>>
-UpstreamConnection::Exchange(SendClearance aClearance,
-                             HttpRequest& aRequest,
-                             Instant aDeadline)
-{
-  if (aClearance.Target() != mTarget) {
-    co_return NotRun(FailureCode::Internal,
-                     "the clearance is for upstream " +
-                       aClearance.Target().mId);
-  }
-  co_return co_await mConnection->Exchange(aRequest, aDeadline);
-}
-
 } // namespace cactusgw
--- a/src/cactusgw/gateway/upstream_connection.hpp
+++ b/src/cactusgw/gateway/upstream_connection.hpp
@@ -28,9 +28,18 @@
 
   /// Sends a request and reads the response header. Errors: also NotRun when
   /// the clearance is for another upstream.
+  template<typename Request>
   Task<Result<void>> Exchange(SendClearance aClearance,
-                              HttpRequest& aRequest,
-                              Instant aDeadline);
+                              Request& aRequest,
+                              Instant aDeadline)
+  {
+    if (aClearance.Target() != mTarget) {
+      co_return NotRun(FailureCode::Internal,
+                       "the clearance is for upstream " +
+                         aClearance.Target().mId);
+    }
+    co_return co_await mConnection->Exchange(aRequest, aDeadline);
+  }
 
   /// Header of the current response.
   const HttpConnection& Response() const { return *mConnection; }
--- a/src/cactusgw/net/http_connection.cpp
+++ b/src/cactusgw/net/http_connection.cpp
@@ -23,6 +23,10 @@
 /// Bytes that are held until they can be parsed. The parser bounds headers
 /// itself, but neither the size lines of chunks nor trailers.
 constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 128 } * 1024;
+/// Bytes of one connection that the system holds for this process. What an
+/// upstream sends faster than the client reads stays at the upstream.
+constexpr int kReceiveBufferBytes = 128 * 1024;
+constexpr int kSendBufferBytes = 256 * 1024;
 /// Interim (1xx) responses that are skipped before the final one.
 constexpr int kMaxInterimResponses = 8;
 /// Time that sent data may stay unacknowledged before the peer is considered
@@ -68,6 +72,12 @@
   std::unique_ptr<HttpConnection> connection{ new HttpConnection{
     co_await net::this_coro::executor } };
   beast::error_code ec;
+  net::ip::tcp::socket& socket = connection->mStream.socket();
+  // The window is set as the connection is established.
+  socket.open(endpoint.value().protocol(), ec);
+  socket.set_option(
+    net::socket_base::receive_buffer_size{ kReceiveBufferBytes }, ec);
+  socket.set_option(net::socket_base::send_buffer_size{ kSendBufferBytes }, ec);
   connection->mStream.expires_after(aTime);
   co_await connection->mStream.async_connect(
     endpoint.value(), net::redirect_error(net::use_awaitable, ec));
@@ -80,6 +90,19 @@
 
 Task<Result<void>>
 HttpConnection::Exchange(HttpRequest& aRequest, Instant aDeadline)
+{
+  return SendAndReadHeader(aRequest, aDeadline);
+}
+
+Task<Result<void>>
+HttpConnection::Exchange(SharedBodyRequest& aRequest, Instant aDeadline)
+{
+  return SendAndReadHeader(aRequest, aDeadline);
+}
+
+template<typename Request>
+Task<Result<void>>
+HttpConnection::SendAndReadHeader(Request& aRequest, Instant aDeadline)
 {
   using namespace net::experimental::awaitable_operators;
   mIsHead = aRequest.method() == http::verb::head;
--- a/src/cactusgw/net/http_connection.hpp
+++ b/src/cactusgw/net/http_connection.hpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 #include <memory>
 #include <optional>
@@ -18,6 +19,9 @@
 
 namespace cactusgw {
 
+/// A request that does not own its body.
+using SharedBodyRequest = http::request<http::span_body<const char>>;
+
 /// Not thread-safe. Errors after sending began carry MayHaveRun.
 class HttpConnection
 {
@@ -29,6 +33,8 @@
 
   /// Sends a request and reads the response header.
   Task<Result<void>> Exchange(HttpRequest& aRequest, Instant aDeadline);
+  /// The body must stay until the call has returned.
+  Task<Result<void>> Exchange(SharedBodyRequest& aRequest, Instant aDeadline);
   /// Discards the rest of the current response and reads the header of the
   /// next one.
   Task<Result<void>> SkipResponse(Instant aDeadline);
@@ -58,6 +64,8 @@
 
 private:
   explicit HttpConnection(const net::any_io_executor& aExecutor);
+  template<typename Request>
+  Task<Result<void>> SendAndReadHeader(Request& aRequest, Instant aDeadline);
   void ResetParser();
   Task<beast::error_code> ReadHeader(Instant aDeadline);
 
--- a/src/cactusgw/net/http_server.cpp
+++ b/src/cactusgw/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "cactusgw/net/http_server.hpp"
 
 #include "cactusgw/net/address.hpp"
+#include "cactusgw/net/counted_body.hpp"
 #include "cactusgw/net/problem.hpp"
 #include "cactusgw/net/spawn.hpp"
 #include "cactusgw/net/steady_now.hpp"
@@ -37,7 +38,12 @@
 /// Pause after a connection could not be accepted.
 constexpr Milliseconds kAcceptPause{ 50 };
 
-using RequestParser = http::request_parser<http::string_body>;
+/// Received bytes of one connection that the system holds for this process.
+constexpr int kReceiveBufferBytes = 128 * 1024;
+/// How long the rest of a refused request is read and dropped.
+constexpr Milliseconds kDiscardTime{ 1000 };
+/// Time after which a body that did not fit may fit.
+constexpr Milliseconds kMemoryRetryAfter{ 1000 };
 
 /// Result of reading the header or body of a request.
 enum class ReadOutcome
@@ -49,6 +55,7 @@
   TimedOut,
   HeaderTooLarge,
   BodyTooLarge,
+  OutOfMemory,
   Malformed,
 };
 
@@ -67,6 +74,9 @@
   if (aError == net::error::operation_aborted) {
     return ReadOutcome::Cancelled;
   }
+  if (aError == net::error::no_memory) {
+    return ReadOutcome::OutOfMemory;
+  }
   const bool isHttp = aError.category() ==
                       http::make_error_code(http::error::bad_method).category();
   const bool isCut = aError == http::error::end_of_stream ||
@@ -112,14 +122,13 @@
 /// a socket with unread input resets the connection, and the client may lose
 /// the response.
 Task<void>
-DiscardInput(TcpStream& aStream)
+DiscardInput(TcpStream& aStream, Milliseconds aLongest)
 {
-  constexpr Milliseconds kLongest{ 1000 };
   constexpr std::size_t kReadBytes = 4096;
   beast::error_code ec;
   aStream.socket().shutdown(tcp::socket::shutdown_send, ec);
   std::array<char, kReadBytes> buf;
-  aStream.expires_after(kLongest);
+  aStream.expires_after(aLongest);
   while (!ec) {
     co_await aStream.async_read_some(
       net::buffer(buf), net::redirect_error(net::use_awaitable, ec));
@@ -142,12 +151,14 @@
 ReadBody(TcpStream& aStream,
          beast::flat_buffer& aBuffer,
          RequestParser& aParser,
-         Milliseconds aTime)
+         HttpServerLimits aLimits,
+         ByteReservation& aReservation)
 {
-  co_return co_await ReadWithin(aTime, [&](beast::error_code& ec) {
-    return http::async_read(
-      aStream, aBuffer, aParser, net::redirect_error(net::use_awaitable, ec));
-  });
+  co_return co_await ReadWithin(
+    aLimits.mReadBodyTime, [&](beast::error_code& ec) {
+      return ReadCountedBody(
+        aStream, aBuffer, aParser, aLimits.mMaxBodyBytes, aReservation, ec);
+    });
 }
 
 http::status
@@ -216,10 +227,12 @@
 
 HttpExchange::HttpExchange(TcpStream& aStream,
                            HttpRequest aRequest,
+                           ByteReservation aReservation,
                            HttpServerLimits aLimits,
                            const bool& aIsDraining)
   : mStream(aStream)
   , mRequest(std::move(aRequest))
+  , mReservation(std::move(aReservation))
   , mLimits(aLimits)
   , mIsDraining(aIsDraining)
   , mKeepAlive(mRequest.keep_alive())
@@ -339,18 +352,22 @@
 HttpServer::Listen(net::io_context& aContext,
                    std::string_view aAddress,
                    HttpLimitsSource aLimits,
-                   HttpHandler aHandler)
+                   HttpHandler aHandler,
+                   HttpServerMemory aMemory)
 {
   const Result<tcp::endpoint> endpoint = ParseEndpoint(aAddress);
   if (!endpoint) {
     return endpoint.error();
   }
   std::unique_ptr<HttpServer> server{ new HttpServer{
-    aContext, std::move(aLimits), std::move(aHandler) } };
+    aContext, std::move(aLimits), std::move(aHandler), std::move(aMemory) } };
   beast::error_code ec;
   tcp::acceptor& acceptor = server->mAcceptor;
   acceptor.open(endpoint.value().protocol(), ec);
   acceptor.set_option(net::socket_base::reuse_address(true), ec);
+  // Inherited by accepted sockets, whose window is set as they are connected.
+  acceptor.set_option(
+    net::socket_base::receive_buffer_size{ kReceiveBufferBytes }, ec);
   acceptor.bind(endpoint.value(), ec);
   if (!ec) {
     acceptor.listen(net::socket_base::max_listen_connections, ec);
@@ -368,12 +385,17 @@
 
 HttpServer::HttpServer(net::io_context& aContext,
                        HttpLimitsSource aLimits,
-                       HttpHandler aHandler)
+                       HttpHandler aHandler,
+                       HttpServerMemory aMemory)
   : mContext(aContext)
   , mAcceptor(aContext)
   , mLimits(std::move(aLimits))
   , mHandler(std::move(aHandler))
+  , mMemory(std::move(aMemory))
 {
+  if (!mMemory.mBudget) {
+    mMemory.mBudget = ByteBudget::Unlimited();
+  }
 }
 
 void
@@ -397,7 +419,8 @@
     tcp::socket socket{ mContext };
     mAcceptor.accept(socket, ec);
     if (!ec) {
-      net::co_spawn(mContext, Serve(std::move(socket)), net::detached);
+      SpawnTask(
+        mContext.get_executor(), "connection", Serve(std::move(socket)));
     }
   }
 }
@@ -493,7 +516,13 @@
     co_return false;
   }
   ++mOpenRequests;
-  const bool keepsAlive = co_await ReadAndServe(aStream, aBuffer, limits);
+  bool keepsAlive = false;
+  try {
+    keepsAlive = co_await ReadAndServe(aStream, aBuffer, limits);
+  } catch (...) {
+    ReportTaskFailure("request", std::current_exception());
+  }
+  mReading.erase(&aStream);
   --mOpenRequests;
   co_return keepsAlive;
 }
@@ -510,23 +539,30 @@
   ReadOutcome outcome =
     co_await ReadHeader(aStream, aBuffer, parser, aLimits.mReadHeaderTime);
   const bool hasLeft = outcome == ReadOutcome::Closed;
+  ByteReservation reservation{ mMemory.mBudget };
   if (outcome == ReadOutcome::Done) {
-    outcome =
-      co_await ReadBody(aStream, aBuffer, parser, aLimits.mReadBodyTime);
+    outcome = co_await ReadBody(aStream, aBuffer, parser, aLimits, reservation);
   }
   mReading.erase(&aStream);
-  if (outcome == ReadOutcome::Cancelled) {
-    co_await Refuse(aStream, StoppingResponse());
-    co_return false;
-  }
   if (hasLeft) {
     co_return false;
   }
   if (outcome != ReadOutcome::Done) {
-    co_await Refuse(aStream, UnreadableResponse(StatusOf(outcome)));
+    const HttpRequest header{ parser.release().base() };
+    reservation.Release();
+    if (outcome == ReadOutcome::OutOfMemory) {
+      co_await RefuseForMemory(aStream, header, aLimits);
+    } else if (outcome == ReadOutcome::Cancelled) {
+      co_await Refuse(aStream, StoppingResponse(), kDiscardTime);
+    } else {
+      co_await Refuse(
+        aStream, UnreadableResponse(StatusOf(outcome)), kDiscardTime);
+    }
     co_return false;
   }
-  HttpExchange exchange{ aStream, parser.release(), aLimits, mDraining };
+  HttpExchange exchange{
+    aStream, parser.release(), std::move(reservation), aLimits, mDraining
+  };
   ++mOpenExchanges;
   std::string error;
   try {
@@ -561,7 +597,24 @@
 }
 
 Task<void>
-HttpServer::Refuse(TcpStream& aStream, HttpResponse aResponse)
+HttpServer::RefuseForMemory(TcpStream& aStream,
+                            const HttpRequest& aHeader,
+                            HttpServerLimits aLimits)
+{
+  const Failure failure = NotRun(FailureCode::OutOfMemory,
+                                 "the memory for requests is used up",
+                                 kMemoryRetryAfter);
+  if (mMemory.mOnRefused) {
+    mMemory.mOnRefused(aHeader, failure);
+  }
+  // The client may read the response only once it has sent its whole body.
+  co_await Refuse(aStream, ProblemResponse(failure), aLimits.mReadBodyTime);
+}
+
+Task<void>
+HttpServer::Refuse(TcpStream& aStream,
+                   HttpResponse aResponse,
+                   Milliseconds aDiscardTime)
 {
   aResponse.keep_alive(false);
   aResponse.prepare_payload();
@@ -570,7 +623,7 @@
   co_await http::async_write(
     aStream, aResponse, net::redirect_error(net::use_awaitable, ec));
   if (!ec) {
-    co_await DiscardInput(aStream);
+    co_await DiscardInput(aStream, aDiscardTime);
   }
 }
 
--- a/src/cactusgw/net/http_server.hpp
+++ b/src/cactusgw/net/http_server.hpp
@@ -4,6 +4,7 @@
 /// HTTP server with size limits and timeouts, for clients and operators.
 
 #include "cactusgw/net/client_watch.hpp"
+#include "cactusgw/core/byte_budget.hpp"
 #include "cactusgw/net/http_types.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -33,15 +34,27 @@
   Milliseconds mWriteTime{ 30'000 };
 };
 
+/// What a server may hold of all requests together.
+struct HttpServerMemory
+{
+  /// Null: no bound.
+  std::shared_ptr<ByteBudget> mBudget;
+  /// Called with the header of each request that is refused since the budget is
+  /// short. May be empty.
+  std::function<void(const HttpRequest&, const Failure&)> mOnRefused;
+};
+
 /// A request and its response. Valid while the handler runs. Beginning a second
 /// response closes the connection and fails with Internal.
 class HttpExchange
 {
 public:
+  /// @param aReservation memory of the request's body
   /// @param aIsDraining read when a response is written; must outlive the
   ///        exchange
   HttpExchange(TcpStream& aStream,
                HttpRequest aRequest,
+               ByteReservation aReservation,
                HttpServerLimits aLimits,
                const bool& aIsDraining);
 
@@ -78,6 +91,7 @@
 
   TcpStream& mStream;
   HttpRequest mRequest;
+  ByteReservation mReservation;
   HttpServerLimits mLimits;
   bool mBegun = false;
   const bool& mIsDraining;
@@ -94,10 +108,12 @@
 public:
   /// Starts listening. Errors: InvalidInput when the address is malformed or
   /// can't be bound.
-  static Result<std::unique_ptr<HttpServer>> Listen(net::io_context& aContext,
-                                                    std::string_view aAddress,
-                                                    HttpLimitsSource aLimits,
-                                                    HttpHandler aHandler);
+  static Result<std::unique_ptr<HttpServer>> Listen(
+    net::io_context& aContext,
+    std::string_view aAddress,
+    HttpLimitsSource aLimits,
+    HttpHandler aHandler,
+    HttpServerMemory aMemory = {});
 
   /// Keeps serving requests, but closes each connection after its next
   /// response.
@@ -116,7 +132,8 @@
 private:
   HttpServer(net::io_context& aContext,
              HttpLimitsSource aLimits,
-             HttpHandler aHandler);
+             HttpHandler aHandler,
+             HttpServerMemory aMemory);
   Task<void> AcceptLoop();
   Task<void> Serve(net::ip::tcp::socket aSocket);
   Task<bool> ServeOne(TcpStream& aStream, beast::flat_buffer& aBuffer);
@@ -132,12 +149,19 @@
   /// Ends an exchange whose handler threw, so that one request can't end the
   /// process.
   static Task<void> FailExchange(HttpExchange& aExchange, std::string aError);
-  static Task<void> Refuse(TcpStream& aStream, HttpResponse aResponse);
+  static Task<void> Refuse(TcpStream& aStream,
+                           HttpResponse aResponse,
+                           Milliseconds aDiscardTime);
+  /// Refuses a request whose body does not fit into the budget.
+  Task<void> RefuseForMemory(TcpStream& aStream,
+                             const HttpRequest& aHeader,
+                             HttpServerLimits aLimits);
 
   net::io_context& mContext;
   net::ip::tcp::acceptor mAcceptor;
   HttpLimitsSource mLimits;
   HttpHandler mHandler;
+  HttpServerMemory mMemory;
   bool mDraining = false;
   bool mStopping = false;
   std::set<TcpStream*> mIdle;
--- a/src/cactusgw/net/problem.cpp
+++ b/src/cactusgw/net/problem.cpp
@@ -58,6 +58,7 @@
     case FailureCode::Drained:
     case FailureCode::Stopping:
     case FailureCode::Quarantined:
+    case FailureCode::OutOfMemory:
     case FailureCode::StoreUnavailable:
     case FailureCode::HistoryCompacted:
     case FailureCode::UpstreamUnreachable:
--- a/tests/config/gateway_settings_test.cpp
+++ b/tests/config/gateway_settings_test.cpp
@@ -143,6 +143,12 @@
     12.5,
     1000,
     false },
+  { "memoryMb",
+    false,
+    [](const GatewaySettings& aSettings) { return aSettings.mMemoryMb; },
+    12.5,
+    100,
+    false },
 };
 
 } // namespace
