Read long responses in larger pieces

With 100 clients reading responses of 4 MiB at once, responses were cut after 30 s, the longest time of a write, although all clients read.

The buffer of a connection to an upstream begins at 512 bytes and grows only for headers, and a read takes no more than it has room for. A long response was thus relayed in pieces of some hundred bytes, each with a read and a write of its own.

The buffer now has 16 KiB when the rest of a response is longer than that. Such a response takes far fewer reads and writes (not counted); short ones are read as before.

--- a/src/cactusgw/net/http_connection.cpp
+++ b/src/cactusgw/net/http_connection.cpp
@@ -191,6 +191,10 @@
 HttpConnection::ReadSome(Instant aDeadline)
 {
   std::array<char, kReadBytes> buf;
+  // A read takes as many bytes as the buffer has room for, at first 512.
+  if (mParser->content_length_remaining().value_or(0) > kReadBytes) {
+    mBuffer.reserve(kReadBytes);
+  }
   while (!mParser->is_done()) {
     mParser->get().body().data = buf.data();
     mParser->get().body().size = buf.size();
