Blame prompt parts by numbers, not by comparing their names

Nothing was answered while a gateway evaluated the crashes of upstreams: with 64 crashes of 32 suspects, as the state is bounded, each further report of a crash took 1.1 s of processor time with 8 parts of each suspect's own, 36 ms with 8 of 97 shared ones and 1.8 s with 64 shared ones; a VM has a part of a processor.

Cause: each part of each suspect was looked up in all suspects of all crashes, by its name; so was each part of each request that was served.

Change: SuspectIndex numbers the parts in the order of their names and knows the crashes of each. CrashEvidence makes one after a change of the crashes. Parts with fewer than three crashes are skipped, and the parts that a suspect always has beside another one are found by counting. The result is the same.

--- a/src/cactusgw/core/crash_evidence.cpp
+++ b/src/cactusgw/core/crash_evidence.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <utility>
 
 namespace cactusgw {
@@ -14,24 +13,20 @@
 /// How often the age of the evidence is checked.
 constexpr Milliseconds kExpiryCheckInterval{ 1000 };
 
-using Reports = std::vector<const CrashReport*>;
+using Crash = SuspectIndex::Crash;
+using Part = SuspectIndex::Part;
 
 /// A set of parts, and the crashes that its requests were suspects of.
 struct Blame
 {
-  PartSet mParts;
-  Reports mCrashes;
+  SuspectIndex::Suspect mParts;
+  /// In the order of their times.
+  std::vector<Crash> mCrashes;
   /// Number of causes that the crashes have at least.
   std::size_t mCauses = 0;
   bool mWasServed = false;
 };
 
-bool
-Contains(const PartSet& aParts, const std::string& aPart)
-{
-  return std::binary_search(aParts.begin(), aParts.end(), aPart);
-}
-
 bool
 IncludesAll(const PartSet& aParts, const PartSet& aOthers)
 {
@@ -48,15 +43,6 @@
   return parts;
 }
 
-bool
-HasSuspectWith(const CrashReport& aReport, const std::string& aPart)
-{
-  return std::any_of(
-    aReport.mSuspects.begin(),
-    aReport.mSuspects.end(),
-    [&](const PartSet& aSuspect) { return Contains(aSuspect, aPart); });
-}
-
 /// Whether one of the suspects carries all of the parts.
 bool
 IsExplainedBy(const CrashReport& aReport, const PartSet& aParts)
@@ -67,55 +53,22 @@
     [&](const PartSet& aSuspect) { return IncludesAll(aSuspect, aParts); });
 }
 
-/// @param aReports ordered by time
+/// @param aCrashes ordered by time
 std::size_t
-CountCauses(const Reports& aReports)
+CountCauses(std::span<const Instant> aTimes, std::span<const Crash> aCrashes)
 {
   std::size_t causes = 0;
   Instant last;
-  for (const CrashReport* const report : aReports) {
-    if (causes == 0 || report->mAt - last >= CrashEvidence::kCommonCauseTime) {
+  for (const Crash crash : aCrashes) {
+    const Instant at = aTimes[crash];
+    if (causes == 0 || at - last >= CrashEvidence::kCommonCauseTime) {
       ++causes;
-      last = report->mAt;
+      last = at;
     }
   }
   return causes;
 }
 
-/// Parts that in each crash one suspect carried together with the given one.
-PartSet
-PartsAlwaysWith(const std::string& aPart, const Reports& aReports)
-{
-  std::optional<PartSet> common;
-  for (const CrashReport* const report : aReports) {
-    PartSet carried;
-    for (const PartSet& suspect : report->mSuspects) {
-      if (Contains(suspect, aPart)) {
-        carried.insert(carried.end(), suspect.begin(), suspect.end());
-      }
-    }
-    carried = MakePartSet(carried);
-    if (!common) {
-      common = std::move(carried);
-      continue;
-    }
-    PartSet both;
-    std::set_intersection(common->begin(),
-                          common->end(),
-                          carried.begin(),
-                          carried.end(),
-                          std::back_inserter(both));
-    common = std::move(both);
-  }
-  const bool holdsEverywhere =
-    common && std::all_of(aReports.begin(),
-                          aReports.end(),
-                          [&](const CrashReport* aReport) {
-                            return IsExplainedBy(*aReport, *common);
-                          });
-  return holdsEverywhere ? *common : PartSet{ aPart };
-}
-
 /// More crashes weigh more; among equals, a part that was never served, then
 /// the more specific set.
 bool
@@ -130,18 +83,6 @@
   return aBlame.mParts.size() > aOther.mParts.size();
 }
 
-std::set<std::string>
-PartsOf(const Reports& aReports)
-{
-  std::set<std::string> parts;
-  for (const CrashReport* const report : aReports) {
-    for (const PartSet& suspect : report->mSuspects) {
-      parts.insert(suspect.begin(), suspect.end());
-    }
-  }
-  return parts;
-}
-
 bool
 Holds(const std::vector<Quarantine>& aQuarantines, const PartSet& aParts)
 {
@@ -159,10 +100,14 @@
 {
   const auto it = mCrashes.find(aUpstream);
   if (it != mCrashes.end()) {
-    it->second.mAt = std::min(it->second.mAt, aAt);
+    if (aAt < it->second.mAt) {
+      it->second.mAt = aAt;
+      mIndexed.reset();
+    }
     return it->second;
   }
   MakeRoom();
+  mIndexed.reset();
   return mCrashes.emplace(aUpstream, CrashReport{ aUpstream, aAt, {} })
     .first->second;
 }
@@ -181,6 +126,7 @@
   if (isDropped) {
     return false;
   }
+  mIndexed.reset();
   aReport.mSuspects.insert(it, std::move(aParts));
   if (aReport.mSuspects.size() > kMaxSuspects) {
     aReport.mSuspects.pop_back();
@@ -209,6 +155,7 @@
       return std::pair{ isExplained(aOne.second), aOne.second.mAt } <
              std::pair{ isExplained(aOther.second), aOther.second.mAt };
     });
+  mIndexed.reset();
   mCrashes.erase(oldest);
 }
 
@@ -251,17 +198,34 @@
   }
 }
 
+CrashEvidence::IndexedCrashes&
+CrashEvidence::Indexed()
+{
+  if (!mIndexed) {
+    std::vector<UpstreamStart> upstreams;
+    std::vector<Instant> times;
+    std::vector<const std::vector<PartSet>*> suspects;
+    for (const auto& [upstream, report] : mCrashes) {
+      upstreams.push_back(upstream);
+      times.push_back(report.mAt);
+      suspects.push_back(&report.mSuspects);
+    }
+    mIndexed.emplace(IndexedCrashes{
+      std::move(upstreams), std::move(times), SuspectIndex::Create(suspects) });
+  }
+  return *mIndexed;
+}
+
 void
 CrashEvidence::MergeServed(const std::string& aPart, Instant aServedAt)
 {
+  const IndexedCrashes& indexed = Indexed();
+  const std::span<const Crash> crashes = indexed.mParts.CrashesOf(aPart);
   const auto known = mServed.find(aPart);
   const bool clears =
-    std::any_of(mCrashes.begin(), mCrashes.end(), [&](const auto& aEntry) {
-      const CrashReport& report = aEntry.second;
-      const bool isNews =
-        known == mServed.end() ||
-        (known->second < report.mAt && report.mAt <= aServedAt);
-      return isNews && HasSuspectWith(report, aPart);
+    std::any_of(crashes.begin(), crashes.end(), [&](Crash aCrash) {
+      const Instant at = indexed.mTimes[aCrash];
+      return known == mServed.end() || (known->second < at && at <= aServedAt);
     });
   if (clears) {
     mServed[aPart] = aServedAt;
@@ -272,17 +236,15 @@
 void
 CrashEvidence::ClearServedParts()
 {
-  for (const auto& [upstream, report] : mCrashes) {
-    for (const PartSet& suspect : report.mSuspects) {
-      for (const std::string& part : suspect) {
-        const auto served = mOwnServed.find(part);
-        const auto before = mOwnServedBefore.find(part);
-        if (served != mOwnServed.end()) {
-          MergeServed(part, served->second);
-        } else if (before != mOwnServedBefore.end()) {
-          MergeServed(part, before->second);
-        }
-      }
+  const SuspectIndex& parts = Indexed().mParts;
+  for (Part part = 0; part < parts.PartCount(); ++part) {
+    const std::string& name = parts.NameOf(part);
+    const auto served = mOwnServed.find(name);
+    const auto before = mOwnServedBefore.find(name);
+    if (served != mOwnServed.end()) {
+      MergeServed(name, served->second);
+    } else if (before != mOwnServedBefore.end()) {
+      MergeServed(name, before->second);
     }
   }
 }
@@ -313,61 +275,68 @@
 }
 
 bool
-CrashEvidence::IsExplainedByOneRequest(
-  std::span<const CrashReport* const> aCrashes) const
+CrashEvidence::IsExplainedByOneRequest(std::span<const Crash> aCrashes)
 {
+  const IndexedCrashes& indexed = Indexed();
   std::vector<UpstreamStart> upstreams;
   upstreams.reserve(aCrashes.size());
-  for (const CrashReport* const crash : aCrashes) {
-    upstreams.push_back(crash->mUpstream);
+  for (const Crash crash : aCrashes) {
+    upstreams.push_back(indexed.mUpstreams[crash]);
   }
   return mIsOneRequest && mIsOneRequest(upstreams);
 }
 
 std::vector<Quarantine>
-CrashEvidence::Evaluate(Instant aNow) const
+CrashEvidence::Evaluate(Instant aNow)
 {
-  Reports unexplained;
-  for (const auto& [upstream, report] : mCrashes) {
-    if (aNow - report.mAt >= kSettleTime) {
-      unexplained.push_back(&report);
-    }
+  const std::vector<Instant>& times = Indexed().mTimes;
+  SuspectIndex& parts = Indexed().mParts;
+  std::vector<bool> isUnexplained(times.size());
+  for (Crash crash = 0; crash < times.size(); ++crash) {
+    isUnexplained[crash] = aNow - times[crash] >= kSettleTime;
   }
-  std::sort(unexplained.begin(),
-            unexplained.end(),
-            [](const CrashReport* aOne, const CrashReport* aOther) {
-              return aOne->mAt < aOther->mAt;
-            });
-  const auto blameFor = [&](const std::string& aPart) {
+  const auto blameFor = [&](Part aPart) {
     Blame blame;
-    const std::optional<Instant> served = ServedAt(aPart, aNow);
+    const std::optional<Instant> served = ServedAt(parts.NameOf(aPart), aNow);
     blame.mWasServed = served.has_value();
     const Milliseconds maxAge = served ? kMaxAgeOfServedPart : kMaxAge;
-    for (const CrashReport* const report : unexplained) {
-      const bool counts =
-        aNow - report->mAt < maxAge && (!served || report->mAt > *served);
-      if (counts && HasSuspectWith(*report, aPart)) {
-        blame.mCrashes.push_back(report);
+    for (const Crash crash : parts.CrashesOf(aPart)) {
+      const Instant at = times[crash];
+      if (isUnexplained[crash] && aNow - at < maxAge &&
+          (!served || at > *served)) {
+        blame.mCrashes.push_back(crash);
       }
     }
-    blame.mCauses = CountCauses(blame.mCrashes);
-    blame.mParts = PartsAlwaysWith(aPart, blame.mCrashes);
-    if (!blame.mWasServed) {
-      std::erase_if(blame.mParts, [&](const std::string& aOther) {
-        return aOther != aPart && ServedAt(aOther, aNow);
+    std::sort(
+      blame.mCrashes.begin(),
+      blame.mCrashes.end(),
+      [&](Crash aOne, Crash aOther) { return times[aOne] < times[aOther]; });
+    blame.mCauses = CountCauses(times, blame.mCrashes);
+    return blame;
+  };
+  const auto findParts = [&](Blame& aBlame, Part aPart) {
+    aBlame.mParts = parts.PartsAlwaysWith(aPart, aBlame.mCrashes);
+    if (!aBlame.mWasServed) {
+      std::erase_if(aBlame.mParts, [&](Part aOther) {
+        return aOther != aPart && ServedAt(parts.NameOf(aOther), aNow);
       });
     }
-    return blame;
   };
   std::vector<Quarantine> quarantines;
   while (true) {
     std::optional<Blame> strongest;
-    for (const std::string& part : PartsOf(unexplained)) {
+    for (Part part = 0; part < parts.PartCount(); ++part) {
+      if (parts.CrashesOf(part).size() < kMinCrashes) {
+        continue;
+      }
       Blame blame = blameFor(part);
       const std::size_t needed =
         blame.mWasServed ? kMinCrashesOfServedPart : kMinCrashes;
-      if (blame.mCauses >= needed &&
-          (!strongest || IsStronger(blame, *strongest)) &&
+      if (blame.mCauses < needed) {
+        continue;
+      }
+      findParts(blame, part);
+      if ((!strongest || IsStronger(blame, *strongest)) &&
           !IsExplainedByOneRequest(blame.mCrashes)) {
         strongest = std::move(blame);
       }
@@ -376,11 +345,15 @@
       return quarantines;
     }
     // The crashes are explained: their other suspects are not blamed for them.
-    std::erase_if(unexplained, [&](const CrashReport* aReport) {
-      return IsExplainedBy(*aReport, strongest->mParts);
-    });
-    quarantines.push_back(
-      { std::move(strongest->mParts), strongest->mCrashes.size() });
+    for (Crash crash = 0; crash < times.size(); ++crash) {
+      isUnexplained[crash] =
+        isUnexplained[crash] && !parts.IsExplainedBy(crash, strongest->mParts);
+    }
+    PartSet names;
+    for (const Part part : strongest->mParts) {
+      names.push_back(parts.NameOf(part));
+    }
+    quarantines.push_back({ std::move(names), strongest->mCrashes.size() });
   }
 }
 
@@ -388,14 +361,15 @@
 CrashEvidence::Expire(Instant aNow)
 {
   const std::size_t before = mCrashes.size() + mServed.size();
-  std::erase_if(mCrashes, [&](const auto& aEntry) {
+  const std::size_t expired = std::erase_if(mCrashes, [&](const auto& aEntry) {
     return aNow - aEntry.second.mAt >= kMaxAge;
   });
+  if (expired > 0) {
+    mIndexed.reset();
+  }
+  const SuspectIndex& parts = Indexed().mParts;
   std::erase_if(mServed, [&](const auto& aEntry) {
-    return std::none_of(
-      mCrashes.begin(), mCrashes.end(), [&](const auto& aCrash) {
-        return HasSuspectWith(aCrash.second, aEntry.first);
-      });
+    return parts.CrashesOf(aEntry.first).empty();
   });
   if (mCrashes.size() + mServed.size() != before) {
     ++mVersion;
--- a/src/cactusgw/core/crash_evidence.hpp
+++ b/src/cactusgw/core/crash_evidence.hpp
@@ -7,6 +7,7 @@
 /// therefore blamed only after several crashes, and never while requests with
 /// it are served.
 
+#include "cactusgw/core/suspect_index.hpp"
 #include "cactusgw/core/upstream_start.hpp"
 #include "cactusgw/core/verdict.hpp"
 
@@ -24,9 +25,6 @@
 
 namespace cactusgw {
 
-/// IDs of prompt parts, sorted and without duplicates.
-using PartSet = std::vector<std::string>;
-
 /// A crash as far as gateways have reported it. An upstream crashes at most
 /// once per start.
 struct CrashReport
@@ -132,6 +130,14 @@
   std::uint64_t Digest() const;
 
 private:
+  /// The crashes in the order of their upstreams, and their suspects' parts.
+  struct IndexedCrashes
+  {
+    std::vector<UpstreamStart> mUpstreams;
+    std::vector<Instant> mTimes;
+    SuspectIndex mParts;
+  };
+
   CrashEvidence() = default;
 
   bool AddSuspect(CrashReport& aReport, PartSet aParts);
@@ -141,11 +147,13 @@
   /// Copies what this gateway has served itself of the suspects' parts.
   void ClearServedParts();
   std::optional<Instant> ServedAt(const std::string& aPart, Instant aNow) const;
-  std::vector<Quarantine> Evaluate(Instant aNow) const;
-  bool IsExplainedByOneRequest(
-    std::span<const CrashReport* const> aCrashes) const;
+  std::vector<Quarantine> Evaluate(Instant aNow);
+  IndexedCrashes& Indexed();
+  bool IsExplainedByOneRequest(std::span<const SuspectIndex::Crash> aCrashes);
 
   std::map<UpstreamStart, CrashReport> mCrashes;
+  /// Absent after a change of the crashes or their suspects.
+  std::optional<IndexedCrashes> mIndexed;
   std::map<std::string, Instant> mServed;
   /// When this gateway last served each part. Two generations bound the size:
   /// the older one is dropped when the newer one is full.
