Read what waits in sockets before the end of a planned stop

A request on a kept connection that arrived in the same turn of the event loop in which accepting stopped could be reset unread: idle connections are woken then, and the number of open requests was looked at before they had run. A stop that threw never ended the process.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -717,7 +717,7 @@
     { { "openRequests",
         static_cast<std::int64_t>(mServer->OpenExchanges()) } });
   SpawnTask(
-    mContext.get_executor(), "stop", FinishOpenRequests(std::move(aOnStopped)));
+    mContext.get_executor(), "stop", StopGracefully(std::move(aOnStopped)));
 }
 
 void
@@ -733,7 +733,7 @@
 }
 
 Task<void>
-Gateway::FinishOpenRequests(std::function<void()> aOnStopped)
+Gateway::FinishOpenRequests()
 {
   constexpr Milliseconds kOpenRequestPollInterval{ 20 };
   const StopSchedule schedule = StopSchedule::Create(
@@ -750,10 +750,11 @@
   timer.expires_at(schedule.AcceptUntil());
   co_await timer.async_wait(net::use_awaitable);
   mServer->StopAccepting();
-  while (mServer->OpenRequests() > 0 && SteadyNow() < schedule.AnswerAt()) {
+  // Requests that wait in sockets are counted only once they are read.
+  do {
     timer.expires_after(kOpenRequestPollInterval);
     co_await timer.async_wait(net::use_awaitable);
-  }
+  } while (mServer->OpenRequests() > 0 && SteadyNow() < schedule.AnswerAt());
   GiveUpOpenCalls();
   // A process that was held up until now still answers.
   const Instant end =
@@ -768,6 +769,16 @@
     {
       { "cutRequests", static_cast<std::int64_t>(mServer->OpenExchanges()) },
     });
+}
+
+Task<void>
+Gateway::StopGracefully(std::function<void()> aOnStopped)
+{
+  try {
+    co_await FinishOpenRequests();
+  } catch (...) {
+    ReportTaskFailure("stop", std::current_exception());
+  }
   aOnStopped();
 }
 
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -98,7 +98,9 @@
   HttpServerLimits HttpLimits() const;
   Task<void> ServeClient(HttpExchange& aExchange);
   Task<void> ServeOperator(HttpExchange& aExchange);
-  Task<void> FinishOpenRequests(std::function<void()> aOnStopped);
+  Task<void> FinishOpenRequests();
+  /// Calls the function when the requests are finished, also after a failure.
+  Task<void> StopGracefully(std::function<void()> aOnStopped);
   /// Lets all calls respond whose responses have not begun.
   void GiveUpOpenCalls();
   bool Tick();
