Hold the place of a retry for which an attempt makes way

An attempt of an idempotent request was given up when another upstream had room, but nothing held that place: of several attempts that saw one free place all but one failed with 502, although their upstreams would have answered, and each had taken its retry from the budget. An attempt could also make way so late that its retry had no time.

Change: the upstream is chosen when the attempt is given up, its load counts the retry from then on, and the retry goes there without a wait. An attempt makes way only while a quarter of its time is left. AttemptDeadlineTest.AnAttemptMakesWayOnlyWhileARetryHasTime is new; the first part has no test of its own.

--- a/src/cactusgw/core/attempt_deadline.cpp
+++ b/src/cactusgw/core/attempt_deadline.cpp
@@ -10,7 +10,10 @@
                         Milliseconds aMinTime)
 {
   const Instant half = aSentAt + (aDeadline - aSentAt) / 2;
-  return AttemptDeadline{ std::max(half, aSentAt + aMinTime), aDeadline };
+  const Instant latest = aDeadline - (aDeadline - aSentAt) / 4;
+  return AttemptDeadline{ std::max(half, aSentAt + aMinTime),
+                          latest,
+                          aDeadline };
 }
 
 bool
@@ -18,7 +21,7 @@
                                   Instant aNow) const
 {
   return aState.mCanRetry && !aState.mHasBegun && aNow >= mRetryAt &&
-         aNow < mDeadline;
+         aNow <= mRetryUntil;
 }
 
 } // namespace cactusgw
--- a/src/cactusgw/core/attempt_deadline.hpp
+++ b/src/cactusgw/core/attempt_deadline.hpp
@@ -36,6 +36,8 @@
 
   /// When to ask whether the attempt makes way for a retry.
   Instant RetryAt() const { return mRetryAt; }
+  /// Until when it is worth asking.
+  Instant RetryUntil() const { return mRetryUntil; }
   /// When the attempt ends in any case.
   Instant End() const { return mDeadline + kGrace; }
   /// Whether to give the attempt up for a retry. A response that has begun
@@ -44,13 +46,16 @@
   bool MakesWayForRetry(const AttemptState& aState, Instant aNow) const;
 
 private:
-  AttemptDeadline(Instant aRetryAt, Instant aDeadline)
+  AttemptDeadline(Instant aRetryAt, Instant aRetryUntil, Instant aDeadline)
     : mRetryAt(aRetryAt)
+    , mRetryUntil(aRetryUntil)
     , mDeadline(aDeadline)
   {
   }
 
   Instant mRetryAt;
+  /// Until when a retry has a quarter of the attempt's time left.
+  Instant mRetryUntil;
   Instant mDeadline;
 };
 
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -114,12 +114,13 @@
 Task<void>
 GatewayCall::Forward()
 {
-  std::optional<std::string> migrationTarget;
+  // Where the request goes next, if that is decided already.
+  std::optional<std::string> target;
   while (true) {
-    Result<std::string> upstream{ migrationTarget.value_or("") };
+    Result<std::string> upstream{ target.value_or("") };
     // Checked before the wait, to refuse at once, and again before the send.
     Result<void> allowed = CheckQuarantine();
-    if (allowed && !migrationTarget) {
+    if (allowed && !target) {
       upstream = co_await mSelector.Find(mAdmitted, mTriedUpstreams);
       allowed = CheckQuarantine();
     }
@@ -136,16 +137,18 @@
       co_return;
     }
     const Result<void> sent = co_await SendTo(upstream.value());
+    const std::optional<std::string> retry = TakeRetryUpstream();
     mHasClientDisconnected =
       mHasClientDisconnected || (!sent && IsClientFailure(sent.error()));
     if (sent || mHasClientDisconnected) {
       break;
     }
     DropContinuation();
-    migrationTarget = TakeMigrationTarget();
-    if (migrationTarget) {
+    target = TakeMigrationTarget();
+    if (target) {
       continue;
     }
+    target = retry;
     OnAttemptFailed(sent.error());
     if (!TryRetry(sent.error())) {
       co_await Refuse(sent.error());
@@ -181,14 +184,22 @@
 GatewayCall::CheckAttempt(const AttemptDeadline& aDeadline)
 {
   const Instant now = SteadyNow();
-  if (aDeadline.MakesWayForRetry({ mExchange.HasBegun(), CanRepeat() }, now) &&
+  std::string upstream;
+  if (MayRepeat() && !mIsGivenUp && !mHasClientDisconnected) {
+    upstream = mSelector.FindAtOnce(mAdmitted, mTriedUpstreams);
+  }
+  if (aDeadline.MakesWayForRetry({ mExchange.HasBegun(), !upstream.empty() },
+                                 now) &&
       mState.RetryBudgetFor(mAdmitted.mService->mName)
         .TryWithdraw(mState.mGatewayCount, now)) {
     mMakesWay = true;
+    mRetryUpstream = std::move(upstream);
+    // Takes the place until the retry does, so that no other request gets it.
+    mState.mLoads.Add(mRetryUpstream, RetryLoad());
     mConnection->Close();
   }
   const Instant next = now + kRetryCheckInterval;
-  if (mMakesWay || mExchange.HasBegun() || next >= mAdmitted.mDeadline) {
+  if (mMakesWay || mExchange.HasBegun() || next > aDeadline.RetryUntil()) {
     return std::nullopt;
   }
   return next;
@@ -202,11 +213,20 @@
          mAttempts < kMaxAttempts;
 }
 
-bool
-GatewayCall::CanRepeat() const
+UpstreamLoad
+GatewayCall::RetryLoad() const
+{
+  return { 1, mAdmitted.mTokenNeed.mTotal, mAdmitted.mTokenNeed.mPrompt, 0 };
+}
+
+std::optional<std::string>
+GatewayCall::TakeRetryUpstream()
 {
-  return MayRepeat() && !mIsGivenUp && !mHasClientDisconnected &&
-         mSelector.HasAvailable(mAdmitted, mTriedUpstreams);
+  if (mRetryUpstream.empty()) {
+    return std::nullopt;
+  }
+  mState.mLoads.Subtract(mRetryUpstream, RetryLoad());
+  return std::exchange(mRetryUpstream, {});
 }
 
 Task<Result<void>>
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -89,9 +89,10 @@
   /// Whether the rules of the route leave the request an attempt beside the one
   /// in progress.
   bool MayRepeat() const;
-  /// Whether the request could be sent again at once, beside the attempt in
-  /// progress.
-  bool CanRepeat() const;
+  /// Load of a retry at the upstream that is held for it.
+  UpstreamLoad RetryLoad() const;
+  /// Releases the upstream that is held for a retry and returns it, if any.
+  std::optional<std::string> TakeRetryUpstream();
   Task<void> Refuse(const Failure& aFailure);
   void OnClientDisconnected();
   /// Ends whatever the call is waiting for.
@@ -141,6 +142,8 @@
   /// Whether the current attempt was given up for a retry, which the retry
   /// budget already counts.
   bool mMakesWay = false;
+  /// Upstream at which a place is held for the retry; empty if none.
+  std::string mRetryUpstream;
   /// Refers to the call, so that it is the last member and ends first.
   ClientWatch mClientWatch;
 };
--- a/src/cactusgw/gateway/upstream_selector.cpp
+++ b/src/cactusgw/gateway/upstream_selector.cpp
@@ -48,12 +48,12 @@
   co_return co_await Wait(aRequest, aTried);
 }
 
-bool
-UpstreamSelector::HasAvailable(const AdmittedRequest& aRequest,
-                               std::span<const std::string> aTried) const
+std::string
+UpstreamSelector::FindAtOnce(const AdmittedRequest& aRequest,
+                             std::span<const std::string> aTried) const
 {
-  return aRequest.mService != nullptr &&
-         !SelectAtOnce(aRequest, aTried).empty();
+  return aRequest.mService == nullptr ? std::string{}
+                                      : SelectAtOnce(aRequest, aTried);
 }
 
 std::string
--- a/src/cactusgw/gateway/upstream_selector.hpp
+++ b/src/cactusgw/gateway/upstream_selector.hpp
@@ -26,9 +26,9 @@
   /// @param aTried upstreams that the request was already sent to; excluded
   Task<Result<std::string>> Find(const AdmittedRequest& aRequest,
                                  std::span<const std::string> aTried);
-  /// Whether Find would return an upstream without a wait.
-  bool HasAvailable(const AdmittedRequest& aRequest,
-                    std::span<const std::string> aTried) const;
+  /// The upstream that Find would return without a wait; empty if none.
+  std::string FindAtOnce(const AdmittedRequest& aRequest,
+                         std::span<const std::string> aTried) const;
   /// Cancels a pending wait; Find then returns an error.
   void Cancel();
 
--- a/tests/core/attempt_deadline_test.cpp
+++ b/tests/core/attempt_deadline_test.cpp
@@ -51,6 +51,15 @@
   EXPECT_FALSE(deadline.MakesWayForRetry({ false, true }, At(2500)));
 }
 
+// An attempt was given up for a retry that had no time to be answered.
+TEST(AttemptDeadlineTest, AnAttemptMakesWayOnlyWhileARetryHasTime)
+{
+  const AttemptDeadline deadline =
+    AttemptDeadline::Create(At(500), At(2500), Milliseconds{ 250 });
+  EXPECT_TRUE(deadline.MakesWayForRetry({ false, true }, At(2000)));
+  EXPECT_FALSE(deadline.MakesWayForRetry({ false, true }, At(2001)));
+}
+
 // A retry after the request's deadline answers nobody.
 TEST(AttemptDeadlineTest, AnAttemptGetsTheLatencyObjectiveOrAllTheTime)
 {
