Bound evidence in messages, names of senders, and buffers of connections

Evidence of many crashes went whole into one message and could pass the 256 KiB that a gateway's listener takes: the connection was closed, with the loads and the answers on it, and the message repeated each second. Names of senders that anyone makes up were remembered for ever. Each connection could hold 80 KiB of an unfinished chunk size line, and an idle one kept the buffer of its last header. Long responses without a stated length were still read in small pieces.

Change: evidence is encoded up to 128 KiB, the newest crashes first; 4,096 senders with names of 256 bytes at most; 16 KiB beyond a header; an idle connection keeps 4 KiB; a response is read in pieces of 16 KiB once its body has passed that. None has a test of its own.

--- a/src/cactusgw/gateway/load_exchange.cpp
+++ b/src/cactusgw/gateway/load_exchange.cpp
@@ -324,10 +324,18 @@
   }
 }
 
+bool
+LoadExchange::MayHear(const std::string& aSender) const
+{
+  return mIncarnations.contains(aSender) ||
+         (mIncarnations.size() < kMaxSenders &&
+          aSender.size() <= kMaxSenderNameBytes);
+}
+
 void
 LoadExchange::OnMessage(const wire::Envelope& aEnvelope)
 {
-  if (!aEnvelope.has_gateway_use()) {
+  if (!aEnvelope.has_gateway_use() || !MayHear(aEnvelope.sender_vm())) {
     return;
   }
   OnLoadMessage(aEnvelope);
--- a/src/cactusgw/gateway/load_exchange.hpp
+++ b/src/cactusgw/gateway/load_exchange.hpp
@@ -46,6 +46,9 @@
   static constexpr Milliseconds kEvidenceRepeatInterval{ 1000 };
   /// Interval at which unchanged figures are repeated.
   static constexpr Milliseconds kRepeatInterval{ 1000 };
+  /// Bounds of what senders can make this gateway remember.
+  static constexpr std::size_t kMaxSenders = 4096;
+  static constexpr std::size_t kMaxSenderNameBytes = 256;
 
   /// Called when another gateway reports that an upstream is draining.
   using DrainHandler = std::function<void(const DrainingUpstream&)>;
@@ -73,6 +76,8 @@
   void OnMessage(const wire::Envelope& aEnvelope);
 
 private:
+  /// Whether messages of this sender are taken: it is known, or there is room.
+  bool MayHear(const std::string& aSender) const;
   struct Sent
   {
     Instant mAt;
--- a/src/cactusgw/messaging/crash_messages.cpp
+++ b/src/cactusgw/messaging/crash_messages.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace cactusgw {
 
@@ -25,22 +26,42 @@
                    Instant aNow,
                    wire::CrashReports& aMessage)
 {
+  std::vector<const CrashReport*> newestFirst;
   for (const auto& [upstream, report] : aEvidence.Crashes()) {
-    wire::CrashEntry* const entry = aMessage.add_crashes();
-    entry->set_upstream(upstream.mId);
-    entry->set_started_ms(upstream.mStartedMs);
-    entry->set_age_ms(EncodeAge(report.mAt, aNow));
-    for (const PartSet& parts : report.mSuspects) {
-      wire::CrashSuspect* const suspect = entry->add_suspects();
+    newestFirst.push_back(&report);
+  }
+  std::stable_sort(newestFirst.begin(),
+                   newestFirst.end(),
+                   [](const CrashReport* aOne, const CrashReport* aOther) {
+                     return aOne->mAt > aOther->mAt;
+                   });
+  std::size_t bytes = 0;
+  for (const CrashReport* const report : newestFirst) {
+    wire::CrashEntry entry;
+    entry.set_upstream(report->mUpstream.mId);
+    entry.set_started_ms(report->mUpstream.mStartedMs);
+    entry.set_age_ms(EncodeAge(report->mAt, aNow));
+    for (const PartSet& parts : report->mSuspects) {
+      wire::CrashSuspect* const suspect = entry.add_suspects();
       for (const std::string& part : parts) {
         suspect->add_parts(part);
       }
     }
+    bytes += entry.ByteSizeLong();
+    if (bytes > kMaxCrashReportBytes) {
+      break;
+    }
+    *aMessage.add_crashes() = std::move(entry);
   }
   for (const auto& [part, servedAt] : aEvidence.Served()) {
-    wire::ServedPart* const served = aMessage.add_served();
-    served->set_part(part);
-    served->set_age_ms(EncodeAge(servedAt, aNow));
+    wire::ServedPart served;
+    served.set_part(part);
+    served.set_age_ms(EncodeAge(servedAt, aNow));
+    bytes += served.ByteSizeLong();
+    if (bytes > kMaxCrashReportBytes) {
+      break;
+    }
+    *aMessage.add_served() = std::move(served);
   }
 }
 
--- a/src/cactusgw/messaging/crash_messages.hpp
+++ b/src/cactusgw/messaging/crash_messages.hpp
@@ -8,6 +8,7 @@
 #include "cactusgw/core/request_crashes.hpp"
 #include "cactusgw/wire/cactusgw.pb.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace cactusgw {
@@ -18,7 +19,11 @@
 /// Ages beyond CrashEvidence::kMaxAge are cut to it, so that no sum overflows.
 Milliseconds DecodeAge(std::uint64_t aMs);
 
-/// Writes all that the evidence holds.
+/// Bound of the encoded evidence, which is sent in one message with the loads.
+inline constexpr std::size_t kMaxCrashReportBytes = std::size_t{ 128 } * 1024;
+
+/// Writes what the evidence holds, the newest crashes first, up to
+/// kMaxCrashReportBytes.
 void EncodeCrashReports(const CrashEvidence& aEvidence,
                         Instant aNow,
                         wire::CrashReports& aMessage);
--- a/src/cactusgw/net/http_connection.cpp
+++ b/src/cactusgw/net/http_connection.cpp
@@ -127,6 +127,7 @@
 HttpConnection::ResetParser()
 {
   mParser.emplace();
+  mBodyBytes = 0;
   mParser->body_limit(boost::none);
   mParser->header_limit(kMaxResponseHeaderBytes);
   mParser->skip(mIsHead);
@@ -192,7 +193,8 @@
 {
   std::array<char, kReadBytes> buf;
   // A read takes as many bytes as the buffer has room for, at first 512.
-  if (mParser->content_length_remaining().value_or(0) > kReadBytes) {
+  if (mBodyBytes > kReadBytes ||
+      mParser->content_length_remaining().value_or(0) > kReadBytes) {
     mBuffer.reserve(kReadBytes);
   }
   while (!mParser->is_done()) {
@@ -203,6 +205,7 @@
     co_await http::async_read_some(
       mStream, mBuffer, *mParser, net::redirect_error(net::use_awaitable, ec));
     const std::size_t n = buf.size() - mParser->get().body().size;
+    mBodyBytes += n;
     if (n > 0) {
       co_return std::string{ buf.data(), n };
     }
--- a/src/cactusgw/net/http_connection.hpp
+++ b/src/cactusgw/net/http_connection.hpp
@@ -72,6 +72,8 @@
   TcpStream mStream;
   beast::flat_buffer mBuffer;
   std::optional<http::response_parser<http::buffer_body>> mParser;
+  /// Bytes of the current response's body so far.
+  std::size_t mBodyBytes = 0;
   bool mIsHead = false;
   bool mIsRequestSent = false;
 };
--- a/src/cactusgw/net/http_server.cpp
+++ b/src/cactusgw/net/http_server.cpp
@@ -34,7 +34,9 @@
 namespace {
 
 /// Received bytes that are held beyond a header until they can be parsed.
-constexpr std::size_t kReadAheadBytes = std::size_t{ 64 } * 1024;
+constexpr std::size_t kReadAheadBytes = std::size_t{ 16 } * 1024;
+/// Buffer that a connection keeps while it waits for a request.
+constexpr std::size_t kIdleBufferBytes = std::size_t{ 4 } * 1024;
 /// Pause after a connection could not be accepted.
 constexpr Milliseconds kAcceptPause{ 50 };
 
@@ -512,6 +514,9 @@
     std::max<std::size_t>(limits.mMaxHeaderBytes, aBuffer.size()) +
     kReadAheadBytes);
   aStream.expires_never();
+  if (aBuffer.size() == 0 && aBuffer.capacity() > kIdleBufferBytes) {
+    aBuffer.shrink_to_fit();
+  }
   if (!co_await WaitForRequest(aStream, aBuffer, limits.mIdleTime)) {
     co_return false;
   }
@@ -581,7 +586,7 @@
     }
   }
   --mOpenExchanges;
-  co_return exchange.KeepsAlive() && !mStopping;
+  co_return exchange.KeepsAlive();
 }
 
 Task<void>
