--- a/src/cactusgw/gateway/store_relay.cpp
+++ b/src/cactusgw/gateway/store_relay.cpp
@@ -218,7 +218,9 @@
   }
   mSelector.OnResponse(aPeer, now);
   mState.mIsUpstreamWatchDown = false;
-  mState.mDirectory.ExtendGrace(now + Milliseconds{ aAnswer.lapse_ms() });
+  mState.mDirectory.ExtendGrace(
+    now + std::min(UpstreamDirectory::kReregistrationGrace,
+                   Milliseconds{ aAnswer.lapse_ms() }));
   for (const wire::StoreCollectionUpdate& update : aAnswer.updates()) {
     if (update.collection() < kStoreCollections && update.revision() != 0) {
       mView.Apply(
@@ -228,8 +230,8 @@
   // The relay's boot clock has a different origin, so only durations are used.
   // The response can't have been sent before the request had been held for
   // held_ms.
-  const BootTime heldUntil =
-    request.mSentAtBoot + Milliseconds{ aAnswer.held_ms() };
+  const BootTime heldUntil = std::min(
+    BootNow(), request.mSentAtBoot + Milliseconds{ aAnswer.held_ms() });
   if (aAnswer.no_config()) {
     mState.mFreshness.OnMissing(heldUntil);
   } else {
