--- a/src/cactusgw/net/http_server.hpp
+++ b/src/cactusgw/net/http_server.hpp
@@ -3,8 +3,8 @@
 
 /// HTTP server with size limits and timeouts, for clients and operators.
 
-#include "cactusgw/net/client_watch.hpp"
 #include "cactusgw/core/byte_budget.hpp"
+#include "cactusgw/net/client_watch.hpp"
 #include "cactusgw/net/http_types.hpp"
 
 #include <boost/asio/io_context.hpp>
