--- a/src/cactusgw/rollout/rollout_evidence.hpp
+++ b/src/cactusgw/rollout/rollout_evidence.hpp
@@ -95,9 +95,9 @@
                   const RolloutResponse& aResponse);
 
   /// Merges what another gateway knows: the larger of each count.
-  /// @param aAge how long a gateway has known the order
   /// Entries of orders that were not begun here are ignored.
   void Merge(const RolloutCountsEntry& aEntry);
+  /// @param aAge how long another gateway has known the order
   void MergeAge(const RolloutId& aRollout, Milliseconds aAge, Instant aNow);
 
   /// How long the order has been known by the gateway that knew it first.
@@ -108,7 +108,7 @@
   /// Incremented by each change.
   std::uint64_t Version() const { return mVersion; }
   /// Of all counts, the same at all gateways that know the same; zero: none.
-  std::uint64_t Digest() const;
+  std::uint64_t Digest() const { return mDigest; }
   /// The entries that changed after a version, oldest first and at most aLimit
   /// of them, and the version that they lead to.
   std::pair<std::vector<RolloutCountsEntry>, std::uint64_t> ChangedSince(
@@ -116,13 +116,42 @@
     std::size_t aLimit) const;
 
 private:
+  struct Key
+  {
+    RolloutId mRollout;
+    std::uint64_t mGateway = 0;
+    std::string mRoute;
+    RolloutSide mSide = RolloutSide::OtherVersions;
+
+    auto operator<=>(const Key&) const = default;
+  };
+  struct Entry
+  {
+    RolloutCounts mCounts;
+    /// The version that changed it last.
+    std::uint64_t mVersion = 0;
+  };
+  using Entries = std::map<Key, Entry>;
+
   explicit RolloutEvidence(std::uint64_t aSelf)
     : mSelf(aSelf)
   {
   }
+  /// Returns null if the order is unknown or the entry would exceed a bound.
+  Entry* FindOrAdd(Key aKey);
+  bool HasRoomFor(const Key& aKey) const;
+  /// Applies a change to an entry and keeps the digest and the order.
+  template<typename Change>
+  void Update(Key aKey, const Change& aChange);
+  static std::uint64_t DigestOf(const Key& aKey, const RolloutCounts& aCounts);
 
   std::uint64_t mSelf;
   std::uint64_t mVersion = 0;
+  std::uint64_t mDigest = 0;
+  /// When each order was first known, as far as reported.
+  std::map<RolloutId, Instant> mBegun;
+  Entries mEntries;
+  std::map<std::uint64_t, Key> mByVersion;
 };
 
 } // namespace cactusgw
