--- a/src/cactusgw/config/process_settings.cpp
+++ b/src/cactusgw/config/process_settings.cpp
@@ -76,6 +76,7 @@
   constexpr IntegerRange kFreshnessRange{ 0, 3'600'000 };
   constexpr NumberRange kCountRange{ 0, 1e6 };
   constexpr NumberRange kRatioRange{ 0, 100 };
+  constexpr NumberRange kShareRange{ 0, 1 };
   GatewayBounds bounds;
   aReader.ObjectOr("bounds", [&](ObjectReader& aMember) {
     bounds.mKeyFreshness =
@@ -87,6 +88,8 @@
     bounds.mRetryWindow = TimeOr(aMember, "retryWindow", 10'000);
     bounds.mColdFactor = aMember.NumberOr("coldFactor", kRatioRange, 1);
     bounds.mColdExtra = aMember.NumberOr("coldExtra", kCountRange, 0);
+    bounds.mExposureShare = aMember.NumberOr("exposureShare", kShareRange, 0);
+    bounds.mExposureExtra = aMember.NumberOr("exposureExtra", kCountRange, 0);
   });
   return bounds;
 }
--- a/src/cactusgw/config/process_settings.hpp
+++ b/src/cactusgw/config/process_settings.hpp
@@ -82,6 +82,11 @@
   /// number of requests a second, for all gateways together.
   double mColdFactor = 1;
   double mColdExtra = 0;
+  /// Share of a service's requests that a bad version may get during its
+  /// roll-out, and the requests that it may get beyond that. Without a share,
+  /// roll-outs are not handled.
+  double mExposureShare = 0;
+  double mExposureExtra = 0;
 };
 
 struct GatewaySettings
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -34,6 +34,14 @@
 /// Time after its write in which a registration shows up in the list of
 /// gateways. If it doesn't, the store was restored from a copy without it.
 constexpr Milliseconds kRegistrationVisibleTime{ 2000 };
+/// Interval at which the gateways that read the store check whether the stage
+/// of a roll-out is due.
+constexpr Milliseconds kRolloutStoreInterval{ 50 };
+/// Time in which a written stage comes back by the watch; also the delay after
+/// a failed write.
+constexpr Milliseconds kRolloutVisibleTime{ 300 };
+/// Time for a stored stage to reach the gateways of other data centres.
+constexpr Milliseconds kRolloutTurnTime{ 150 };
 
 /// Counts the routes or workspaces whose requests are restricted to regions.
 template<typename T>
@@ -79,7 +87,8 @@
                  HeaderNames aNames,
                  GenerationControl aControl,
                  PeerRegistration aRegistration,
-                 QuarantineRecords aQuarantines)
+                 QuarantineRecords aQuarantines,
+                 RolloutRecords aRollouts)
   : mContext(aContext)
   , mState(std::move(aSettings), std::move(aNames))
   , mMigrator(aContext,
@@ -91,6 +100,7 @@
   , mRegistration(std::move(aRegistration))
   , mQuarantineRecords(std::move(aQuarantines))
   , mQuarantineKeeper(QuarantineKeeper::Create())
+  , mRolloutRecords(std::move(aRollouts))
 {
   mState.mMigrator = &mMigrator;
   mStore.SetRestoreHandler(
@@ -106,14 +116,16 @@
                HeaderNames aNames,
                GenerationControl aControl,
                PeerRegistration aRegistration,
-               QuarantineRecords aQuarantines)
+               QuarantineRecords aQuarantines,
+               RolloutRecords aRollouts)
 {
   std::unique_ptr<Gateway> gateway{ new Gateway{ aContext,
                                                  std::move(aSettings),
                                                  std::move(aNames),
                                                  std::move(aControl),
                                                  std::move(aRegistration),
-                                                 std::move(aQuarantines) } };
+                                                 std::move(aQuarantines),
+                                                 std::move(aRollouts) } };
   const Result<void> listening = gateway->Listen();
   if (!listening) {
     return listening.error();
@@ -125,6 +137,12 @@
   SpawnLoop(aContext.get_executor(), "quarantine-store", [self] {
     return self->StoreQuarantines();
   });
+  if (gateway->mState.mRollouts.IsEnabled() &&
+      gateway->mRolloutRecords.mWrite) {
+    SpawnLoop(aContext.get_executor(), "rollout-store", [self] {
+      return self->StoreRollouts();
+    });
+  }
   RunEvery(
     aContext,
     [] { return kTickInterval; },
@@ -246,7 +264,9 @@
 Gateway::IsReady() const
 {
   return !mIsStopping && mState.mTable && mHasUpstreamList &&
-         mHasDrainedDataCentres && mState.mFreshness.IsFresh(BootNow());
+         mHasDrainedDataCentres &&
+         (mHasRollouts || !mState.mRollouts.IsEnabled()) &&
+         mState.mFreshness.IsFresh(BootNow());
 }
 
 bool
@@ -258,6 +278,7 @@
   }
   mStore.Tick(now, mRelay->IsStoreReachable());
   RegisterIfLost(now);
+  UpdateRollouts(now);
   mState.mPool.CloseExpired(now);
   UpdateQuarantines(now);
   mState.UpdateLimits(now);
@@ -326,6 +347,97 @@
   UpdateQuarantines(SteadyNow());
 }
 
+void
+Gateway::OnRolloutChanges(std::vector<Change<StoredRollout>> aChanges)
+{
+  mHasRollouts = true;
+  for (Change<StoredRollout>& change : aChanges) {
+    mState.mRollouts.OnStored(
+      change.mName, std::move(change.mValue), SteadyNow());
+  }
+  mState.mWaitQueue.WakeFirstWaiters();
+}
+
+void
+Gateway::UpdateRollouts(Instant aNow)
+{
+  for (const RolloutEvent& event : mState.mRollouts.Update(aNow)) {
+    mState.mMetrics.mRolloutStage.Set(static_cast<double>(event.mStage));
+    mState.mLog.WriteAlways(
+      event.mName,
+      { { "service", event.mOrder.mId.mService },
+        { "target", event.mOrder.mId.mTarget },
+        { "stage", ToString(event.mStage) },
+        { "ageMs", event.mAge.count() },
+        { "durationMs", event.mOrder.mDuration.count() },
+        { "verdict", ToString(event.mVerdict.mSoundness) },
+        { "route", event.mVerdict.mRoute },
+        { "measure", event.mVerdict.mMeasure },
+        { "targetResponses",
+          static_cast<std::int64_t>(event.mVerdict.mTargetResponses) },
+        { "targetFailures",
+          static_cast<std::int64_t>(event.mVerdict.mTargetFailures) },
+        { "sentToTarget", static_cast<std::int64_t>(event.mSentToTarget) },
+        { "sent", static_cast<std::int64_t>(event.mSent) } });
+  }
+  for (const std::string& service : mState.mRollouts.LeavingServices()) {
+    for (const KnownUpstream* const known :
+         mState.mDirectory.Serving(service)) {
+      if (mState.mRollouts.IsLeaving(service, known->mRecord.mVersion)) {
+        mMigrator.OnDraining(known->mRecord.mId);
+      }
+    }
+  }
+}
+
+Milliseconds
+Gateway::RolloutWriteDelay() const
+{
+  const RegionMap& dataCentres = mState.mSettings.mRegions;
+  return kRolloutTurnTime *
+         std::distance(dataCentres.begin(),
+                       dataCentres.find(mState.mSettings.mPlace.mDataCentre));
+}
+
+Task<void>
+Gateway::StoreRollouts()
+{
+  net::steady_timer timer{ mContext };
+  Milliseconds delay = kRolloutStoreInterval;
+  std::optional<RolloutStage> due;
+  Instant dueSince;
+  while (true) {
+    timer.expires_after(delay);
+    co_await timer.async_wait(net::use_awaitable);
+    delay = kRolloutStoreInterval;
+    const Instant now = SteadyNow();
+    std::optional<RolloutEdit> edit;
+    if (ShouldReadStore() && !mIsStopping) {
+      edit = mState.mRollouts.NextEdit(
+        [&](std::string_view aService) {
+          return mState.VersionsOf(aService, now);
+        },
+        now);
+    }
+    if (!edit || due != edit->mStage) {
+      due = edit ? std::optional{ edit->mStage } : std::nullopt;
+      dueSince = now;
+    }
+    if (!edit || now - dueSince < RolloutWriteDelay()) {
+      continue;
+    }
+    const RolloutStage stage = edit->mStage;
+    const std::string service = edit->mOrder.mId.mService;
+    const Result<void> done = co_await mRolloutRecords.mWrite(std::move(*edit));
+    mState.mLog.WriteAlways(
+      "rollout-status",
+      { { "service", service },
+        { "stage", ToString(stage) },
+        { "outcome", done ? std::string{ "done" } : done.error().mDetail } });
+    delay = kRolloutVisibleTime;
+  }
+}
+
 Task<void>
 Gateway::StoreQuarantines()
 {
@@ -510,12 +622,15 @@
     return;
   }
   const UpstreamRecord& record = known->mRecord;
+  mState.mRollouts.OnUpstreamSeen(
+    record.mService, record.mVersion, SteadyNow());
   mState.mLog.Write("upstream-added",
                     { { "upstream", aId },
                       { "startedMs", record.mStartedMs },
                       { "address", record.mAddress },
                       { "dataCentre", record.mDataCentre },
-                      { "region", mState.RegionOf(record.mDataCentre) } },
+                      { "region", mState.RegionOf(record.mDataCentre) },
+                      { "version", record.mVersion } },
                     SteadyNow());
 }
 
@@ -672,7 +787,7 @@
 {
   const std::uint32_t known =
     static_cast<std::uint32_t>(mPeers->PeerCount()) + 1;
-  mState.mGatewayCount = std::max(GatewayState::kMinGateways, known);
+  mState.SetGatewayCount(known);
   const std::string& vm = mState.mSettings.mPlace.mVm;
   mState.mGatewayRank = mPeers->CountBefore(vm);
   mState.mRequestCrashes.SetPlace(
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "cactusgw/gateway/load_exchange.hpp"
 #include "cactusgw/gateway/peer_exchange.hpp"
 #include "cactusgw/gateway/quarantine_keeper.hpp"
+#include "cactusgw/gateway/rollout_records.hpp"
 #include "cactusgw/gateway/store_relay.hpp"
 #include "cactusgw/gateway/store_view.hpp"
 #include "cactusgw/interfaces/registry_source.hpp"
@@ -37,7 +38,8 @@
     HeaderNames aNames,
     GenerationControl aControl,
     PeerRegistration aRegistration,
-    QuarantineRecords aQuarantines);
+    QuarantineRecords aQuarantines,
+    RolloutRecords aRollouts = {});
 
   /// Shuts down gracefully: becomes unready at once, accepts connections until
   /// the load balancer has noticed, finishes open requests, and then calls
@@ -76,6 +78,8 @@
   void OnPeerChanges(const std::vector<Change<GatewayPeer>>& aChanges);
   void OnQuarantineChanges(
     const std::vector<Change<StoredQuarantine>>& aChanges);
+  /// Handles orders and their stages, by the name of the service.
+  void OnRolloutChanges(std::vector<Change<StoredRollout>> aChanges);
   void OnStoreLost(std::string_view aWhat, const Failure& aFailure);
   void OnStoreRecovered(std::string_view aWhat);
   /// Called when the watch of upstreams stops or resumes getting responses from
@@ -93,7 +97,8 @@
           HeaderNames aNames,
           GenerationControl aControl,
           PeerRegistration aRegistration,
-          QuarantineRecords aQuarantines);
+          QuarantineRecords aQuarantines,
+          RolloutRecords aRollouts);
   Result<void> Listen();
   HttpServerLimits HttpLimits() const;
   Task<void> ServeClient(HttpExchange& aExchange);
@@ -131,6 +136,14 @@
   /// returns.
   Task<void> StoreQuarantines();
   Task<Result<void>> Store(QuarantineEdit aEdit);
+  /// Evaluates roll-outs, and moves generations off versions that they leave.
+  void UpdateRollouts(Instant aNow);
+  /// Writes the stages of roll-outs while this gateway reads the store. Never
+  /// returns.
+  Task<void> StoreRollouts();
+  /// Time for which the gateways of data centres that come first may store a
+  /// stage, so that one of them does.
+  Milliseconds RolloutWriteDelay() const;
   bool IsReady() const;
   std::string WriteMetrics();
 
@@ -140,6 +153,7 @@
   PeerRegistration mRegistration;
   QuarantineRecords mQuarantineRecords;
   QuarantineKeeper mQuarantineKeeper;
+  RolloutRecords mRolloutRecords;
   std::unique_ptr<PeerExchange> mPeers;
   StoreView mStore;
   std::unique_ptr<StoreRelay> mRelay;
@@ -149,6 +163,7 @@
   std::unique_ptr<HttpServer> mMetricsServer;
   bool mHasUpstreamList = false;
   bool mHasDrainedDataCentres = false;
+  bool mHasRollouts = false;
   bool mIsConfigReadDown = false;
   bool mIsRegistering = false;
   /// This gateway's registration as the store has it.
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -76,6 +76,7 @@
   , mRequestId(aExchange.Header(aState.mNames.mRequestId))
   , mTable(aState.mTable)
   , mSelector(aState, mStart)
+  , mRollout(aState.mRollouts, aState.mMetrics)
 {
   mCalls->insert(this);
 }
@@ -107,6 +108,10 @@
   mClientWatch = mExchange.WatchClient([this] { OnClientDisconnected(); });
   if (mAdmitted.mService != nullptr) {
     mState.RetryBudgetFor(mAdmitted.mService->mName).OnRequest(mStart);
+    mRollout.OnAdmitted(mAdmitted.mService->mName,
+                        mAdmitted.mRoute->mName,
+                        mState.mFreshness.IsFresh(BootNow()));
+    mAdmitted.mSide = mRollout.Side();
   }
   co_await Forward();
 }
@@ -154,6 +159,7 @@
       co_await Refuse(sent.error());
       co_return;
     }
+    SetSideOfRetry();
   }
   if (mHasClientDisconnected) {
     mState.mMetrics.mClientDisconnects.Add();
@@ -186,6 +192,7 @@
   const Instant now = SteadyNow();
   std::string upstream;
   if (MayRepeat() && !mIsGivenUp && !mHasClientDisconnected) {
+    SetSideOfRetry();
     upstream = mSelector.FindAtOnce(mAdmitted, mTriedUpstreams);
   }
   if (aDeadline.MakesWayForRetry({ mExchange.HasBegun(), !upstream.empty() },
@@ -293,7 +300,10 @@
 GatewayCall::SendAndRelay(const KnownUpstream& aUpstream)
 {
   // Nothing may be awaited between these checks and the send.
-  const Result<void> allowed = CheckQuarantine();
+  Result<void> allowed = CheckQuarantine();
+  if (allowed && !mContinuation) {
+    allowed = mRollout.Check(aUpstream.mRecord.mVersion);
+  }
   if (!allowed) {
     mIsHeldBack = true;
     co_return allowed.error();
@@ -308,6 +318,7 @@
   const AttemptDeadline deadline = AttemptDeadline::Create(
     now, mAdmitted.mDeadline, mAdmitted.mRoute->mLatencyObjective);
   mState.OnSent(aUpstream, now);
+  mRollout.OnSent(aUpstream.mRecord.mVersion, now);
   mTrial =
     mState.mRequestCrashes.BeginTrial(mAdmitted.mOrigin.mFingerprint, now);
   mSentAt = now;
@@ -652,6 +663,7 @@
 {
   const Instant now = SteadyNow();
   mFirstEventAt = mFirstEventAt.value_or(now);
+  mRollout.OnEvents(now);
   if (now - *mFirstEventAt >= kBegunTime) {
     OnServed();
   }
@@ -681,6 +693,7 @@
   if (!IsServerError(response.Status()) && !response.IsCloseDelimited()) {
     ClearSuspicion();
   }
+  mRollout.OnCompleted(IsServerError(response.Status()), now);
   mState.mMetrics.mCompleted.Add();
   mState.mMetrics.mResponseTime.Record(now - mStart);
   mState.mLog.Write(
@@ -711,6 +724,9 @@
   if (!mIsHeldBack && !mIsGivenUp) {
     mState.mHealth.OnFailure(mUpstream, 1, now);
   }
+  if (aFailure.mVerdict != Verdict::NotRun && !mIsGivenUp) {
+    mRollout.OnBroken();
+  }
   mState.mLog.Write(
     "send-failed",
     { { "request", mRequestId },
@@ -725,6 +741,13 @@
     now);
 }
 
+void
+GatewayCall::SetSideOfRetry()
+{
+  mRollout.OnRetry();
+  mAdmitted.mSide = mRollout.Side();
+}
+
 bool
 GatewayCall::TryRetry(const Failure& aFailure)
 {
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -6,6 +6,7 @@
 #include "cactusgw/core/attempt_deadline.hpp"
 #include "cactusgw/gateway/attempt_watch.hpp"
 #include "cactusgw/gateway/call_admission.hpp"
+#include "cactusgw/gateway/call_rollout.hpp"
 #include "cactusgw/gateway/gateway_state.hpp"
 #include "cactusgw/gateway/migratable_generation.hpp"
 #include "cactusgw/gateway/response_relay.hpp"
@@ -80,6 +81,8 @@
   /// Number of crashes that this request is known to be a suspect of.
   std::int64_t KnownCrashes() const;
   void OnAttemptFailed(const Failure& aFailure);
+  /// Lets the next attempt use the versions that a roll-out leaves to retries.
+  void SetSideOfRetry();
   /// Frees the state of a generation whose continuation was held back.
   void DropContinuation();
   bool TryRetry(const Failure& aFailure);
@@ -108,6 +111,7 @@
   std::shared_ptr<const RoutingTable> mTable;
   UpstreamSelector mSelector;
   AdmittedRequest mAdmitted;
+  CallRollout mRollout;
   /// The header of each attempt. The body stays in the exchange.
   HttpRequest mForwarded;
 
--- a/src/cactusgw/gateway/gateway_metrics.cpp
+++ b/src/cactusgw/gateway/gateway_metrics.cpp
@@ -20,6 +20,15 @@
            std::string{ "outcome=\"" } + aOutcome + "\"" };
 }
 
+MetricName
+RolloutMetric(const char* aName, const char* aSide)
+{
+  return { aName,
+           "Requests sent, or failed, while a roll-out of their service is in "
+           "progress, by version.",
+           std::string{ "side=\"" } + aSide + "\"" };
+}
+
 } // namespace
 
 GatewayMetrics::GatewayMetrics()
@@ -76,6 +85,18 @@
       mRegistry.AddGauge({ "cactusgw_limited_upstreams",
                            "Upstreams that state a limit of their requests.",
                            "" }))
+  , mRolloutTargetRequests(mRegistry.AddCounter(
+      RolloutMetric("cactusgw_rollout_requests_total", "target")))
+  , mRolloutOtherRequests(mRegistry.AddCounter(
+      RolloutMetric("cactusgw_rollout_requests_total", "others")))
+  , mRolloutTargetFailures(mRegistry.AddCounter(
+      RolloutMetric("cactusgw_rollout_failures_total", "target")))
+  , mRolloutOtherFailures(mRegistry.AddCounter(
+      RolloutMetric("cactusgw_rollout_failures_total", "others")))
+  , mRolloutStage(mRegistry.AddGauge(
+      { "cactusgw_rollout_stage",
+        "Stage that a roll-out has last reached, from 0 (observing) to 6.",
+        "" }))
   , mPauses(mRegistry.AddCounter(
       { "cactusgw_upstream_pauses_total",
         "Refusals by which an upstream asked for a pause, or a longer one.",
--- a/src/cactusgw/gateway/gateway_metrics.hpp
+++ b/src/cactusgw/gateway/gateway_metrics.hpp
@@ -41,6 +41,11 @@
   Gauge& mRequestQuarantines;
   Gauge& mStoreEra;
   Gauge& mLimitedUpstreams;
+  Counter& mRolloutTargetRequests;
+  Counter& mRolloutOtherRequests;
+  Counter& mRolloutTargetFailures;
+  Counter& mRolloutOtherFailures;
+  Gauge& mRolloutStage;
   Counter& mPauses;
   Counter& mPausedRequests;
   Gauge& mPausedUpstreams;
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -58,6 +58,8 @@
   , mRequestCrashes(RequestCrashes::Create())
   , mStatedLimits(StatedLimits::Create())
   , mLimitPacer(LimitPacer::Create())
+  , mRollouts(RolloutControl::Create(
+      StableHash(mSettings.mPlace.mVm + " " + std::to_string(WallClockMs()))))
   , mColdStartLimiter(ColdStartLimiter::Create())
   , mPauses(UpstreamPauses::Create())
   , mPool(UpstreamConnectionPool::Create())
@@ -68,6 +70,7 @@
   , mRecorder(mSettings.mPlace.mVm + "/gateway")
   , mLog("gateway")
 {
+  mRollouts.SetSettings(SettingsOfRollouts());
   mRequestCrashes.SetPlace({ 0, 1, StableHash(mSettings.mPlace.mVm) });
   mCrashes.SetOneRequestCheck(
     [this](std::span<const UpstreamStart> aUpstreams) {
@@ -79,6 +82,7 @@
 GatewayState::Reload(const GatewaySettings& aSettings)
 {
   mSettings.mBounds = aSettings.mBounds;
+  mRollouts.SetSettings(SettingsOfRollouts());
   mSettings.mRegions = aSettings.mRegions;
   mSettings.mUnreadyTime = aSettings.mUnreadyTime;
   mSettings.mStopTime = aSettings.mStopTime;
@@ -152,6 +156,14 @@
                          Instant aNow) const
 {
   std::vector<Candidate> candidates;
+  const bool isRestricted = mRollouts.Restricts(aService.mName, aNow);
+  std::vector<VersionedUpstream> versions;
+  std::set<std::string_view> admitted;
+  if (isRestricted) {
+    versions = VersionsOf(aService.mName, aNow);
+    admitted =
+      mRollouts.Admitted(aService.mName, aFilter.mSide, versions, aNow);
+  }
   // Decides by regions that the caller has derived, whatever their age.
   const SendGate gate = Gate(BootNow());
   for (const KnownUpstream* const known : mDirectory.Serving(aService.mName)) {
@@ -165,7 +177,9 @@
     const UpstreamLoad load = mLoads.Total(record.mId, aNow);
     const bool hasRate =
       mLimitPacer.Allows(record.mId, load.mRecent, aFilter.mIsWaiting, aNow);
-    if (isAllowed && !isLimited && !isPaused && hasRate &&
+    const bool isVersionAllowed =
+      !isRestricted || admitted.contains(record.mId);
+    if (isAllowed && isVersionAllowed && !isLimited && !isPaused && hasRate &&
         !Contains(aFilter.mExcluded, record.mId)) {
       candidates.push_back(
         { known,
@@ -178,6 +192,36 @@
   return candidates;
 }
 
+std::vector<VersionedUpstream>
+GatewayState::VersionsOf(std::string_view aService, Instant aNow) const
+{
+  std::vector<VersionedUpstream> versions;
+  for (const KnownUpstream* const known : mDirectory.OfService(aService)) {
+    const UpstreamRecord& record = known->mRecord;
+    const std::uint32_t requests = mLoads.Total(record.mId, aNow).mRequests;
+    if (!record.mIsDraining || requests > 0) {
+      versions.push_back(
+        { record.mId, record.mVersion, IsCold(*known, aNow), requests });
+    }
+  }
+  return versions;
+}
+
+RolloutSettings
+GatewayState::SettingsOfRollouts() const
+{
+  return { mSettings.mBounds.mExposureShare,
+           mSettings.mBounds.mExposureExtra,
+           mGatewayCount };
+}
+
+void
+GatewayState::SetGatewayCount(std::uint32_t aCount)
+{
+  mGatewayCount = std::max(kMinGateways, aCount);
+  mRollouts.SetSettings(SettingsOfRollouts());
+}
+
 std::optional<Instant>
 GatewayState::AllPausedUntil(const GatewayService& aService,
                              const AllowedRegions& aRegions,
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -26,6 +26,7 @@
 #include "cactusgw/gateway/upstream_health.hpp"
 #include "cactusgw/gateway/upstream_pauses.hpp"
 #include "cactusgw/gateway/wait_queue.hpp"
+#include "cactusgw/rollout/rollout_control.hpp"
 #include "cactusgw/telemetry/recorder.hpp"
 
 #include <functional>
@@ -52,6 +53,8 @@
   std::string_view mFromDataCentre;
   /// Whether the request has waited for an upstream.
   bool mIsWaiting = false;
+  /// The versions that a roll-out leaves to the request; empty for any.
+  std::optional<RolloutSide> mSide;
 };
 
 /// Not thread-safe; one instance per process.
@@ -72,6 +75,11 @@
                                     const CandidateFilter& aFilter,
                                     Instant aNow) const;
 
+  /// The upstreams of a service that serve or still run requests, with what a
+  /// roll-out decides by.
+  std::vector<VersionedUpstream> VersionsOf(std::string_view aService,
+                                            Instant aNow) const;
+
   /// When the first pause ends, if all upstreams that serve the service in
   /// these regions are paused.
   std::optional<Instant> AllPausedUntil(const GatewayService& aService,
@@ -90,6 +98,9 @@
   /// place.
   void OnSelected(const std::string& aUpstream, Instant aNow);
 
+  /// Divides the bounds that all gateways keep together.
+  void SetGatewayCount(std::uint32_t aCount);
+
   /// Applies the limits that upstreams state, and drops those that are old or
   /// whose upstreams are gone. Drops pauses that have ended.
   void UpdateLimits(Instant aNow);
@@ -125,6 +136,7 @@
   RequestCrashes mRequestCrashes;
   StatedLimits mStatedLimits;
   LimitPacer mLimitPacer;
+  RolloutControl mRollouts;
   ColdStartLimiter mColdStartLimiter;
   UpstreamPauses mPauses;
   UpstreamConnectionPool mPool;
@@ -151,6 +163,7 @@
 private:
   bool IsCold(const KnownUpstream& aUpstream, Instant aNow) const;
   std::uint32_t ColdStartShare(const GatewayService& aService) const;
+  RolloutSettings SettingsOfRollouts() const;
 
   std::map<std::string, SharedRetryBudget> mRetryBudgets;
 };
--- a/src/cactusgw/gateway/generation_migrator.cpp
+++ b/src/cactusgw/gateway/generation_migrator.cpp
@@ -64,7 +64,10 @@
   generations.push_back(aGeneration);
   const KnownUpstream* const known =
     mState.mDirectory.Find(aGeneration->Identity().mUpstream);
-  if (known == nullptr || known->mRecord.mIsDraining) {
+  const bool isLeaving = known == nullptr || known->mRecord.mIsDraining ||
+                         mState.mRollouts.IsLeaving(known->mRecord.mService,
+                                                    known->mRecord.mVersion);
+  if (isLeaving) {
     OnDraining(aGeneration->Identity().mUpstream);
   }
 }
@@ -230,7 +233,10 @@
   const std::array<std::string, 1> excluded{ aIdentity.mUpstream };
   const CandidateFilter filter{ regions.value(),
                                 excluded,
-                                aIdentity.mDataCentre };
+                                aIdentity.mDataCentre,
+                                false,
+                                mState.mRollouts.SideOfRetry(
+                                  aIdentity.mService) };
   std::vector<Candidate> candidates =
     mState.Candidates(*service, filter, SteadyNow());
   // A copy to another region takes minutes and delays those queued behind it.
--- a/src/cactusgw/gateway/load_exchange.cpp
+++ b/src/cactusgw/gateway/load_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "cactusgw/gateway/gateway_state.hpp"
 #include "cactusgw/messaging/crash_messages.hpp"
+#include "cactusgw/messaging/rollout_messages.hpp"
 #include "cactusgw/net/steady_now.hpp"
 
 #include <algorithm>
@@ -95,7 +96,8 @@
 {
   return mState.mLoads.OwnVersion() + mState.mDrainNotices.Version() +
          mState.mCrashes.Version() + mState.mRequestCrashes.Version() +
-         mState.mStatedLimits.Version() + mReceivedVersion;
+         mState.mStatedLimits.Version() +
+         mState.mRollouts.Evidence().Version() + mReceivedVersion;
 }
 
 void
@@ -225,10 +227,12 @@
   const bool hasEvidence = AddEvidence(aPeer, *message, now);
   const bool hasSuspicions = AddSuspicions(aPeer, *message, now);
   const bool hasLimits = AddLimits(aPeer, *message, now);
+  const bool hasRollouts = AddRollouts(aPeer, *message, now);
   const std::uint64_t drainVersion = mState.mDrainNotices.Version();
   const bool hasDrains =
     std::exchange(sent.mDrainVersion, drainVersion) != drainVersion;
-  if (!update && !hasEvidence && !hasSuspicions && !hasLimits && !hasDrains) {
+  if (!update && !hasEvidence && !hasSuspicions && !hasLimits && !hasRollouts &&
+      !hasDrains) {
     return 0;
   }
   for (const DrainingUpstream& upstream : mState.mDrainNotices.Recent(now)) {
@@ -278,6 +282,19 @@
   return !due.empty();
 }
 
+bool
+LoadExchange::AddRollouts(const std::string& aPeer,
+                          wire::GatewayUse& aMessage,
+                          Instant aNow)
+{
+  const RolloutEvidence& evidence = mState.mRollouts.Evidence();
+  aMessage.set_rollout_digest(evidence.Digest());
+  const std::vector<RolloutCountsEntry> due =
+    mSent[aPeer].mRollouts.Next(evidence, aNow);
+  EncodeRollouts(evidence, due, aNow, aMessage);
+  return !due.empty();
+}
+
 bool
 LoadExchange::AddLimits(const std::string& aPeer,
                         wire::GatewayUse& aMessage,
@@ -354,6 +371,10 @@
     mState.mRequestCrashes.Merge(DecodeSuspicion(entry, SteadyNow()),
                                  SteadyNow());
   }
+  mSent[aEnvelope.sender_vm()].mRollouts.OnReported(
+    aEnvelope.gateway_use().rollout_digest());
+  MergeRollouts(
+    aEnvelope.gateway_use(), SteadyNow(), mState.mRollouts.Evidence());
   OnLimits(aEnvelope.gateway_use(), SteadyNow());
   mState.mWaitQueue.WakeFirstWaiters();
 }
@@ -372,9 +393,10 @@
   std::uint64_t& incarnation = mIncarnations[sender];
   if (std::exchange(incarnation, aEnvelope.sender_incarnation()) !=
       aEnvelope.sender_incarnation()) {
-    // A restarted gateway knows no loads and no suspicions.
+    // A restarted gateway knows no loads, suspicions and roll-outs.
     mSent[sender].mLoads.Restart();
     mSent[sender].mSuspicions.Restart();
+    mSent[sender].mRollouts.Restart();
   }
   if (direction == wire::GatewayUse::BESIDE) {
     mRelayRoots.OnRootMessage(sender, message.data_centre(), now);
--- a/src/cactusgw/gateway/load_exchange.hpp
+++ b/src/cactusgw/gateway/load_exchange.hpp
@@ -15,6 +15,7 @@
 #include "cactusgw/gateway/peer_exchange.hpp"
 #include "cactusgw/gateway/relay_root_tracker.hpp"
 #include "cactusgw/gateway/suspicion_sender.hpp"
+#include "cactusgw/rollout/rollout_evidence.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -94,6 +95,7 @@
     /// Digest of the evidence that the gateway has last reported.
     std::uint64_t mReportedDigest = 0;
     SuspicionSender mSuspicions;
+    ChangeSender<RolloutEvidence> mRollouts;
   };
 
   /// What one gateway reports, separately for each direction: it may be the
@@ -125,6 +127,9 @@
   bool AddSuspicions(const std::string& aPeer,
                      wire::GatewayUse& aMessage,
                      Instant aNow);
+  bool AddRollouts(const std::string& aPeer,
+                   wire::GatewayUse& aMessage,
+                   Instant aNow);
   bool AddLimits(const std::string& aPeer,
                  wire::GatewayUse& aMessage,
                  Instant aNow);
--- a/src/cactusgw/gateway/upstream_directory.cpp
+++ b/src/cactusgw/gateway/upstream_directory.cpp
@@ -207,6 +207,18 @@
   }
 }
 
+std::vector<const KnownUpstream*>
+UpstreamDirectory::OfService(std::string_view aService) const
+{
+  std::vector<const KnownUpstream*> found;
+  for (const auto& [id, upstream] : mUpstreams) {
+    if (upstream.mRecord.mService == aService) {
+      found.push_back(&upstream);
+    }
+  }
+  return found;
+}
+
 std::vector<const KnownUpstream*>
 UpstreamDirectory::Serving(std::string_view aService) const
 {
--- a/src/cactusgw/gateway/upstream_directory.hpp
+++ b/src/cactusgw/gateway/upstream_directory.hpp
@@ -25,6 +25,8 @@
   /// `IP:port`.
   std::string mAddress;
   std::string mDataCentre;
+  /// Version of its software; empty if unknown.
+  std::string mVersion;
   /// Unix time at which the upstream started; distinguishes restarts under the
   /// same id.
   std::int64_t mStartedMs = 0;
@@ -137,6 +139,8 @@
   /// The upstreams of a service that accept new requests: neither draining nor
   /// in a drained data centre.
   std::vector<const KnownUpstream*> Serving(std::string_view aService) const;
+  /// All registered upstreams of a service.
+  std::vector<const KnownUpstream*> OfService(std::string_view aService) const;
   /// The upstreams that are registered at an address. There are several when
   /// one took over the address of another that has not expired yet.
   std::vector<const KnownUpstream*> AtAddress(std::string_view aAddress) const;
--- a/src/cactusgw/gateway/upstream_selector.cpp
+++ b/src/cactusgw/gateway/upstream_selector.cpp
@@ -77,15 +77,22 @@
 UpstreamSelector::SelectAvailable(const AdmittedRequest& aRequest,
                                   std::span<const std::string> aTried) const
 {
-  const CandidateFilter filter{ mState.Gate(BootNow()).RegionsFor(
-                                  aRequest.mOrigin),
-                                aTried,
-                                mState.mSettings.mPlace.mDataCentre,
-                                mWaitEntry != nullptr };
-  const std::vector<Candidate> candidates =
-    mState.Candidates(*aRequest.mService, filter, SteadyNow());
-  const Candidate* const chosen =
-    ChooseUpstream(candidates, *aRequest.mService, aRequest.mTokenNeed);
+  CandidateFilter filter{ mState.Gate(BootNow()).RegionsFor(aRequest.mOrigin),
+                          aTried,
+                          mState.mSettings.mPlace.mDataCentre,
+                          mWaitEntry != nullptr,
+                          aRequest.mSide };
+  const GatewayService& service = *aRequest.mService;
+  std::vector<Candidate> candidates =
+    mState.Candidates(service, filter, SteadyNow());
+  const Candidate* chosen =
+    ChooseUpstream(candidates, service, aRequest.mTokenNeed);
+  if (chosen == nullptr && filter.mSide == RolloutSide::Target &&
+      mState.mRollouts.MayFallBack(service.mName)) {
+    filter.mSide = RolloutSide::OtherVersions;
+    candidates = mState.Candidates(service, filter, SteadyNow());
+    chosen = ChooseUpstream(candidates, service, aRequest.mTokenNeed);
+  }
   return chosen == nullptr ? std::string{} : chosen->mUpstream->mRecord.mId;
 }
 
--- a/src/cactusgw/rollout/exposure_share.cpp
+++ b/src/cactusgw/rollout/exposure_share.cpp
@@ -8,13 +8,15 @@
 namespace cactusgw {
 
 ExposureShare
-ExposureShare::Create(const RolloutId& aRollout, std::uint64_t aGateway)
+ExposureShare::Create(const RolloutId& aRollout,
+                      std::uint64_t aGateway,
+                      double aInitial)
 {
   constexpr double kHashes = 18446744073709551616.0; // 2 to the power of 64.
   const std::uint64_t hash = StableHash(
     aRollout.mService + "\n" + aRollout.mTarget + "\n" +
-    std::to_string(aRollout.mOrderRevision) + "\n" + std::to_string(aGateway));
-  return ExposureShare{ static_cast<double>(hash) / kHashes };
+    std::to_string(aRollout.mOrder) + "\n" + std::to_string(aGateway));
+  return ExposureShare{ aInitial + static_cast<double>(hash) / kHashes };
 }
 
 RolloutSide
--- a/src/cactusgw/rollout/exposure_share.hpp
+++ b/src/cactusgw/rollout/exposure_share.hpp
@@ -15,8 +15,11 @@
 {
 public:
   /// @param aGateway stable hash of the gateway's name and incarnation
+  /// @param aInitial requests that this gateway may send at the start beyond
+  ///   the share, on average over all gateways
   static ExposureShare Create(const RolloutId& aRollout,
-                              std::uint64_t aGateway);
+                              std::uint64_t aGateway,
+                              double aInitial);
 
   /// Counts a request of the service and returns the side that gets it.
   /// @param aShare share of the requests that the target may get now
@@ -31,13 +34,13 @@
   void OnNotSent();
 
 private:
-  explicit ExposureShare(double aOffset)
-    : mAllowed(aOffset)
+  explicit ExposureShare(double aAllowed)
+    : mAllowed(aAllowed)
   {
   }
 
-  /// What the target may get in all, in requests; its start is between 0 and 1
-  /// and differs from gateway to gateway.
+  /// What the target may get in all, in requests. Its start has a fraction that
+  /// differs from gateway to gateway.
   double mAllowed;
   double mSent = 0;
 };
--- /dev/null
+++ b/src/cactusgw/rollout/rollout_control.cpp
@@ -0,0 +1,363 @@
+#include "cactusgw/rollout/rollout_control.hpp"
+
+#include "cactusgw/core/hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusgw {
+
+namespace {
+
+/// Part of the extra requests that the target may get at the start of a
+/// roll-out for early evidence. The rest covers gateways that start again and
+/// the delay of news while the share grows.
+constexpr double kInitialFraction = 0.4;
+
+RolloutStage
+LaterOf(RolloutStage aOne, RolloutStage aOther)
+{
+  return std::max(aOne, aOther);
+}
+
+} // namespace
+
+RolloutControl::RolloutControl(std::uint64_t aSelf)
+  : mSelf(aSelf)
+  , mEvidence(RolloutEvidence::Create(aSelf))
+{
+}
+
+RolloutControl
+RolloutControl::Create(std::uint64_t aSelf)
+{
+  return RolloutControl{ aSelf };
+}
+
+const RolloutControl::Rollout*
+RolloutControl::Find(std::string_view aService) const
+{
+  const auto it = mRollouts.find(aService);
+  return it == mRollouts.end() ? nullptr : &it->second;
+}
+
+void
+RolloutControl::OnStored(const std::string& aService,
+                         std::optional<StoredRollout> aStored,
+                         Instant aNow)
+{
+  const auto it = mRollouts.find(aService);
+  if (!aStored) {
+    if (it != mRollouts.end() && it->second.mStage != RolloutStage::Completed) {
+      it->second.mIsWithdrawn = true;
+    }
+    return;
+  }
+  const bool isKnown = it != mRollouts.end() && !it->second.mIsWithdrawn &&
+                       it->second.mOrder.mId == aStored->mOrder.mId;
+  if (!isKnown) {
+    if (it != mRollouts.end()) {
+      mEvidence.Forget(it->second.mOrder.mId);
+      mRollouts.erase(it);
+    }
+    Rollout rollout;
+    rollout.mOrder = aStored->mOrder;
+    rollout.mStageAt = aNow;
+    rollout.mShare =
+      ExposureShare::Create(aStored->mOrder.mId,
+                            mSelf,
+                            kInitialFraction * mSettings.mExposureExtra /
+                              std::max(1U, mSettings.mGatewayCount));
+    mEvidence.Begin(aStored->mOrder.mId, aNow);
+    mRollouts.emplace(aService, std::move(rollout));
+  }
+  Rollout& rollout = mRollouts.at(aService);
+  rollout.mOrder.mDuration = aStored->mOrder.mDuration;
+  rollout.mRevision = aStored->mRevision;
+  rollout.mStoredStage = aStored->mStage;
+  // A store that was restored from a copy may return an earlier stage.
+  const RolloutStage stage =
+    LaterOf(rollout.mStage, aStored->mStage.value_or(rollout.mStage));
+  if (stage != rollout.mStage) {
+    rollout.mStage = stage;
+    rollout.mStageAt = aNow;
+  }
+}
+
+void
+RolloutControl::OnUpstreamSeen(const std::string& aService,
+                               const std::string& aVersion,
+                               Instant aNow)
+{
+  mVersions[aService].emplace(aVersion, aNow);
+}
+
+std::vector<RolloutEvent>
+RolloutControl::Update(Instant aNow)
+{
+  std::vector<RolloutEvent> events;
+  if (mRollouts.empty() || aNow - mJudgedAt < kJudgeInterval) {
+    return events;
+  }
+  mJudgedAt = aNow;
+  for (auto& [service, rollout] : mRollouts) {
+    const RolloutId& id = rollout.mOrder.mId;
+    if (rollout.mJudgedVersion != mEvidence.Version() && !rollout.IsBad()) {
+      rollout.mJudgedVersion = mEvidence.Version();
+      rollout.mVerdict = JudgeRollout(mEvidence.Totals(id));
+    }
+    const bool hasNewStage = rollout.mReportedStage != rollout.mStage;
+    const bool hasNewVerdict =
+      rollout.mReportedSoundness != rollout.mVerdict.mSoundness;
+    if (!hasNewStage && !hasNewVerdict) {
+      continue;
+    }
+    const RolloutTotals totals = mEvidence.Totals(id);
+    RolloutEvent event{
+      "rollout-stage",  rollout.mOrder,          rollout.mStage,
+      rollout.mVerdict, mEvidence.Age(id, aNow), totals.SentToTarget(),
+      totals.Sent()
+    };
+    if (hasNewStage) {
+      event.mName =
+        rollout.mReportedStage ? "rollout-stage" : "rollout-ordered";
+      events.push_back(event);
+    }
+    if (hasNewVerdict) {
+      event.mName = "rollout-verdict";
+      events.push_back(event);
+    }
+    rollout.mReportedStage = rollout.mStage;
+    rollout.mReportedSoundness = rollout.mVerdict.mSoundness;
+  }
+  return events;
+}
+
+std::optional<RolloutEdit>
+RolloutControl::NextEdit(
+  const std::function<std::vector<VersionedUpstream>(std::string_view)>&
+    aUpstreams,
+  Instant aNow)
+{
+  for (const auto& [service, rollout] : mRollouts) {
+    if (rollout.mIsWithdrawn) {
+      continue;
+    }
+    if (rollout.mStoredStage != rollout.mStage) {
+      return RolloutEdit{ rollout.mOrder, rollout.mRevision, rollout.mStage };
+    }
+    RolloutSituation situation;
+    situation.mStage = rollout.mStage;
+    situation.mAge = mEvidence.Age(rollout.mOrder.mId, aNow);
+    situation.mTimeInStage =
+      std::chrono::duration_cast<Milliseconds>(aNow - rollout.mStageAt);
+    situation.mDuration = rollout.mOrder.mDuration;
+    situation.mSoundness = rollout.mVerdict.mSoundness;
+    for (const VersionedUpstream& upstream : aUpstreams(service)) {
+      if (rollout.IsTarget(upstream.mVersion)) {
+        ++situation.mTargetUpstreams;
+      } else {
+        situation.mRequestsOnOthers += upstream.mRequests;
+      }
+    }
+    const RolloutStage next = NextRolloutStage(situation);
+    if (next != rollout.mStage) {
+      return RolloutEdit{ rollout.mOrder, rollout.mRevision, next };
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<RolloutSide>
+RolloutControl::OnRequest(std::string_view aService, bool aIsConfigFresh)
+{
+  const auto it = mRollouts.find(aService);
+  if (it == mRollouts.end()) {
+    return std::nullopt;
+  }
+  Rollout& rollout = it->second;
+  if (rollout.RefusesTarget()) {
+    return RolloutSide::OtherVersions;
+  }
+  const double share = TargetShare(rollout.mStage, mSettings.mExposureShare);
+  if (share >= 1) {
+    return RolloutSide::Target;
+  }
+  // A gateway that may lack the evidence of others sends nothing.
+  return rollout.mShare->OnRequest(aIsConfigFresh ? share : 0);
+}
+
+std::optional<RolloutSide>
+RolloutControl::SideOfRetry(std::string_view aService) const
+{
+  const Rollout* const rollout = Find(aService);
+  if (rollout == nullptr) {
+    return std::nullopt;
+  }
+  const bool isAll =
+    !rollout->RefusesTarget() &&
+    TargetShare(rollout->mStage, mSettings.mExposureShare) >= 1;
+  return isAll ? RolloutSide::Target : RolloutSide::OtherVersions;
+}
+
+bool
+RolloutControl::MayFallBack(std::string_view aService) const
+{
+  const Rollout* const rollout = Find(aService);
+  return rollout == nullptr || rollout->mStage < RolloutStage::Drained ||
+         rollout->RefusesTarget();
+}
+
+bool
+RolloutControl::IsLeaving(std::string_view aService,
+                          std::string_view aVersion) const
+{
+  const Rollout* const rollout = Find(aService);
+  return rollout != nullptr && !rollout->RefusesTarget() &&
+         !rollout->IsTarget(aVersion) && rollout->mStage >= RolloutStage::All;
+}
+
+std::vector<std::string>
+RolloutControl::LeavingServices() const
+{
+  std::vector<std::string> services;
+  for (const auto& [service, rollout] : mRollouts) {
+    const bool isLeaving = rollout.mStage == RolloutStage::All ||
+                           rollout.mStage == RolloutStage::Drained;
+    if (isLeaving && !rollout.RefusesTarget()) {
+      services.push_back(service);
+    }
+  }
+  return services;
+}
+
+bool
+RolloutControl::IsHeld(std::string_view aService,
+                       std::string_view aVersion,
+                       Instant aNow) const
+{
+  const auto versions = mVersions.find(aService);
+  if (versions == mVersions.end()) {
+    return false;
+  }
+  const auto version = versions->second.find(aVersion);
+  if (version == versions->second.end() ||
+      aNow - version->second >= kUnorderedVersionHold) {
+    return false;
+  }
+  return std::any_of(
+    versions->second.begin(), versions->second.end(), [&](const auto& aOther) {
+      return aOther.second < version->second;
+    });
+}
+
+std::set<std::string_view>
+RolloutControl::Observed(std::span<const VersionedUpstream> aUpstreams,
+                         const Rollout& aRollout) const
+{
+  std::vector<std::pair<std::uint64_t, std::string_view>> ranked;
+  for (const VersionedUpstream& upstream : aUpstreams) {
+    if (aRollout.IsTarget(upstream.mVersion)) {
+      ranked.emplace_back(StableHash(upstream.mId), upstream.mId);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  const std::size_t count =
+    TargetUpstreams(aRollout.mStage, mSettings.mExposureShare, ranked.size());
+  std::set<std::string_view> observed;
+  for (const auto& [rank, id] : std::span{ ranked }.first(count)) {
+    observed.insert(id);
+  }
+  return observed;
+}
+
+bool
+RolloutControl::Restricts(std::string_view aService, Instant aNow) const
+{
+  if (!IsEnabled()) {
+    return false;
+  }
+  const auto versions = mVersions.find(aService);
+  const bool mayHold =
+    versions != mVersions.end() && versions->second.size() > 1 &&
+    std::any_of(versions->second.begin(),
+                versions->second.end(),
+                [&](const auto& aVersion) {
+                  return aNow - aVersion.second < kUnorderedVersionHold;
+                });
+  return mayHold || Find(aService) != nullptr;
+}
+
+std::set<std::string_view>
+RolloutControl::Admitted(std::string_view aService,
+                         std::optional<RolloutSide> aSide,
+                         std::span<const VersionedUpstream> aUpstreams,
+                         Instant aNow) const
+{
+  const Rollout* const rollout = Find(aService);
+  std::set<std::string_view> admitted;
+  const bool isRefused = rollout != nullptr && rollout->RefusesTarget();
+  const bool isObserving =
+    rollout != nullptr && rollout->mStage == RolloutStage::Observing;
+  const std::set<std::string_view> observed =
+    isObserving ? Observed(aUpstreams, *rollout) : std::set<std::string_view>{};
+  for (const VersionedUpstream& upstream : aUpstreams) {
+    const bool isTarget =
+      rollout != nullptr && rollout->IsTarget(upstream.mVersion);
+    bool isAdmitted = true;
+    if (rollout == nullptr) {
+      isAdmitted = !IsHeld(aService, upstream.mVersion, aNow);
+    } else if (isTarget) {
+      // A cold upstream is slow whatever its version.
+      isAdmitted = !isRefused && aSide != RolloutSide::OtherVersions &&
+                   (!isObserving ||
+                    (observed.contains(upstream.mId) && !upstream.mIsCold));
+    } else {
+      isAdmitted = aSide != RolloutSide::Target;
+    }
+    if (isAdmitted) {
+      admitted.insert(upstream.mId);
+    }
+  }
+  return admitted;
+}
+
+bool
+RolloutControl::MaySend(std::string_view aService,
+                        std::string_view aVersion) const
+{
+  const Rollout* const rollout = Find(aService);
+  if (rollout == nullptr) {
+    return true;
+  }
+  return rollout->IsTarget(aVersion)
+           ? !rollout->RefusesTarget()
+           : rollout->mStage < RolloutStage::Drained ||
+               rollout->RefusesTarget();
+}
+
+std::optional<RolloutPlace>
+RolloutControl::OnSent(std::string_view aService,
+                       std::string_view aVersion,
+                       std::string_view aRoute,
+                       std::optional<RolloutSide> aChosen)
+{
+  const auto it = mRollouts.find(aService);
+  if (it == mRollouts.end()) {
+    return std::nullopt;
+  }
+  Rollout& rollout = it->second;
+  const RolloutSide side = rollout.IsTarget(aVersion)
+                             ? RolloutSide::Target
+                             : RolloutSide::OtherVersions;
+  const bool wasChosen = aChosen == RolloutSide::Target;
+  if (side == RolloutSide::Target && !wasChosen) {
+    rollout.mShare->OnFurtherSend();
+  } else if (side == RolloutSide::OtherVersions && wasChosen) {
+    rollout.mShare->OnNotSent();
+  }
+  mEvidence.OnSent(rollout.mOrder.mId, aRoute, side);
+  return RolloutPlace{ rollout.mOrder.mId, side };
+}
+
+} // namespace cactusgw
--- a/src/cactusgw/rollout/rollout_evidence.cpp
+++ b/src/cactusgw/rollout/rollout_evidence.cpp
@@ -162,11 +162,10 @@
   const bool isOfTarget = aKey.mSide == RolloutSide::Target;
   return StableHash(
     aKey.mRollout.mService + "\n" + aKey.mRollout.mTarget + "\n" +
-    std::to_string(aKey.mRollout.mOrderEra) + "\n" +
-    std::to_string(aKey.mRollout.mOrderRevision) + "\n" + gateway + "\n" +
-    aKey.mRoute + (isOfTarget ? "\ntarget\n" : "\nothers\n") +
-    std::to_string(aCounts.mSent) + "\n" + std::to_string(aCounts.mAnswered) +
-    "\n" + std::to_string(aCounts.mFailed) + "\n" + std::to_string(times));
+    std::to_string(aKey.mRollout.mOrder) + "\n" + gateway + "\n" + aKey.mRoute +
+    (isOfTarget ? "\ntarget\n" : "\nothers\n") + std::to_string(aCounts.mSent) +
+    "\n" + std::to_string(aCounts.mAnswered) + "\n" +
+    std::to_string(aCounts.mFailed) + "\n" + std::to_string(times));
 }
 
 void
@@ -179,25 +178,41 @@
 }
 
 void
-RolloutEvidence::OnResponse(const RolloutId& aRollout,
-                            std::string_view aRoute,
-                            RolloutSide aSide,
-                            const RolloutResponse& aResponse)
+RolloutEvidence::OnFirstEvent(const RolloutId& aRollout,
+                              std::string_view aRoute,
+                              RolloutSide aSide,
+                              Milliseconds aTime)
 {
   Update({ aRollout, mSelf, std::string{ aRoute }, aSide },
          [&](RolloutCounts& aCounts) {
            ++aCounts.mAnswered;
-           if (aResponse.mIsFailure) {
-             ++aCounts.mFailed;
-             return;
-           }
-           ++aCounts.mFirstEvents[BucketOf(aResponse.mFirstEvent)];
-           if (aResponse.mMeanGap > Milliseconds::zero()) {
-             ++aCounts.mGaps[BucketOf(aResponse.mMeanGap)];
-           }
+           ++aCounts.mFirstEvents[BucketOf(aTime)];
          });
 }
 
+void
+RolloutEvidence::OnFailed(const RolloutId& aRollout,
+                          std::string_view aRoute,
+                          RolloutSide aSide,
+                          bool aHasBegun)
+{
+  Update({ aRollout, mSelf, std::string{ aRoute }, aSide },
+         [&](RolloutCounts& aCounts) {
+           aCounts.mAnswered += aHasBegun ? 0 : 1;
+           ++aCounts.mFailed;
+         });
+}
+
+void
+RolloutEvidence::OnStreamEnded(const RolloutId& aRollout,
+                               std::string_view aRoute,
+                               RolloutSide aSide,
+                               Milliseconds aMeanGap)
+{
+  Update({ aRollout, mSelf, std::string{ aRoute }, aSide },
+         [&](RolloutCounts& aCounts) { ++aCounts.mGaps[BucketOf(aMeanGap)]; });
+}
+
 void
 RolloutEvidence::Merge(const RolloutCountsEntry& aEntry)
 {
--- a/src/cactusgw/rollout/rollout_evidence.hpp
+++ b/src/cactusgw/rollout/rollout_evidence.hpp
@@ -21,22 +21,13 @@
 /// of 2 from 1 ms on.
 using TimeHistogram = std::array<std::uint32_t, 40>;
 
-/// One response of an upstream, as far as its version is judged by it.
-struct RolloutResponse
-{
-  /// The upstream failed: a status of 5xx, or no whole response.
-  bool mIsFailure = false;
-  /// Time until a stream's first event or until the whole response.
-  Milliseconds mFirstEvent{ 0 };
-  /// Mean time between two events; zero without a second event.
-  Milliseconds mMeanGap{ 0 };
-};
-
 /// Counts of one side on one route. All only increase.
 struct RolloutCounts
 {
   std::uint32_t mSent = 0;
+  /// Requests with a first event, a whole response or a failure.
   std::uint32_t mAnswered = 0;
+  /// Statuses of 5xx and responses that were cut off.
   std::uint32_t mFailed = 0;
   TimeHistogram mFirstEvents{};
   TimeHistogram mGaps{};
@@ -89,10 +80,22 @@
   void OnSent(const RolloutId& aRollout,
               std::string_view aRoute,
               RolloutSide aSide);
-  void OnResponse(const RolloutId& aRollout,
-                  std::string_view aRoute,
-                  RolloutSide aSide,
-                  const RolloutResponse& aResponse);
+  /// @param aTime time until a stream's first event, or until the whole
+  ///   response
+  void OnFirstEvent(const RolloutId& aRollout,
+                    std::string_view aRoute,
+                    RolloutSide aSide,
+                    Milliseconds aTime);
+  /// @param aHasBegun whether the first event was reported before
+  void OnFailed(const RolloutId& aRollout,
+                std::string_view aRoute,
+                RolloutSide aSide,
+                bool aHasBegun);
+  /// @param aMeanGap mean time between two events of a whole stream
+  void OnStreamEnded(const RolloutId& aRollout,
+                     std::string_view aRoute,
+                     RolloutSide aSide,
+                     Milliseconds aMeanGap);
 
   /// Merges what another gateway knows: the larger of each count.
   /// Entries of orders that were not begun here are ignored.
--- a/src/cactusgw/rollout/rollout_order.hpp
+++ b/src/cactusgw/rollout/rollout_order.hpp
@@ -8,6 +8,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace cactusgw {
@@ -18,9 +19,8 @@
   std::string mService;
   /// The version that is to serve all requests.
   std::string mTarget;
-  /// Where the store has the order: its era and revision.
-  std::uint64_t mOrderEra = 0;
-  std::uint64_t mOrderRevision = 0;
+  /// The number that the store gave to the order when it was created.
+  std::uint64_t mOrder = 0;
 
   auto operator<=>(const RolloutId&) const = default;
 };
@@ -48,8 +48,18 @@
   RolledBack = 6,
 };
 
+/// The order of a service as the store has it.
+struct StoredRollout
+{
+  RolloutOrder mOrder;
+  /// Revision of the object; the condition of a write.
+  std::uint64_t mRevision = 0;
+  /// The stage that gateways have stored; empty if none for this target.
+  std::optional<RolloutStage> mStage;
+};
+
 /// Which upstreams of a service get a request.
-enum class RolloutSide : std::uint8_t
+enum class RolloutSide
 {
   Target,
   OtherVersions,
--- a/src/cactusgw/rollout/rollout_stages.cpp
+++ b/src/cactusgw/rollout/rollout_stages.cpp
@@ -6,12 +6,11 @@
 
 namespace {
 
-constexpr double kObservingShare = 0.06;
+/// Part of the exposure share that is used while the version is observed. The
+/// rest is for the stages in which the share grows.
+constexpr double kObservingFraction = 0.6;
 constexpr double kQuarterShare = 0.25;
 constexpr double kHalfShare = 0.5;
-/// Twice the observing share: the target's upstreams are loaded like the others
-/// at about half of what these carry.
-constexpr double kObservingUpstreams = 0.12;
 /// Time for which each growing share is held: the news of a failure passes four
 /// levels of the relay tree in some 200 ms.
 constexpr Milliseconds kRampStageTime{ 500 };
@@ -54,11 +53,11 @@
 }
 
 double
-TargetShare(RolloutStage aStage)
+TargetShare(RolloutStage aStage, double aExposureShare)
 {
   switch (aStage) {
     case RolloutStage::Observing:
-      return kObservingShare;
+      return kObservingFraction * aExposureShare;
     case RolloutStage::Quarter:
       return kQuarterShare;
     case RolloutStage::Half:
@@ -73,14 +72,14 @@
   return 0;
 }
 
-std::uint32_t
-TargetUpstreams(RolloutStage aStage, std::uint32_t aKnown)
+std::size_t
+TargetUpstreams(RolloutStage aStage, double aExposureShare, std::size_t aKnown)
 {
   if (aStage != RolloutStage::Observing) {
     return aKnown;
   }
-  return static_cast<std::uint32_t>(
-    std::ceil(kObservingUpstreams * static_cast<double>(aKnown)));
+  return static_cast<std::size_t>(std::ceil(
+    TargetShare(aStage, aExposureShare) * static_cast<double>(aKnown)));
 }
 
 RolloutStage
--- a/src/cactusgw/rollout/rollout_stages.hpp
+++ b/src/cactusgw/rollout/rollout_stages.hpp
@@ -5,6 +5,7 @@
 
 #include "cactusgw/rollout/rollout_verdict.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -13,11 +14,15 @@
 std::string_view ToString(RolloutStage aStage);
 
 /// The share of the service's requests that the target gets in a stage.
-double TargetShare(RolloutStage aStage);
+/// @param aExposureShare the share that a bad version may get in all
+double TargetShare(RolloutStage aStage, double aExposureShare);
 
 /// How many of the target's upstreams take requests in a stage: in Observing
-/// as few as carry its share at the load of the others.
-std::uint32_t TargetUpstreams(RolloutStage aStage, std::uint32_t aKnown);
+/// as few as carry its share at the load of the others, so that a version that
+/// is bad only under load shows it.
+std::size_t TargetUpstreams(RolloutStage aStage,
+                            double aExposureShare,
+                            std::size_t aKnown);
 
 struct RolloutSituation
 {
--- a/tests/gateway/suspicion_sender_test.cpp
+++ b/tests/gateway/suspicion_sender_test.cpp
@@ -111,7 +111,7 @@
     const std::vector<RequestSuspicion> due =
       sender.Next(crashes, FleetTime(now));
     ASSERT_FALSE(due.empty());
-    ASSERT_LE(due.size(), 2 * SuspicionSender::kMaxRequestsInMessage);
+    ASSERT_LE(due.size(), 2 * SuspicionSender::kMaxEntriesInMessage);
     for (const RequestSuspicion& suspicion : due) {
       sent.insert(suspicion.mRequest.mValue);
     }
