Share failures of upstreams between gateways and eject outliers

Each gateway had to learn of a failing upstream by requests of its own, again every few seconds: its penalty has a half-life of 3 s. With the feature "health", answers and failures of the last 3 s travel with the loads, and an upstream that fails more than the others of its service, by a binomial test, is ejected and then probed. At most 0.3 of a service is ejected.

--- a/src/cactusgw/config/process_settings.cpp
+++ b/src/cactusgw/config/process_settings.cpp
@@ -193,6 +193,9 @@
     settings.mMemoryMb =
       aReader.NumberOr("memoryMb", kMemoryRange, settings.mMemoryMb);
     settings.mBounds = ReadGatewayBounds(aReader);
+    for (std::string& feature : aReader.StringsOr("features")) {
+      settings.mFeatures.insert(std::move(feature));
+    }
     settings.mLog = ReadLog(aReader, "stdout");
     settings.mUnreadyTime = TimeOr(aReader, "unready", 3000);
     settings.mStopTime = TimeOr(aReader, "stop", 8000);
--- a/src/cactusgw/config/process_settings.hpp
+++ b/src/cactusgw/config/process_settings.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -84,6 +85,9 @@
   double mColdExtra = 0;
 };
 
+/// Name of the feature that shares failures of upstreams between gateways.
+inline constexpr std::string_view kSharedHealthFeature = "health";
+
 struct GatewaySettings
 {
   PlaceSettings mPlace;
@@ -102,6 +106,9 @@
   /// Memory that this process may use, in units of 2^20 bytes.
   double mMemoryMb = 100;
   GatewayBounds mBounds;
+  /// What the deployment asks for beyond the basic service. Unknown names are
+  /// ignored.
+  std::set<std::string, std::less<>> mFeatures;
   LogSettings mLog;
   /// How long a stopping gateway still accepts, while it is unready.
   Milliseconds mUnreadyTime{ 0 };
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -258,6 +258,7 @@
   }
   mStore.Tick(now, mRelay->IsStoreReachable());
   RegisterIfLost(now);
+  mState.UpdateOutliers(now);
   mState.mPool.CloseExpired(now);
   UpdateQuarantines(now);
   mState.UpdateLimits(now);
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -668,6 +668,7 @@
 {
   const Instant now = SteadyNow();
   const HttpConnection& response = mConnection->Response();
+  mState.OnResponse(mUpstream, IsServerError(response.Status()), now);
   if (IsServerError(response.Status())) {
     mState.mHealth.OnFailure(mUpstream, 1, now);
   } else {
@@ -710,6 +711,9 @@
   }
   if (!mIsHeldBack && !mIsGivenUp) {
     mState.mHealth.OnFailure(mUpstream, 1, now);
+    if (aFailure.mCode != FailureCode::UpstreamRefused) {
+      mState.OnResponse(mUpstream, true, now);
+    }
   }
   mState.mLog.Write(
     "send-failed",
--- a/src/cactusgw/gateway/gateway_metrics.cpp
+++ b/src/cactusgw/gateway/gateway_metrics.cpp
@@ -76,6 +76,10 @@
       mRegistry.AddGauge({ "cactusgw_limited_upstreams",
                            "Upstreams that state a limit of their requests.",
                            "" }))
+  , mOutlierUpstreams(mRegistry.AddGauge(
+      { "cactusgw_outlier_upstreams",
+        "Upstreams that are ejected, as they fail more than others.",
+        "" }))
   , mPauses(mRegistry.AddCounter(
       { "cactusgw_upstream_pauses_total",
         "Refusals by which an upstream asked for a pause, or a longer one.",
--- a/src/cactusgw/gateway/gateway_metrics.hpp
+++ b/src/cactusgw/gateway/gateway_metrics.hpp
@@ -41,6 +41,7 @@
   Gauge& mRequestQuarantines;
   Gauge& mStoreEra;
   Gauge& mLimitedUpstreams;
+  Gauge& mOutlierUpstreams;
   Counter& mPauses;
   Counter& mPausedRequests;
   Gauge& mPausedUpstreams;
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -54,6 +54,7 @@
   , mDrainNotices(DrainNotices::Create())
   , mLoads(LoadTable::Create())
   , mHealth(UpstreamHealth::Create())
+  , mResponses(ResponseWindow::Create())
   , mCrashes(CrashEvidence::Create())
   , mRequestCrashes(RequestCrashes::Create())
   , mStatedLimits(StatedLimits::Create())
@@ -152,6 +153,7 @@
                          Instant aNow) const
 {
   std::vector<Candidate> candidates;
+  std::vector<Candidate> ejected;
   // Decides by regions that the caller has derived, whatever their age.
   const SendGate gate = Gate(BootNow());
   for (const KnownUpstream* const known : mDirectory.Serving(aService.mName)) {
@@ -167,15 +169,89 @@
       mLimitPacer.Allows(record.mId, load.mRecent, aFilter.mIsWaiting, aNow);
     if (isAllowed && !isLimited && !isPaused && hasRate &&
         !Contains(aFilter.mExcluded, record.mId)) {
-      candidates.push_back(
-        { known,
-          load,
-          DistanceBetween(aFilter.mFromDataCentre, record.mDataCentre),
-          mHealth.FailurePenalty(record.mId, aNow),
-          TieBreakRank(mSettings.mPlace.mVm, record.mId) });
+      const bool isEjected = IsEjected(aService, record.mId, load);
+      (isEjected ? ejected : candidates)
+        .push_back(
+          { known,
+            load,
+            DistanceBetween(aFilter.mFromDataCentre, record.mDataCentre),
+            mHealth.FailurePenalty(record.mId, aNow),
+            TieBreakRank(mSettings.mPlace.mVm, record.mId) });
     }
   }
-  return candidates;
+  // An upstream that fails often is better than none.
+  return candidates.empty() ? ejected : candidates;
+}
+
+bool
+GatewayState::IsEjected(const GatewayService& aService,
+                        const std::string& aUpstream,
+                        const UpstreamLoad& aLoad) const
+{
+  const auto it = mOutliers.find(aService.mName);
+  if (it == mOutliers.end()) {
+    return false;
+  }
+  switch (it->second.StateOf(aUpstream)) {
+    case OutlierDetector::State::Admitted:
+      return false;
+    case OutlierDetector::State::Ejected:
+      return true;
+    case OutlierDetector::State::Probing:
+      return aLoad.mRequests > 0;
+  }
+  return false;
+}
+
+void
+GatewayState::OnResponse(const std::string& aUpstream,
+                         bool aIsFailure,
+                         Instant aNow)
+{
+  if (mSettings.mFeatures.contains(kSharedHealthFeature)) {
+    mResponses.OnResponse(aUpstream, aIsFailure, mLoads, aNow);
+  }
+}
+
+void
+GatewayState::UpdateOutliers(Instant aNow)
+{
+  // Each response changes the counts; the detection need not follow each.
+  constexpr Milliseconds kInterval{ 100 };
+  mResponses.Expire(mLoads, aNow);
+  if (!mSettings.mFeatures.contains(kSharedHealthFeature) || !mTable ||
+      aNow - mOutliersAt < kInterval) {
+    return;
+  }
+  mOutliersAt = aNow;
+  std::size_t ejected = 0;
+  for (const GatewayService& service : mTable->Config().mServices) {
+    std::vector<ResponseCounts> counts;
+    for (const KnownUpstream* const known : mDirectory.Serving(service.mName)) {
+      const UpstreamLoad load = mLoads.Total(known->mRecord.mId, aNow);
+      counts.push_back(
+        { known->mRecord.mId, load.mRecentAnswers, load.mRecentFailures });
+    }
+    OutlierDetector& detector =
+      mOutliers.try_emplace(service.mName, OutlierDetector::Create())
+        .first->second;
+    for (const OutlierDetector::Change& change :
+         detector.Update(counts, aNow)) {
+      const bool isOutlier = change.mState == OutlierDetector::State::Ejected;
+      mLog.Write(
+        isOutlier ? "upstream-outlier" : "upstream-recovered",
+        { { "upstream", change.mUpstream },
+          { "service", service.mName },
+          { "probing",
+            change.mState == OutlierDetector::State::Probing ? "yes" : "no" },
+          { "answers", static_cast<std::int64_t>(change.mAnswers) },
+          { "failures", static_cast<std::int64_t>(change.mFailures) },
+          { "windowMs", ResponseWindow::kWindow.count() } },
+        aNow);
+    }
+    ejected += detector.EjectedCount();
+  }
+  mMetrics.mOutlierUpstreams.Set(static_cast<double>(ejected));
 }
 
 std::optional<Instant>
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -7,6 +7,7 @@
 #include "cactusgw/core/byte_budget.hpp"
 #include "cactusgw/core/crash_evidence.hpp"
 #include "cactusgw/core/limit_pacer.hpp"
+#include "cactusgw/core/outlier_detector.hpp"
 #include "cactusgw/core/request_crashes.hpp"
 #include "cactusgw/core/stated_limits.hpp"
 #include "cactusgw/gateway/cold_start_limiter.hpp"
@@ -15,6 +16,7 @@
 #include "cactusgw/gateway/gateway_metrics.hpp"
 #include "cactusgw/gateway/header_names.hpp"
 #include "cactusgw/gateway/load_table.hpp"
+#include "cactusgw/gateway/response_window.hpp"
 #include "cactusgw/gateway/routing_table.hpp"
 #include "cactusgw/gateway/send_gate.hpp"
 #include "cactusgw/gateway/shared_retry_budget.hpp"
@@ -94,6 +96,11 @@
   /// whose upstreams are gone. Drops pauses that have ended.
   void UpdateLimits(Instant aNow);
 
+  /// Counts a response of an upstream, or the lack of one, for all gateways.
+  void OnResponse(const std::string& aUpstream, bool aIsFailure, Instant aNow);
+  /// Ejects upstreams that fail more than others, and admits them again.
+  void UpdateOutliers(Instant aNow);
+
   /// Discards health, rate limit and connections of an upstream that was
   /// registered anew.
   void Forget(const std::string& aUpstream);
@@ -121,6 +128,9 @@
   std::map<std::string, Instant> mColdAfterUndrainUntil;
   LoadTable mLoads;
   UpstreamHealth mHealth;
+  ResponseWindow mResponses;
+  /// By service.
+  std::map<std::string, OutlierDetector, std::less<>> mOutliers;
   CrashEvidence mCrashes;
   RequestCrashes mRequestCrashes;
   StatedLimits mStatedLimits;
@@ -149,10 +159,15 @@
   DecisionLog mLog;
 
 private:
+  /// Whether an upstream may be selected, as far as its responses tell.
+  bool IsEjected(const GatewayService& aService,
+                 const std::string& aUpstream,
+                 const UpstreamLoad& aLoad) const;
   bool IsCold(const KnownUpstream& aUpstream, Instant aNow) const;
   std::uint32_t ColdStartShare(const GatewayService& aService) const;
 
   std::map<std::string, SharedRetryBudget> mRetryBudgets;
+  Instant mOutliersAt;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/load_exchange.cpp
+++ b/src/cactusgw/gateway/load_exchange.cpp
@@ -21,7 +21,9 @@
                         entry.tokens(),
                         entry.prompt_tokens(),
                         entry.movable(),
-                        entry.recent_requests() },
+                        entry.recent_requests(),
+                        entry.recent_answers(),
+                        entry.recent_failures() },
                       { entry.turn_tokens(), entry.turn_movable() } };
   }
   return sums;
@@ -71,6 +73,8 @@
     entry->set_prompt_tokens(sum.mLoad.mPromptTokens);
     entry->set_movable(sum.mLoad.mMigratable);
     entry->set_recent_requests(sum.mLoad.mRecent);
+    entry->set_recent_answers(sum.mLoad.mRecentAnswers);
+    entry->set_recent_failures(sum.mLoad.mRecentFailures);
     entry->set_turn_tokens(sum.mMigrations.mTokens);
     entry->set_turn_movable(sum.mMigrations.mMigratable);
   }
--- a/src/cactusgw/gateway/upstream_load.cpp
+++ b/src/cactusgw/gateway/upstream_load.cpp
@@ -23,6 +23,8 @@
   mPromptTokens += aOther.mPromptTokens;
   mMigratable += aOther.mMigratable;
   mRecent += aOther.mRecent;
+  mRecentAnswers += aOther.mRecentAnswers;
+  mRecentFailures += aOther.mRecentFailures;
   return *this;
 }
 
@@ -34,6 +36,8 @@
   SubtractDownToZero(mPromptTokens, aOther.mPromptTokens);
   SubtractDownToZero(mMigratable, aOther.mMigratable);
   SubtractDownToZero(mRecent, aOther.mRecent);
+  SubtractDownToZero(mRecentAnswers, aOther.mRecentAnswers);
+  SubtractDownToZero(mRecentFailures, aOther.mRecentFailures);
   return *this;
 }
 
--- a/src/cactusgw/gateway/upstream_load.hpp
+++ b/src/cactusgw/gateway/upstream_load.hpp
@@ -23,6 +23,10 @@
   /// Requests sent within LimitPacer::kWindow; only counted for upstreams that
   /// state a limit.
   std::uint32_t mRecent = 0;
+  /// Responses within ResponseWindow::kWindow, and those that are failures of
+  /// the upstream; only counted where gateways share them.
+  std::uint32_t mRecentAnswers = 0;
+  std::uint32_t mRecentFailures = 0;
 
   UpstreamLoad& operator+=(const UpstreamLoad& aOther);
   /// Subtracts each figure, saturating at zero.
