--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -279,6 +279,7 @@
   mStore.Tick(now, mRelay->IsStoreReachable());
   RegisterIfLost(now);
   UpdateRollouts(now);
+  mState.UpdateOutliers(now);
   mState.mPool.CloseExpired(now);
   UpdateQuarantines(now);
   mState.UpdateLimits(now);
--- a/src/cactusgw/gateway/gateway_metrics.hpp
+++ b/src/cactusgw/gateway/gateway_metrics.hpp
@@ -46,6 +46,7 @@
   Counter& mRolloutTargetFailures;
   Counter& mRolloutOtherFailures;
   Gauge& mRolloutStage;
+  Gauge& mOutlierUpstreams;
   Counter& mPauses;
   Counter& mPausedRequests;
   Gauge& mPausedUpstreams;
