Read the store once for each region of three or more data centres

The first gateway of a data centre now requests the store's content from the data centre of its region that comes first by name, as other gateways do from their parent, and reads the store itself while that one is silent.

--- a/src/cactusgw/gateway/relay_selector.cpp
+++ b/src/cactusgw/gateway/relay_selector.cpp
@@ -11,29 +11,50 @@
 namespace cactusgw {
 
 RelaySelector
-RelaySelector::Create(GatewayPeer aSelf)
+RelaySelector::Create(GatewayPeer aSelf, const std::set<std::string>& aRegion)
 {
-  return RelaySelector{ std::move(aSelf) };
+  std::set<std::string> before;
+  if (aRegion.size() >= kMinDataCentresPerReader) {
+    before.insert(aRegion.begin(), aRegion.lower_bound(aSelf.mDataCentre));
+  }
+  return RelaySelector{ std::move(aSelf), std::move(before) };
 }
 
 void
 RelaySelector::SetPeer(const GatewayPeer& aPeer)
 {
-  if (aPeer.mName == mSelf.mName || aPeer.mDataCentre != mSelf.mDataCentre) {
+  const bool isBefore = mDataCentresBefore.contains(aPeer.mDataCentre);
+  if (aPeer.mName == mSelf.mName ||
+      (aPeer.mDataCentre != mSelf.mDataCentre && !isBefore)) {
     return;
   }
   // A gateway registers when it starts, so earlier failures and backoffs do
   // not apply any more.
-  mPeers[aPeer.mName] = Peer{};
-  mPeers[aPeer.mName].mCapacity = aPeer.mCapacity;
+  Peer peer;
+  peer.mCapacity = aPeer.mCapacity;
+  peer.mDataCentre = aPeer.mDataCentre;
+  (isBefore ? mPeersBefore : mPeers)[aPeer.mName] = std::move(peer);
+}
+
+RelaySelector::Peer*
+RelaySelector::Find(std::string_view aName)
+{
+  auto it = mPeers.find(aName);
+  if (it != mPeers.end()) {
+    return &it->second;
+  }
+  it = mPeersBefore.find(aName);
+  return it == mPeersBefore.end() ? nullptr : &it->second;
 }
 
 void
 RelaySelector::RemovePeer(std::string_view aName)
 {
-  const auto it = mPeers.find(aName);
-  if (it != mPeers.end()) {
-    mPeers.erase(it);
+  for (Peers* const peers : { &mPeers, &mPeersBefore }) {
+    const auto it = peers->find(aName);
+    if (it != peers->end()) {
+      peers->erase(it);
+    }
   }
 }
 
@@ -103,9 +124,27 @@
 std::optional<std::string>
 RelaySelector::Relay(Instant aNow) const
 {
-  return Select([&](const Peer& aPeer) {
+  const std::optional<std::string> relay = Select([&](const Peer& aPeer) {
     return aPeer.mBackoffUntil <= aNow && aPeer.mStoreLostUntil <= aNow;
   });
+  return relay ? relay : SelectInRegion(aNow);
+}
+
+std::optional<std::string>
+RelaySelector::SelectInRegion(Instant aNow) const
+{
+  std::optional<std::tuple<std::string_view, double, std::string_view>> first;
+  for (const auto& [name, peer] : mPeersBefore) {
+    const std::tuple<std::string_view, double, std::string_view> place{
+      peer.mDataCentre, -peer.mCapacity, name
+    };
+    if (peer.mBackoffUntil <= aNow && peer.mStoreLostUntil <= aNow &&
+        (!first || place < *first)) {
+      first = place;
+    }
+  }
+  return first ? std::optional{ std::string{ std::get<2>(*first) } }
+               : std::nullopt;
 }
 
 std::size_t
@@ -167,33 +206,32 @@
 void
 RelaySelector::OnStoreLost(std::string_view aName, Instant aNow)
 {
-  const auto it = mPeers.find(aName);
-  if (it != mPeers.end()) {
-    it->second.mStoreLostUntil = aNow + kStoreLostBackoff;
+  Peer* const peer = Find(aName);
+  if (peer != nullptr) {
+    peer->mStoreLostUntil = aNow + kStoreLostBackoff;
   }
 }
 
 void
 RelaySelector::OnTimeout(std::string_view aName, Instant aNow)
 {
-  const auto it = mPeers.find(aName);
-  if (it == mPeers.end()) {
+  Peer* const peer = Find(aName);
+  if (peer == nullptr) {
     return;
   }
-  Peer& peer = it->second;
-  peer.mBackoffUntil = aNow + peer.mNextBackoff;
-  peer.mNextBackoff = std::min(kMaxBackoff, peer.mNextBackoff * 2);
-  peer.mHasTimedOut = true;
+  peer->mBackoffUntil = aNow + peer->mNextBackoff;
+  peer->mNextBackoff = std::min(kMaxBackoff, peer->mNextBackoff * 2);
+  peer->mHasTimedOut = true;
 }
 
 void
 RelaySelector::OnMessageFrom(std::string_view aName)
 {
-  const auto it = mPeers.find(aName);
-  if (it != mPeers.end() && it->second.mHasTimedOut) {
-    it->second.mHasTimedOut = false;
-    it->second.mNextBackoff = kFirstBackoff;
-    it->second.mBackoffUntil = Instant{};
+  Peer* const peer = Find(aName);
+  if (peer != nullptr && peer->mHasTimedOut) {
+    peer->mHasTimedOut = false;
+    peer->mNextBackoff = kFirstBackoff;
+    peer->mBackoffUntil = Instant{};
   }
 }
 
--- a/src/cactusgw/gateway/relay_selector.hpp
+++ b/src/cactusgw/gateway/relay_selector.hpp
@@ -9,6 +9,10 @@
 /// of these, which bounds the number of gateways that one has to serve. A
 /// gateway reads the store itself if there is none before it or if it has no
 /// recent response. This needs neither an election nor a consensus.
+///
+/// Each call to the store is charged for. In a region of several data centres,
+/// the first gateway of a data centre requests the store's content from the
+/// first one of the data centre that comes first by name.
 
 #include "cactusgw/core/verdict.hpp"
 #include "cactusgw/gateway/gateway_peer.hpp"
@@ -17,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -53,7 +58,14 @@
   /// limit on the time in which a change must become known is 2500 ms.
   static constexpr Milliseconds kMaxResponseAge{ 800 };
 
-  static RelaySelector Create(GatewayPeer aSelf);
+  /// Number of data centres in a region from which on one of them reads the
+  /// store for the others. With fewer, an outage of a data centre would leave
+  /// half of the region without a relay.
+  static constexpr std::size_t kMinDataCentresPerReader = 3;
+
+  /// @param aRegion the data centres of this gateway's region
+  static RelaySelector Create(GatewayPeer aSelf,
+                              const std::set<std::string>& aRegion = {});
 
   /// Begins the start phase, in which this gateway leaves it to others to read
   /// the store. Without it, the gateway reads until it has a response.
@@ -61,7 +73,7 @@
   /// The first list of gateways is complete.
   void OnPeersListed(Instant aNow);
 
-  /// Gateways of other data centres are ignored.
+  /// Gateways of other regions are ignored.
   void SetPeer(const GatewayPeer& aPeer);
   void RemovePeer(std::string_view aName);
 
@@ -97,16 +109,23 @@
   struct Peer
   {
     double mCapacity = 0;
+    std::string mDataCentre;
     Instant mBackoffUntil;
     Instant mStoreLostUntil;
     Milliseconds mNextBackoff = kFirstBackoff;
     bool mHasTimedOut = false;
   };
 
-  explicit RelaySelector(GatewayPeer aSelf)
+  using Peers = std::map<std::string, Peer, std::less<>>;
+
+  RelaySelector(GatewayPeer aSelf, std::set<std::string> aDataCentresBefore)
     : mSelf(std::move(aSelf))
+    , mDataCentresBefore(std::move(aDataCentresBefore))
   {
   }
+  Peer* Find(std::string_view aName);
+  /// The first gateway of the region's data centres that come before this one.
+  std::optional<std::string> SelectInRegion(Instant aNow) const;
   template<typename Condition>
   std::optional<std::string> Select(const Condition& aIsEligible) const;
   bool IsBeforeSelf(std::string_view aName, const Peer& aPeer) const;
@@ -114,7 +133,12 @@
   bool IsStarting(Instant aNow) const;
 
   GatewayPeer mSelf;
-  std::map<std::string, Peer, std::less<>> mPeers;
+  /// The data centres whose gateways read the store for this one.
+  std::set<std::string> mDataCentresBefore;
+  /// Gateways of this data centre.
+  Peers mPeers;
+  /// Gateways of the data centres before this one.
+  Peers mPeersBefore;
   std::optional<Instant> mStartedAt;
   std::optional<Instant> mPeersListedAt;
   std::optional<Instant> mRespondedAt;
--- a/src/cactusgw/gateway/store_relay.cpp
+++ b/src/cactusgw/gateway/store_relay.cpp
@@ -62,6 +62,20 @@
            aSettings.mCapacity };
 }
 
+/// The data centres of the region that the gateway runs in.
+std::set<std::string>
+RegionOf(const GatewaySettings& aSettings)
+{
+  const auto self = aSettings.mRegions.find(aSettings.mPlace.mDataCentre);
+  std::set<std::string> dataCentres;
+  for (const auto& [dataCentre, region] : aSettings.mRegions) {
+    if (self != aSettings.mRegions.end() && region == self->second) {
+      dataCentres.insert(dataCentre);
+    }
+  }
+  return dataCentres;
+}
+
 } // namespace
 
 StoreRelay::StoreRelay(GatewayState& aState,
@@ -70,7 +84,8 @@
   : mState(aState)
   , mView(aView)
   , mPeers(aPeers)
-  , mSelector(RelaySelector::Create(SelfOf(aState.mSettings)))
+  , mSelector(RelaySelector::Create(SelfOf(aState.mSettings),
+                                    RegionOf(aState.mSettings)))
 {
 }
 
--- a/tests/gateway/store_sharing_test.cpp
+++ b/tests/gateway/store_sharing_test.cpp
@@ -314,6 +314,56 @@
   EXPECT_EQ(selector.Rank(), 2U);
 }
 
+GatewayPeer
+PeerIn(const std::string& aDataCentre,
+       const std::string& aName,
+       double aCapacity)
+{
+  return { aName, "10.0.0.1:1", aDataCentre, aCapacity };
+}
+
+/// Guards against a reader of the store in each data centre of a large region:
+/// each call is charged for.
+TEST(RelaySelectorTest, OneDataCentreReadsForTheOthersOfALargeRegion)
+{
+  const std::set<std::string> region{ "dc-a", "dc-b", "dc-c" };
+  RelaySelector selector =
+    RelaySelector::Create(PeerIn("dc-b", "b1", 1), region);
+  selector.SetPeer(PeerIn("dc-b", "b2", 0.5));
+  selector.SetPeer(PeerIn("dc-c", "c1", 2));
+  EXPECT_EQ(selector.Relay(At(0)), std::nullopt);
+  selector.SetPeer(PeerIn("dc-a", "a1", 0.5));
+  selector.SetPeer(PeerIn("dc-a", "a2", 1));
+  EXPECT_EQ(selector.Relay(At(0)), "a2");
+  EXPECT_EQ(selector.Parent(At(0)), std::nullopt);
+  selector.OnResponse("a2", At(0));
+  EXPECT_FALSE(selector.ShouldRead(At(100)));
+}
+
+/// Guards against a data centre that stops reading when the one that read for
+/// it is cut off.
+TEST(RelaySelectorTest, ReadsItselfWhileTheReaderOfTheRegionIsSilent)
+{
+  const std::set<std::string> region{ "dc-a", "dc-b", "dc-c" };
+  RelaySelector selector =
+    RelaySelector::Create(PeerIn("dc-b", "b1", 1), region);
+  selector.SetPeer(PeerIn("dc-a", "a1", 1));
+  selector.OnResponse("a1", At(0));
+  EXPECT_TRUE(selector.ShouldRead(At(800)));
+  selector.OnTimeout("a1", At(1000));
+  EXPECT_EQ(selector.Relay(At(1000)), std::nullopt);
+  selector.OnMessageFrom("a1");
+  EXPECT_EQ(selector.Relay(At(1100)), "a1");
+}
+
+TEST(RelaySelectorTest, EachDataCentreOfASmallRegionReadsItself)
+{
+  RelaySelector selector =
+    RelaySelector::Create(PeerIn("dc-b", "b1", 1), { "dc-a", "dc-b" });
+  selector.SetPeer(PeerIn("dc-a", "a1", 1));
+  EXPECT_EQ(selector.Relay(At(0)), std::nullopt);
+}
+
 TEST(RelaySelectorTest, AfterTheStartAGatewayWaitsForTheListOfGateways)
 {
   RelaySelector selector = RelaySelector::Create(Peer("b", 1));
