--- a/src/cactusgw/gateway/gateway_metrics.cpp
+++ b/src/cactusgw/gateway/gateway_metrics.cpp
@@ -96,6 +96,7 @@
   , mRolloutStage(mRegistry.AddGauge(
       { "cactusgw_rollout_stage",
         "Stage that a roll-out has last reached, from 0 (observing) to 6.",
+        "" }))
   , mOutlierUpstreams(mRegistry.AddGauge(
       { "cactusgw_outlier_upstreams",
         "Upstreams that are ejected, as they fail more than others.",
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -157,7 +157,7 @@
                          Instant aNow) const
 {
   std::vector<Candidate> candidates;
-<<<<<<< HEAD
+  std::vector<Candidate> ejected;
   const bool isRestricted = mRollouts.Restricts(aService.mName, aNow);
   std::vector<VersionedUpstream> versions;
   std::set<std::string_view> admitted;
@@ -166,9 +166,6 @@
     admitted =
       mRollouts.Admitted(aService.mName, aFilter.mSide, versions, aNow);
   }
-=======
-  std::vector<Candidate> ejected;
->>>>>>> shared-health
   // Decides by regions that the caller has derived, whatever their age.
   const SendGate gate = Gate(BootNow());
   for (const KnownUpstream* const known : mDirectory.Serving(aService.mName)) {
