Back up long generations at a second upstream

Copies of all generations of an upstream take longer on its link than the 1.5 to 2 s of notice that it gives, each copy that queues pauses its stream, and a crash gives no notice. A long generation is now replicated while it runs, where the engine has backups and a second upstream is half empty, and continued there at once. The source is ordered to stop as before; the copy that the order makes serves if the backup refuses.

--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -1,5 +1,6 @@
 #include "cactusgw/gateway/gateway_call.hpp"
 
+#include "cactusgw/gateway/backup_choice.hpp"
 #include "cactusgw/gateway/generation_migrator.hpp"
 #include "cactusgw/gateway/message_headers.hpp"
 #include "cactusgw/net/problem.hpp"
@@ -84,6 +85,7 @@
 GatewayCall::~GatewayCall()
 {
   mCalls->erase(this);
+  ReleaseStoppedSource();
   if (!mGeneration) {
     return;
   }
@@ -149,7 +151,10 @@
       break;
     }
     DropContinuation();
-    target = TakeMigrationTarget();
+    target = co_await TakeStoppedSource(sent.error());
+    if (!target) {
+      target = TakeMigrationTarget();
+    }
     if (target) {
       continue;
     }
@@ -176,16 +181,65 @@
 GatewayCall::TakeMigrationTarget()
 {
   mContinuation.reset();
-  if (!mGeneration || mGeneration->State() != GenerationState::Stopped) {
+  if (!mGeneration) {
+    return std::nullopt;
+  }
+  if (mGeneration->ContinuesAtBackup()) {
+    mContinuation = *mGeneration->Backup();
+    mStoppedSource = mGeneration;
+    mState.mMetrics.mBackupsUsed.Add();
+    mState.mLog.Write("backup-used",
+                      { { "request", mRequestId },
+                        { "from", mUpstream },
+                        { "to", mContinuation->mUpstream },
+                        { "afterEvent", mProgress.mLastEventId },
+                        { "afterMs", Elapsed().count() } },
+                      SteadyNow());
+  } else if (mGeneration->State() == GenerationState::Stopped) {
+    mContinuation = mGeneration->Next();
+  } else {
     return std::nullopt;
   }
-  mContinuation = mGeneration->Next();
   mMayHaveRun = true;
   mGeneration.reset();
   mState.mMetrics.mContinued.Add();
   return mContinuation->mUpstream;
 }
 
+Task<std::optional<std::string>>
+GatewayCall::TakeStoppedSource(const Failure& aFailure)
+{
+  if (!mStoppedSource || aFailure.mVerdict != Verdict::NotRun) {
+    ReleaseStoppedSource();
+    co_return std::nullopt;
+  }
+  const std::shared_ptr<MigratableGeneration> source =
+    std::move(mStoppedSource);
+  mStoppedSource.reset();
+  mState.mMetrics.mBackupsRefused.Add();
+  co_await source->WaitWhileStopping(mAdmitted.mDeadline);
+  if (source->State() != GenerationState::Stopped || mHasClientDisconnected) {
+    source->SetState(GenerationState::Ended);
+    co_return std::nullopt;
+  }
+  mContinuation = source->Next();
+  co_return mContinuation->mUpstream;
+}
+
+void
+GatewayCall::ReleaseStoppedSource()
+{
+  if (!mStoppedSource) {
+    return;
+  }
+  if (mStoppedSource->State() == GenerationState::Stopped) {
+    mState.mMigrator->Free(mStoppedSource->Next());
+  }
+  // A reply that arrives later is freed by the migrator.
+  mStoppedSource->SetState(GenerationState::Ended);
+  mStoppedSource.reset();
+}
+
 std::optional<Instant>
 GatewayCall::CheckAttempt(const AttemptDeadline& aDeadline)
 {
@@ -285,10 +339,15 @@
     }
     mConnection.reset();
   }
-  if (mGeneration && mGeneration->State() != GenerationState::Stopped) {
+  if (mGeneration && mGeneration->State() != GenerationState::Stopped &&
+      !mGeneration->ContinuesAtBackup()) {
     mGeneration->SetState(GenerationState::Ended);
     mGeneration.reset();
   }
+  if (mBackup) {
+    mState.mLoads.Subtract(mBackup->mId, BackupLoad());
+    mBackup.reset();
+  }
   load += std::exchange(mGenerationLoad, {});
   load.mPromptTokens = std::exchange(mPendingPromptTokens, 0);
   mState.mLoads.Subtract(mUpstream, load);
@@ -341,6 +400,7 @@
       { "crashes", KnownCrashes() },
       { "afterMs", Elapsed().count() } },
     now);
+  ChooseBackupFor(aUpstream.mRecord);
   const net::any_io_executor executor = co_await net::this_coro::executor;
   std::optional<AttemptWatch> watch;
   if (MayRepeat()) {
@@ -353,6 +413,7 @@
   if (!header) {
     co_return header;
   }
+  ReleaseStoppedSource();
   co_await TrackGeneration(aUpstream.mRecord);
   mState.mMetrics.mFirstByte.Record(SteadyNow() - mStart);
   ResponseRelay relay{ mExchange,
@@ -388,6 +449,9 @@
                                mAdmitted.mTokenNeed };
   mGeneration =
     std::make_shared<MigratableGeneration>(executor, std::move(identity));
+  if (mBackup) {
+    mGeneration->SetBackup({ mBackup->mId, mBackup->mAddress, mRequestId });
+  }
   mGenerationLoad = UpstreamLoad{ 0, 0, 0, 1 };
   mState.mLoads.Add(mUpstream, mGenerationLoad);
   mState.mMigrator->Add(mGeneration);
@@ -399,6 +463,13 @@
   if (!mGeneration || mHasClientDisconnected) {
     co_return false;
   }
+  if (CanContinueAtBackup()) {
+    mState.OnResponse(mUpstream, true, SteadyNow());
+    mState.mMigrator->StopForBackup(mGeneration);
+  }
+  if (mGeneration->ContinuesAtBackup()) {
+    co_return true;
+  }
   co_await mGeneration->WaitWhileStopping(mAdmitted.mDeadline);
   if (mGeneration->State() == GenerationState::Running &&
       IsUpstreamDraining() && mGeneration->Copy()) {
@@ -407,6 +478,67 @@
   co_return mGeneration->State() == GenerationState::Stopped;
 }
 
+void
+GatewayCall::ChooseBackupFor(const UpstreamRecord& aUpstream)
+{
+  const GatewayService& service = *mAdmitted.mService;
+  const bool isSuspect =
+    KnownCrashes() > 0 || mAdmitted.mOrigin.mOwnCrashes > 0;
+  if (isSuspect || mState.mMigrator == nullptr ||
+      !IsWorthABackup(service, mAdmitted.mRoute->mKind, mAdmitted.mTokenNeed)) {
+    return;
+  }
+  const Result<AllowedRegions> regions =
+    mState.Gate(BootNow()).TrustedRegionsFor(mAdmitted.mOrigin);
+  if (!regions) {
+    return;
+  }
+  const CandidateFilter filter{
+    regions.value(), {}, aUpstream.mDataCentre, false, mAdmitted.mSide
+  };
+  const std::vector<Candidate> candidates =
+    mState.Candidates(service, filter, SteadyNow());
+  const Candidate* const chosen =
+    ChooseBackup(candidates, aUpstream.mId, service, mAdmitted.mTokenNeed);
+  const bool isCleared =
+    chosen != nullptr && mState.Gate(BootNow())
+                           .Clear(mAdmitted.mOrigin,
+                                  TargetOf(chosen->mUpstream->mRecord),
+                                  SendPurpose::Copy)
+                           .has_value();
+  if (!isCleared) {
+    return;
+  }
+  mBackup = chosen->mUpstream->mRecord;
+  mState.mLoads.Add(mBackup->mId, BackupLoad());
+  mState.mMetrics.mBackupsOrdered.Add();
+  mState.mLog.Write(
+    "backup-ordered",
+    { { "request", mRequestId },
+      { "upstream", aUpstream.mId },
+      { "backup", mBackup->mId },
+      { "tokens", static_cast<std::int64_t>(mAdmitted.mTokenNeed.mTotal) },
+      { "loadTokens", static_cast<std::int64_t>(chosen->mLoad.mTokens) } },
+    SteadyNow());
+}
+
+UpstreamLoad
+GatewayCall::BackupLoad() const
+{
+  return { 0, mAdmitted.mTokenNeed.mTotal, 0, 0 };
+}
+
+bool
+GatewayCall::CanContinueAtBackup() const
+{
+  // A request that crashes its upstream does so soon after its first event, and
+  // would crash the next one.
+  const Instant now = SteadyNow();
+  return mGeneration->State() == GenerationState::Running &&
+         mGeneration->Backup() && !mIsGivenUp && mFirstEventAt &&
+         now - *mFirstEventAt >= kBegunTime && now < mAdmitted.mDeadline;
+}
+
 Task<Result<void>>
 GatewayCall::Connect(const UpstreamRecord& aUpstream)
 {
@@ -444,6 +576,9 @@
   if (!mProgress.mLastEventId.empty()) {
     request.set(names.mLastEventId, mProgress.mLastEventId);
   }
+  if (mBackup) {
+    request.set(names.mBackupTo, mBackup->mAddress);
+  }
   if (mContinuation) {
     request.set(names.mMigratedFrom,
                 mContinuation->mSource + "/" + mContinuation->mHandle);
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -45,6 +45,14 @@
   std::optional<std::string> TakeMigrationTarget();
   Task<Result<void>> SendAndRelay(const KnownUpstream& aUpstream);
   Task<void> TrackGeneration(const UpstreamRecord& aUpstream);
+  /// Chooses where the memory of a long generation is replicated.
+  void ChooseBackupFor(const UpstreamRecord& aUpstream);
+  /// The stream has broken off, and its backup continues it.
+  bool CanContinueAtBackup() const;
+  /// Continues from what the stop of the source left, as the backup has
+  /// refused.
+  Task<std::optional<std::string>> TakeStoppedSource(const Failure& aFailure);
+  void ReleaseStoppedSource();
   Task<bool> WasGenerationStopped();
   /// Sends the request to an upstream and relays the response. Success means
   /// that the client has received its final response.
@@ -94,6 +102,8 @@
   bool MayRepeat() const;
   /// Load of a retry at the upstream that is held for it.
   UpstreamLoad RetryLoad() const;
+  /// Load of the backup at its upstream.
+  UpstreamLoad BackupLoad() const;
   /// Releases the upstream that is held for a retry and returns it, if any.
   std::optional<std::string> TakeRetryUpstream();
   Task<void> Refuse(const Failure& aFailure);
@@ -130,6 +140,10 @@
   std::uint64_t mPendingPromptTokens = 0;
   /// Set while a migrated generation is being continued.
   std::optional<Continuation> mContinuation;
+  /// Where the memory of the current attempt is replicated.
+  std::optional<UpstreamRecord> mBackup;
+  /// The generation that a backup continues, until the backup has accepted.
+  std::shared_ptr<MigratableGeneration> mStoppedSource;
   bool mHasClientDisconnected = false;
   bool mIsGivenUp = false;
   StreamProgress mProgress;
--- a/src/cactusgw/gateway/gateway_config.hpp
+++ b/src/cactusgw/gateway/gateway_config.hpp
@@ -80,6 +80,8 @@
   double mLinkMbps = 0;
   /// Whether a running generation can be migrated to another upstream.
   bool mCanMigrate = false;
+  /// Whether a running generation's memory can be replicated as it grows.
+  bool mCanBackUp = false;
 };
 
 struct GatewayService
--- a/src/cactusgw/gateway/gateway_metrics.cpp
+++ b/src/cactusgw/gateway/gateway_metrics.cpp
@@ -20,6 +20,15 @@
            std::string{ "outcome=\"" } + aOutcome + "\"" };
 }
 
+MetricName
+BackupMetric(const char* aOutcome)
+{
+  return { "cactusgw_backups_total",
+           "Generations replicated to a second upstream while they run, and "
+           "those that it continued or refused to.",
+           std::string{ "outcome=\"" } + aOutcome + "\"" };
+}
+
 MetricName
 RolloutMetric(const char* aName, const char* aSide)
 {
@@ -56,6 +65,9 @@
   , mContinued(mRegistry.AddCounter({ "cactusgw_streams_continued_total",
                                       "Streams continued by an upstream.",
                                       "" }))
+  , mBackupsOrdered(mRegistry.AddCounter(BackupMetric("ordered")))
+  , mBackupsUsed(mRegistry.AddCounter(BackupMetric("used")))
+  , mBackupsRefused(mRegistry.AddCounter(BackupMetric("refused")))
   , mHomeRefusals(
       mRegistry.AddCounter({ "cactusgw_home_refusals_total",
                              "Requests refused for want of an upstream in the "
--- a/src/cactusgw/gateway/gateway_metrics.hpp
+++ b/src/cactusgw/gateway/gateway_metrics.hpp
@@ -34,6 +34,9 @@
   Counter& mMigrationsCompleted;
   Counter& mMigrationsFailed;
   Counter& mContinued;
+  Counter& mBackupsOrdered;
+  Counter& mBackupsUsed;
+  Counter& mBackupsRefused;
   Counter& mHomeRefusals;
   Counter& mCrashSuspects;
   Counter& mQuarantinedRequests;
--- a/src/cactusgw/gateway/generation_migrator.cpp
+++ b/src/cactusgw/gateway/generation_migrator.cpp
@@ -107,6 +107,18 @@
     aGenerations.begin(), aGenerations.end()
   };
   aGenerations.clear();
+  std::erase_if(
+    waiting, [this](const std::shared_ptr<MigratableGeneration>& aGeneration) {
+      const bool canContinue =
+        aGeneration->HasBegun() && UsableBackup(*aGeneration) != nullptr;
+      if (canContinue) {
+        StopForBackup(aGeneration);
+      }
+      return canContinue;
+    });
+  if (waiting.empty()) {
+    co_return;
+  }
   const GenerationIdentity& first = waiting.front()->Identity();
   co_await WaitForEarlierMigrations(first.mUpstream, first.mService);
   while (!waiting.empty()) {
@@ -253,11 +265,63 @@
   return chosen == nullptr ? nullptr : chosen->mUpstream;
 }
 
+const KnownUpstream*
+GenerationMigrator::UsableBackup(const MigratableGeneration& aGeneration) const
+{
+  if (!aGeneration.Backup()) {
+    return nullptr;
+  }
+  const KnownUpstream* const known =
+    mState.mDirectory.Find(aGeneration.Backup()->mUpstream);
+  const bool isUsable =
+    known != nullptr && !known->mRecord.mIsDraining &&
+    known->mRecord.mAddress == aGeneration.Backup()->mSource &&
+    Clear(aGeneration.Identity(), *known).has_value();
+  return isUsable ? known : nullptr;
+}
+
+void
+GenerationMigrator::StopForBackup(
+  std::shared_ptr<MigratableGeneration> aGeneration)
+{
+  const KnownUpstream* const target = UsableBackup(*aGeneration);
+  if (target == nullptr) {
+    return;
+  }
+  aGeneration->SetState(GenerationState::Stopping);
+  SpawnTask(mContext.get_executor(),
+            "stop-for-backup",
+            StopAtSource(aGeneration, *target));
+}
+
+Task<void>
+GenerationMigrator::StopAtSource(
+  std::shared_ptr<MigratableGeneration> aGeneration,
+  KnownUpstream aTarget)
+{
+  const Instant begun = SteadyNow();
+  const CopyOutcome outcome = co_await StopAndCopy(aGeneration, aTarget);
+  if (outcome == CopyOutcome::Withheld &&
+      aGeneration->State() == GenerationState::Stopping) {
+    aGeneration->SetState(GenerationState::Running); // Nothing was ordered.
+  }
+  Log("move-ended",
+      aGeneration->Identity(),
+      aTarget.mRecord.mId,
+      ToString(outcome),
+      begun);
+}
+
 Task<bool>
 GenerationMigrator::Migrate(
   const std::shared_ptr<MigratableGeneration>& aGeneration)
 {
   const GenerationIdentity& identity = aGeneration->Identity();
+  if (aGeneration->HasBegun() && UsableBackup(*aGeneration) != nullptr) {
+    // The memory is there already, so nothing has to wait for the link.
+    StopForBackup(aGeneration);
+    co_return true;
+  }
   const KnownUpstream* const found =
     aGeneration->HasBegun() ? ChooseTarget(identity) : nullptr;
   if (found == nullptr) {
--- a/src/cactusgw/gateway/generation_migrator.hpp
+++ b/src/cactusgw/gateway/generation_migrator.hpp
@@ -41,6 +41,10 @@
   /// upstreams that have generations for whether they are draining. Never
   /// returns.
   Task<void> PollWhileWatchIsDown();
+  /// Stops a generation whose backup is to continue it; returns at once. The
+  /// order makes sure that the source doesn't go on, also if only its
+  /// connection has broken.
+  void StopForBackup(std::shared_ptr<MigratableGeneration> aGeneration);
   /// Frees a copy from which no call will continue.
   void Free(const Continuation& aContinuation);
 
@@ -55,6 +59,11 @@
                                       std::string aService);
   /// Returns false when the migration should be retried after a short delay.
   Task<bool> Migrate(const std::shared_ptr<MigratableGeneration>& aGeneration);
+  Task<void> StopAtSource(std::shared_ptr<MigratableGeneration> aGeneration,
+                          KnownUpstream aTarget);
+  /// Returns the upstream that holds the backup, if it may continue.
+  const KnownUpstream* UsableBackup(
+    const MigratableGeneration& aGeneration) const;
   Task<CopyOutcome> StopAndCopy(
     const std::shared_ptr<MigratableGeneration>& aGeneration,
     KnownUpstream aTarget);
--- a/src/cactusgw/gateway/header_names.hpp
+++ b/src/cactusgw/gateway/header_names.hpp
@@ -44,6 +44,8 @@
   std::string mLastEventId;
   /// Address and handle of a migrated generation that is to be continued.
   std::string mMigratedFrom;
+  /// Address of the upstream that the generation's memory is replicated to.
+  std::string mBackupTo;
   /// Headers that only the gateway may set. They are removed from clients'
   /// requests.
   std::vector<std::string> mReserved;
--- a/src/cactusgw/gateway/migratable_generation.hpp
+++ b/src/cactusgw/gateway/migratable_generation.hpp
@@ -73,6 +73,16 @@
   /// the upstream ends before the generation could be stopped.
   void SetCopy(Continuation aCopy) { mCopy = std::move(aCopy); }
   const std::optional<Continuation>& Copy() const { return mCopy; }
+  /// Where the generation's memory is replicated as it grows. The replica lacks
+  /// the tokens of the last fraction of a second, and all of them if the
+  /// upstream had no room.
+  void SetBackup(Continuation aBackup) { mBackup = std::move(aBackup); }
+  const std::optional<Continuation>& Backup() const { return mBackup; }
+  /// Whether the call may continue at the backup while the stop is in progress.
+  bool ContinuesAtBackup() const
+  {
+    return mState == GenerationState::Stopping && mBackup.has_value();
+  }
   /// Valid once the generation has stopped.
   const Continuation& Next() const { return mNext; }
 
@@ -87,6 +97,7 @@
   bool mHasBegun = false;
   Continuation mNext;
   std::optional<Continuation> mCopy;
+  std::optional<Continuation> mBackup;
 };
 
 } // namespace cactusgw
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -30,7 +30,10 @@
   names.mLengthHint = "Hint";
   names.mLastEventId = "Last-Event-Id";
   names.mMigratedFrom = "Moved-From";
-  names.mReserved = { "Time-Left", "Expected", "Workspace", "Moved-From" };
+  names.mBackupTo = "Backup-To";
+  names.mReserved = {
+    "Time-Left", "Expected", "Workspace", "Moved-From", "Backup-To"
+  };
   return names;
 }
 
