Outlier detector: judge probes by themselves, forget old ejections

Cause: failures of before an ejection are in the window of 3 s for longer than the ejection of 2 s lasts, so the first response to a probe ejected again. One failed probe ejected also where all upstreams fail as often. Change: probing begins once the failures have left the window, and probes are tested against the others' rate; kMaxProbing, kMaxAbsence, OnRestart.

--- a/src/cactusgw/core/outlier_detector.cpp
+++ b/src/cactusgw/core/outlier_detector.cpp
@@ -14,6 +14,15 @@
 /// few answers, none of which failed, the rate is not zero.
 constexpr double kPriorFailures = 0.5;
 constexpr double kPriorAnswers = 20;
+/// Probability of the failures of probes, at the rate of the other upstreams,
+/// below which the upstream still counts as an outlier.
+constexpr double kProbeLimit = 0.05;
+
+std::uint32_t
+Increase(std::uint32_t aFrom, std::uint32_t aTo)
+{
+  return aTo - std::min(aFrom, aTo);
+}
 
 } // namespace
 
@@ -47,13 +56,25 @@
   return it == mRecords.end() ? State::Admitted : it->second.mState;
 }
 
-std::size_t
-OutlierDetector::EjectedCount() const
+void
+OutlierDetector::OnRestart(std::string_view aUpstream, Instant aNow)
+{
+  Record& record = mRecords[std::string{ aUpstream }];
+  record = Record{};
+  record.mSeenAt = aNow;
+  record.mGraceUntil = aNow + kRestartGrace;
+}
+
+void
+OutlierDetector::Eject(Record& aRecord, Instant aNow)
 {
-  return static_cast<std::size_t>(
-    std::count_if(mRecords.begin(), mRecords.end(), [](const auto& aEntry) {
-      return aEntry.second.mState != State::Admitted;
-    }));
+  const bool isRepeated = aRecord.mEjection > Milliseconds{ 0 } &&
+                          aNow - aRecord.mSince < kMaxEjection;
+  aRecord.mEjection = isRepeated
+                        ? std::min(kMaxEjection, 2 * aRecord.mEjection)
+                        : kFirstEjection;
+  aRecord.mState = State::Ejected;
+  aRecord.mSince = aNow;
 }
 
 void
@@ -61,20 +82,30 @@
                          Record& aRecord,
                          Instant aNow) const
 {
-  if (aRecord.mState == State::Ejected &&
-      aNow - aRecord.mSince >= aRecord.mEjection) {
-    aRecord.mState = State::Probing;
-    aRecord.mSince = aNow;
-    aRecord.mAnswersBefore = aCounts.mAnswers;
-  } else if (aRecord.mState == State::Probing) {
-    // The counts of before the ejection leave the window meanwhile.
-    aRecord.mAnswersBefore = std::min(aRecord.mAnswersBefore, aCounts.mAnswers);
-    const std::uint32_t answers = aCounts.mAnswers - aRecord.mAnswersBefore;
-    if (aCounts.mFailures > 0 && answers > 0) {
-      aRecord.mState = State::Ejected;
+  const std::uint32_t answers =
+    Increase(std::exchange(aRecord.mLastAnswers, aCounts.mAnswers),
+             aCounts.mAnswers);
+  const std::uint32_t failures =
+    Increase(std::exchange(aRecord.mLastFailures, aCounts.mFailures),
+             aCounts.mFailures);
+  if (aRecord.mState == State::Ejected) {
+    // Failures of before the ejection would be taken for those of probes.
+    if (aNow - aRecord.mSince >= aRecord.mEjection && aCounts.mFailures == 0) {
+      aRecord.mState = State::Probing;
       aRecord.mSince = aNow;
-      aRecord.mEjection = std::min(kMaxEjection, 2 * aRecord.mEjection);
-    } else if (answers >= kRecoverySuccesses) {
+      aRecord.mProbes = 0;
+      aRecord.mProbeFailures = 0;
+    }
+  } else if (aRecord.mState == State::Probing) {
+    aRecord.mProbeFailures += failures;
+    aRecord.mProbes += std::max(answers, failures);
+    const std::uint32_t successes = aRecord.mProbes - aRecord.mProbeFailures;
+    if (ProbabilityOfFailures(
+          aRecord.mProbes, aRecord.mProbeFailures, mRate) < kProbeLimit) {
+      Eject(aRecord, aNow);
+    } else if (successes >=
+                 kRecoverySuccesses * (1 + aRecord.mProbeFailures) ||
+               aNow - aRecord.mSince >= kMaxProbing) {
       aRecord.mState = State::Admitted;
       aRecord.mSince = aNow;
     }
@@ -88,12 +119,11 @@
   std::uint64_t answers = 0;
   std::uint64_t failures = 0;
   std::size_t notAdmitted = 0;
-  std::set<std::string_view> known;
   for (const ResponseCounts& counts : aCounts) {
-    known.insert(counts.mUpstream);
     const auto it = mRecords.find(counts.mUpstream);
     if (it != mRecords.end()) {
       const State before = it->second.mState;
+      it->second.mSeenAt = aNow;
       Advance(counts, it->second, aNow);
       if (it->second.mState != before) {
         changes.push_back(
@@ -108,16 +138,23 @@
       ++notAdmitted;
     }
   }
+  mRate = (static_cast<double>(failures) + kPriorFailures) /
+          (static_cast<double>(answers) + kPriorAnswers);
   std::erase_if(mRecords, [&](const auto& aEntry) {
-    return !known.contains(aEntry.first);
+    return aNow - aEntry.second.mSeenAt >= kMaxAbsence;
   });
   std::vector<std::pair<double, const ResponseCounts*>> suspects;
   const double limit =
     kFalseEjectionRate /
     static_cast<double>(std::max<std::size_t>(1, aCounts.size()));
   for (const ResponseCounts& counts : aCounts) {
+    const auto it = mRecords.find(counts.mUpstream);
+    const bool isAdmitted =
+      it == mRecords.end() || (it->second.mState == State::Admitted &&
+                               aNow >= it->second.mGraceUntil);
+    // More failures than answers can't be: a report is wrong.
     if (counts.mFailures < kMinFailures ||
-        StateOf(counts.mUpstream) != State::Admitted) {
+        counts.mFailures > counts.mAnswers || !isAdmitted) {
       continue;
     }
     const double rate =
@@ -138,13 +175,14 @@
     }
     ++notAdmitted;
     Record& record = mRecords[std::string{ counts->mUpstream }];
-    record.mState = State::Ejected;
-    record.mSince = aNow;
+    record.mSeenAt = aNow;
+    Eject(record, aNow);
     changes.push_back({ std::string{ counts->mUpstream },
                         State::Ejected,
                         counts->mAnswers,
                         counts->mFailures });
   }
+  mEjectedCount = notAdmitted;
   return changes;
 }
 
--- a/src/cactusgw/core/outlier_detector.hpp
+++ b/src/cactusgw/core/outlier_detector.hpp
@@ -9,7 +9,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -41,14 +40,24 @@
   /// further time up to the maximum.
   static constexpr Milliseconds kFirstEjection{ 2000 };
   static constexpr Milliseconds kMaxEjection{ 8000 };
-  /// Successes after which an upstream that was ejected counts as recovered.
+  /// Successes after which an upstream that was ejected counts as recovered;
+  /// as many again for each failure of a probe.
   static constexpr std::uint32_t kRecoverySuccesses = 3;
+  /// Time after which an upstream is admitted whose probes didn't decide: no
+  /// gateway may have had a request for it.
+  static constexpr Milliseconds kMaxProbing{ 10'000 };
+  /// Time for which the state of an absent upstream is kept: upstreams with
+  /// false reports of bad health are absent for a second or two.
+  static constexpr Milliseconds kMaxAbsence{ 10'000 };
+  /// Time for which an upstream that has restarted is not ejected: reports of
+  /// other gateways still count responses of its former start.
+  static constexpr Milliseconds kRestartGrace{ 2000 };
 
   enum class State
   {
     Admitted,
     Ejected,
-    /// Gets one request at a time.
+    /// Gets a few requests a second from all gateways together.
     Probing,
   };
   struct Change
@@ -66,24 +75,39 @@
   std::vector<Change> Update(std::span<const ResponseCounts> aCounts,
                              Instant aNow);
 
+  /// Admits an upstream that has restarted, whatever its former start did.
+  void OnRestart(std::string_view aUpstream, Instant aNow);
+
   State StateOf(std::string_view aUpstream) const;
-  std::size_t EjectedCount() const;
+  /// Number of upstreams of the last evaluation that are ejected or probed.
+  std::size_t EjectedCount() const { return mEjectedCount; }
 
 private:
   struct Record
   {
     State mState = State::Admitted;
     Instant mSince;
-    Milliseconds mEjection = kFirstEjection;
-    /// Counts at the start of the probing.
-    std::uint32_t mAnswersBefore = 0;
+    Instant mSeenAt;
+    Instant mGraceUntil;
+    Milliseconds mEjection{ 0 };
+    /// Counts at the last evaluation, and what was added while probing.
+    std::uint32_t mLastAnswers = 0;
+    std::uint32_t mLastFailures = 0;
+    std::uint32_t mProbes = 0;
+    std::uint32_t mProbeFailures = 0;
   };
 
   OutlierDetector() = default;
+  /// Ejects for longer if the upstream was ejected lately.
+  static void Eject(Record& aRecord, Instant aNow);
+  /// Ends an ejection or the probing, if it is time.
   void Advance(const ResponseCounts& aCounts,
                Record& aRecord,
                Instant aNow) const;
 
+  /// Failure rate of the admitted upstreams at the last evaluation.
+  double mRate = 0;
+  std::size_t mEjectedCount = 0;
   std::map<std::string, Record, std::less<>> mRecords;
 };
 
