Shared health: one response of each gateway, starts, turns of probes

Cause, found by review: failures were capped per gateway and successes were not, so the rate depended on how many gateways use an upstream; one gateway's three failures in the window were enough to eject for all. Counts and ejections of an upstream's former start lived on, also by late responses. Each gateway probed by itself, as long as it saw no load. Refusals by this gateway itself and crashes of a suspect request counted as failures of the upstream. A reload ignored features, and the begin of probes was logged as a recovery. Change: ResponseWindow counts the first response of an upstream in its window, whatever it is; Forget and starts; IsProbeTurn by rank, clock and upstream; a list of the failures that count. IsProbeTurn and the list of failures have no tests yet.

--- a/src/cactusgw/core/outlier_detector.cpp
+++ b/src/cactusgw/core/outlier_detector.cpp
@@ -186,4 +186,21 @@
   return changes;
 }
 
+bool
+IsProbeTurn(const ProbePlace& aPlace,
+            std::int64_t aWallMs,
+            std::int64_t aSinceLastMs)
+{
+  // A turn ends before the gateway's next one begins.
+  const std::int64_t period =
+    std::max(std::int64_t{ aPlace.mGateways } * kProbeIntervalMs, kProbeTurnMs);
+  const std::int64_t phase =
+    static_cast<std::int64_t>(aPlace.mUpstreamHash %
+                              static_cast<std::uint64_t>(period)) -
+    std::int64_t{ aPlace.mRank } * kProbeIntervalMs;
+  const std::int64_t sinceStart = ((aWallMs + phase) % period + period) % period;
+  return sinceStart < kProbeTurnMs &&
+         (aSinceLastMs < 0 || aSinceLastMs > sinceStart);
+}
+
 } // namespace cactusgw
--- a/src/cactusgw/core/outlier_detector.hpp
+++ b/src/cactusgw/core/outlier_detector.hpp
@@ -117,6 +117,27 @@
                              std::uint32_t aFailures,
                              double aRate);
 
+/// Place of a gateway among those that probe an upstream in turn.
+struct ProbePlace
+{
+  std::uint32_t mRank = 0;
+  std::uint32_t mGateways = 1;
+  std::uint64_t mUpstreamHash = 0;
+};
+
+/// Time between the turns of two gateways, and how long a turn lasts: a gateway
+/// may have few requests.
+inline constexpr std::int64_t kProbeIntervalMs = 250;
+inline constexpr std::int64_t kProbeTurnMs = 1000;
+
+/// Whether a gateway may probe an upstream: once in each of its turns. With
+/// clocks that differ, the rate of all gateways together remains the same.
+/// @param aSinceLastMs time since the gateway last sent a request to the
+/// upstream; negative if never
+bool IsProbeTurn(const ProbePlace& aPlace,
+                 std::int64_t aWallMs,
+                 std::int64_t aSinceLastMs);
+
 } // namespace cactusgw
 
 #endif // CACTUSGW_CORE_OUTLIER_DETECTOR_HPP
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -47,6 +47,17 @@
          aFailure.mCode == FailureCode::Timeout;
 }
 
+/// Whether the upstream failed, in contrast to a refusal and to a lack of
+/// memory or of a fresh configuration here.
+bool
+IsUpstreamFailure(const Failure& aFailure)
+{
+  return aFailure.mCode == FailureCode::UpstreamUnreachable ||
+         aFailure.mCode == FailureCode::UpstreamBroke ||
+         aFailure.mCode == FailureCode::UpstreamClosed ||
+         aFailure.mCode == FailureCode::UpstreamSilent;
+}
+
 /// Whether another upstream at the address has responded.
 bool
 IsMisdirected(const HttpConnection& aResponse)
@@ -245,6 +256,7 @@
   }
   const KnownUpstream upstream = *known;
   mUpstream = aUpstream;
+  mStartedMs = upstream.mRecord.mStartedMs;
   mTriedUpstreams.push_back(aUpstream);
   mState.OnSelected(aUpstream, SteadyNow());
   mFirstEventAt.reset();
@@ -680,7 +692,8 @@
 {
   const Instant now = SteadyNow();
   const HttpConnection& response = mConnection->Response();
-  mState.OnResponse(mUpstream, IsServerError(response.Status()), now);
+  mState.OnResponse(
+    { mUpstream, mStartedMs }, IsServerError(response.Status()), now);
   if (IsServerError(response.Status())) {
     mState.mHealth.OnFailure(mUpstream, 1, now);
   } else {
@@ -724,8 +737,11 @@
   }
   if (!mIsHeldBack && !mIsGivenUp) {
     mState.mHealth.OnFailure(mUpstream, 1, now);
-    if (aFailure.mCode != FailureCode::UpstreamRefused) {
-      mState.OnResponse(mUpstream, true, now);
+    // A request that has crashed several upstreams says nothing about one.
+    const bool isAttributed =
+      aFailure.mCode == FailureCode::UpstreamClosed && KnownCrashes() > 1;
+    if (IsUpstreamFailure(aFailure) && !isAttributed) {
+      mState.OnResponse({ mUpstream, mStartedMs }, true, now);
     }
   }
   if (aFailure.mVerdict != Verdict::NotRun && !mIsGivenUp) {
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -121,6 +121,8 @@
   std::uint32_t mAttempts = 0;
   bool mMayHaveRun = false;
   std::string mUpstream;
+  /// Start of the upstream that got the attempt.
+  std::int64_t mStartedMs = 0;
   std::unique_ptr<UpstreamConnection> mConnection;
   /// The generation at the current upstream, if it can be migrated.
   std::shared_ptr<MigratableGeneration> mGeneration;
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -84,6 +84,7 @@
 {
   mSettings.mBounds = aSettings.mBounds;
   mRollouts.SetSettings(SettingsOfRollouts());
+  mSettings.mFeatures = aSettings.mFeatures;
   mSettings.mRegions = aSettings.mRegions;
   mSettings.mUnreadyTime = aSettings.mUnreadyTime;
   mSettings.mStopTime = aSettings.mStopTime;
@@ -183,7 +184,7 @@
       !isRestricted || admitted.contains(record.mId);
     if (isAllowed && isVersionAllowed && !isLimited && !isPaused && hasRate &&
         !Contains(aFilter.mExcluded, record.mId)) {
-      const bool isEjected = IsEjected(aService, record.mId, load);
+      const bool isEjected = IsEjected(aService, record.mId, aNow);
       (isEjected ? ejected : candidates)
         .push_back(
           { known,
@@ -200,7 +201,7 @@
 bool
 GatewayState::IsEjected(const GatewayService& aService,
                         const std::string& aUpstream,
-                        const UpstreamLoad& aLoad) const
+                        Instant aNow) const
 {
   const auto it = mOutliers.find(aService.mName);
   if (it == mOutliers.end()) {
@@ -212,18 +213,33 @@
     case OutlierDetector::State::Ejected:
       return true;
     case OutlierDetector::State::Probing:
-      return aLoad.mRequests > 0;
+      return !MayProbe(aUpstream, aNow);
   }
   return false;
 }
 
+bool
+GatewayState::MayProbe(const std::string& aUpstream, Instant aNow) const
+{
+  const auto it = mProbedAt.find(aUpstream);
+  const std::int64_t last =
+    it == mProbedAt.end()
+      ? -1
+      : std::chrono::duration_cast<Milliseconds>(aNow - it->second).count();
+  return IsProbeTurn({ mGatewayRank, mGatewayCount, StableHash(aUpstream) },
+                     WallClockMs(),
+                     last);
+}
+
 void
-GatewayState::OnResponse(const std::string& aUpstream,
+GatewayState::OnResponse(const UpstreamStart& aUpstream,
                          bool aIsFailure,
                          Instant aNow)
 {
-  if (mSettings.mFeatures.contains(kSharedHealthFeature)) {
-    mResponses.OnResponse(aUpstream, aIsFailure, mLoads, aNow);
+  const KnownUpstream* const known = mDirectory.Find(aUpstream.mId);
+  if (mSettings.mFeatures.contains(kSharedHealthFeature) && known != nullptr &&
+      known->mRecord.mStartedMs == aUpstream.mStartedMs) {
+    mResponses.OnResponse(aUpstream.mId, aIsFailure, mLoads, aNow);
   }
 }
 
@@ -233,8 +249,12 @@
   // Each response changes the counts; the detection need not follow each.
   constexpr Milliseconds kInterval{ 100 };
   mResponses.Expire(mLoads, aNow);
-  if (!mSettings.mFeatures.contains(kSharedHealthFeature) || !mTable ||
-      aNow - mOutliersAt < kInterval) {
+  if (!mSettings.mFeatures.contains(kSharedHealthFeature)) {
+    mOutliers.clear();
+    mMetrics.mOutlierUpstreams.Set(0);
+    return;
+  }
+  if (!mTable || aNow - mOutliersAt < kInterval) {
     return;
   }
   mOutliersAt = aNow;
@@ -251,13 +271,14 @@
         .first->second;
     for (const OutlierDetector::Change& change :
          detector.Update(counts, aNow)) {
+      if (change.mState == OutlierDetector::State::Probing) {
+        continue;
+      }
       const bool isOutlier = change.mState == OutlierDetector::State::Ejected;
       mLog.Write(
         isOutlier ? "upstream-outlier" : "upstream-recovered",
         { { "upstream", change.mUpstream },
           { "service", service.mName },
-          { "probing",
-            change.mState == OutlierDetector::State::Probing ? "yes" : "no" },
           { "answers", static_cast<std::int64_t>(change.mAnswers) },
           { "failures", static_cast<std::int64_t>(change.mFailures) },
           { "windowMs", ResponseWindow::kWindow.count() } },
@@ -347,6 +368,9 @@
 void
 GatewayState::OnSelected(const std::string& aUpstream, Instant aNow)
 {
+  if (mSettings.mFeatures.contains(kSharedHealthFeature)) {
+    mProbedAt[aUpstream] = aNow;
+  }
   if (mLimitPacer.IsLimited(aUpstream)) {
     mLimitPacer.OnSent(aUpstream, aNow);
     mLoads.Add(aUpstream, { 0, 0, 0, 0, 1 });
@@ -393,6 +417,15 @@
 GatewayState::Forget(const std::string& aUpstream)
 {
   mHealth.Forget(aUpstream);
+  mResponses.Forget(aUpstream, mLoads);
+  mProbedAt.erase(aUpstream);
+  const KnownUpstream* const known = mDirectory.Find(aUpstream);
+  const auto outliers = known == nullptr
+                          ? mOutliers.end()
+                          : mOutliers.find(known->mRecord.mService);
+  if (outliers != mOutliers.end()) {
+    outliers->second.OnRestart(aUpstream, SteadyNow());
+  }
   mColdStartLimiter.Forget(aUpstream);
   mPool.Forget(aUpstream);
 }
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -107,8 +107,11 @@
   /// whose upstreams are gone. Drops pauses that have ended.
   void UpdateLimits(Instant aNow);
 
-  /// Counts a response of an upstream, or the lack of one, for all gateways.
-  void OnResponse(const std::string& aUpstream, bool aIsFailure, Instant aNow);
+  /// Counts a response of an upstream, or the lack of one, for all gateways;
+  /// not if the upstream has restarted since.
+  void OnResponse(const UpstreamStart& aUpstream,
+                  bool aIsFailure,
+                  Instant aNow);
   /// Ejects upstreams that fail more than others, and admits them again.
   void UpdateOutliers(Instant aNow);
 
@@ -174,13 +177,17 @@
   /// Whether an upstream may be selected, as far as its responses tell.
   bool IsEjected(const GatewayService& aService,
                  const std::string& aUpstream,
-                 const UpstreamLoad& aLoad) const;
+                 Instant aNow) const;
+  /// Whether it is this gateway's turn to probe an ejected upstream.
+  bool MayProbe(const std::string& aUpstream, Instant aNow) const;
   bool IsCold(const KnownUpstream& aUpstream, Instant aNow) const;
   std::uint32_t ColdStartShare(const GatewayService& aService) const;
   RolloutSettings SettingsOfRollouts() const;
 
   std::map<std::string, SharedRetryBudget> mRetryBudgets;
   Instant mOutliersAt;
+  /// When this gateway last selected an upstream that is probed.
+  std::map<std::string, Instant, std::less<>> mProbedAt;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/response_window.cpp
+++ b/src/cactusgw/gateway/response_window.cpp
@@ -21,28 +21,35 @@
                            LoadTable& aLoads,
                            Instant aNow)
 {
-  if (aIsFailure) {
-    const auto it = mFailedAt.find(aUpstream);
-    if (it != mFailedAt.end() && aNow - it->second < kFailureInterval) {
-      return;
-    }
-    mFailedAt[std::string{ aUpstream }] = aNow;
+  Expire(aLoads, aNow);
+  const bool isFirst =
+    mResponses.try_emplace(std::string{ aUpstream }, Response{ aNow, aIsFailure })
+      .second;
+  if (isFirst) {
+    aLoads.Add(aUpstream, LoadOf(aIsFailure));
   }
-  mResponses.push_back({ aNow, std::string{ aUpstream }, aIsFailure });
-  aLoads.Add(aUpstream, LoadOf(aIsFailure));
 }
 
 void
 ResponseWindow::Expire(LoadTable& aLoads, Instant aNow)
 {
-  while (!mResponses.empty() && aNow - mResponses.front().mAt >= kWindow) {
-    const Response& response = mResponses.front();
-    aLoads.Subtract(response.mUpstream, LoadOf(response.mIsFailure));
-    const auto it = mFailedAt.find(response.mUpstream);
-    if (it != mFailedAt.end() && aNow - it->second >= kWindow) {
-      mFailedAt.erase(it);
+  std::erase_if(mResponses, [&](const auto& aEntry) {
+    const auto& [upstream, response] = aEntry;
+    const bool isOld = aNow - response.mAt >= kWindow;
+    if (isOld) {
+      aLoads.Subtract(upstream, LoadOf(response.mIsFailure));
     }
-    mResponses.pop_front();
+    return isOld;
+  });
+}
+
+void
+ResponseWindow::Forget(std::string_view aUpstream, LoadTable& aLoads)
+{
+  const auto it = mResponses.find(aUpstream);
+  if (it != mResponses.end()) {
+    aLoads.Subtract(aUpstream, LoadOf(it->second.mIsFailure));
+    mResponses.erase(it);
   }
 }
 
--- a/src/cactusgw/gateway/response_window.hpp
+++ b/src/cactusgw/gateway/response_window.hpp
@@ -7,46 +7,46 @@
 #include "cactusgw/core/verdict.hpp"
 #include "cactusgw/gateway/load_table.hpp"
 
-#include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
 
 namespace cactusgw {
 
-/// Not thread-safe. Time is passed in.
+/// Counts the first response of each upstream and no other one until it has
+/// left the window: a gateway whose own link is bad then contributes less than
+/// the failures that eject an upstream. Successes are left out as failures are,
+/// so that the rate remains the same. Not thread-safe. Time is passed in.
 class ResponseWindow
 {
 public:
   /// Time for which a response counts. Upstreams fail for some seconds at a
   /// time.
   static constexpr Milliseconds kWindow{ 3000 };
-  /// A gateway counts one failure of an upstream in this time, so that one
-  /// whose own link is bad can't eject upstreams for the others.
-  static constexpr Milliseconds kFailureInterval{ 500 };
 
   static ResponseWindow Create() { return ResponseWindow{}; }
 
+  /// Counts a response, or its absence, unless one is in the window.
   void OnResponse(std::string_view aUpstream,
                   bool aIsFailure,
                   LoadTable& aLoads,
                   Instant aNow);
   /// Removes the responses that have left the window from the loads.
   void Expire(LoadTable& aLoads, Instant aNow);
+  /// Removes the response of an upstream that has restarted from the loads.
+  void Forget(std::string_view aUpstream, LoadTable& aLoads);
 
 private:
   struct Response
   {
     Instant mAt;
-    std::string mUpstream;
     bool mIsFailure = false;
   };
 
   ResponseWindow() = default;
 
-  std::deque<Response> mResponses;
-  /// The last counted failure of each upstream in the window.
-  std::map<std::string, Instant, std::less<>> mFailedAt;
+  std::map<std::string, Response, std::less<>> mResponses;
 };
 
 } // namespace cactusgw
