--- a/src/cactusgw/core/outlier_detector.cpp
+++ b/src/cactusgw/core/outlier_detector.cpp
@@ -70,9 +70,8 @@
 {
   const bool isRepeated = aRecord.mEjection > Milliseconds{ 0 } &&
                           aNow - aRecord.mSince < kMaxEjection;
-  aRecord.mEjection = isRepeated
-                        ? std::min(kMaxEjection, 2 * aRecord.mEjection)
-                        : kFirstEjection;
+  aRecord.mEjection =
+    isRepeated ? std::min(kMaxEjection, 2 * aRecord.mEjection) : kFirstEjection;
   aRecord.mState = State::Ejected;
   aRecord.mSince = aNow;
 }
@@ -82,12 +81,10 @@
                          Record& aRecord,
                          Instant aNow) const
 {
-  const std::uint32_t answers =
-    Increase(std::exchange(aRecord.mLastAnswers, aCounts.mAnswers),
-             aCounts.mAnswers);
-  const std::uint32_t failures =
-    Increase(std::exchange(aRecord.mLastFailures, aCounts.mFailures),
-             aCounts.mFailures);
+  const std::uint32_t answers = Increase(
+    std::exchange(aRecord.mLastAnswers, aCounts.mAnswers), aCounts.mAnswers);
+  const std::uint32_t failures = Increase(
+    std::exchange(aRecord.mLastFailures, aCounts.mFailures), aCounts.mFailures);
   if (aRecord.mState == State::Ejected) {
     // Failures of before the ejection would be taken for those of probes.
     if (aNow - aRecord.mSince >= aRecord.mEjection && aCounts.mFailures == 0) {
@@ -100,11 +97,10 @@
     aRecord.mProbeFailures += failures;
     aRecord.mProbes += std::max(answers, failures);
     const std::uint32_t successes = aRecord.mProbes - aRecord.mProbeFailures;
-    if (ProbabilityOfFailures(
-          aRecord.mProbes, aRecord.mProbeFailures, mRate) < kProbeLimit) {
+    if (ProbabilityOfFailures(aRecord.mProbes, aRecord.mProbeFailures, mRate) <
+        kProbeLimit) {
       Eject(aRecord, aNow);
-    } else if (successes >=
-                 kRecoverySuccesses * (1 + aRecord.mProbeFailures) ||
+    } else if (successes >= kRecoverySuccesses * (1 + aRecord.mProbeFailures) ||
                aNow - aRecord.mSince >= kMaxProbing) {
       aRecord.mState = State::Admitted;
       aRecord.mSince = aNow;
@@ -150,11 +146,11 @@
   for (const ResponseCounts& counts : aCounts) {
     const auto it = mRecords.find(counts.mUpstream);
     const bool isAdmitted =
-      it == mRecords.end() || (it->second.mState == State::Admitted &&
-                               aNow >= it->second.mGraceUntil);
+      it == mRecords.end() ||
+      (it->second.mState == State::Admitted && aNow >= it->second.mGraceUntil);
     // More failures than answers can't be: a report is wrong.
-    if (counts.mFailures < kMinFailures ||
-        counts.mFailures > counts.mAnswers || !isAdmitted) {
+    if (counts.mFailures < kMinFailures || counts.mFailures > counts.mAnswers ||
+        !isAdmitted) {
       continue;
     }
     const double rate =
@@ -198,7 +194,8 @@
     static_cast<std::int64_t>(aPlace.mUpstreamHash %
                               static_cast<std::uint64_t>(period)) -
     std::int64_t{ aPlace.mRank } * kProbeIntervalMs;
-  const std::int64_t sinceStart = ((aWallMs + phase) % period + period) % period;
+  const std::int64_t sinceStart =
+    ((aWallMs + phase) % period + period) % period;
   return sinceStart < kProbeTurnMs &&
          (aSinceLastMs < 0 || aSinceLastMs > sinceStart);
 }
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -275,14 +275,13 @@
         continue;
       }
       const bool isOutlier = change.mState == OutlierDetector::State::Ejected;
-      mLog.Write(
-        isOutlier ? "upstream-outlier" : "upstream-recovered",
-        { { "upstream", change.mUpstream },
-          { "service", service.mName },
-          { "answers", static_cast<std::int64_t>(change.mAnswers) },
-          { "failures", static_cast<std::int64_t>(change.mFailures) },
-          { "windowMs", ResponseWindow::kWindow.count() } },
-        aNow);
+      mLog.Write(isOutlier ? "upstream-outlier" : "upstream-recovered",
+                 { { "upstream", change.mUpstream },
+                   { "service", service.mName },
+                   { "answers", static_cast<std::int64_t>(change.mAnswers) },
+                   { "failures", static_cast<std::int64_t>(change.mFailures) },
+                   { "windowMs", ResponseWindow::kWindow.count() } },
+                 aNow);
     }
     ejected += detector.EjectedCount();
   }
--- a/src/cactusgw/gateway/response_window.cpp
+++ b/src/cactusgw/gateway/response_window.cpp
@@ -23,7 +23,8 @@
 {
   Expire(aLoads, aNow);
   const bool isFirst =
-    mResponses.try_emplace(std::string{ aUpstream }, Response{ aNow, aIsFailure })
+    mResponses
+      .try_emplace(std::string{ aUpstream }, Response{ aNow, aIsFailure })
       .second;
   if (isFirst) {
     aLoads.Add(aUpstream, LoadOf(aIsFailure));
--- a/tests/core/outlier_detector_test.cpp
+++ b/tests/core/outlier_detector_test.cpp
@@ -20,8 +20,8 @@
 
 } // namespace
 
-/// Ten upstreams of one service; all but the first give 20 good answers unless a
-/// test says otherwise.
+/// Ten upstreams of one service; all but the first give 20 good answers unless
+/// a test says otherwise.
 class OutlierDetectorTest : public ::testing::Test
 {
 protected:
