Roll-outs: write the stages of several services independently

NextEdit returned the first due stage only. A status that can't be written, such as that of an object that is gone, kept the stages of all later services from being written. All due stages are returned, and each has its own turn. TwoServicesAdvanceIndependently failed before.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -404,38 +404,43 @@
 Gateway::StoreRollouts()
 {
   net::steady_timer timer{ mContext };
-  Milliseconds delay = kRolloutStoreInterval;
-  std::optional<RolloutStage> due;
-  Instant dueSince;
+  // What is due for each service, and since when.
+  std::map<std::string, std::pair<RolloutStage, Instant>> due;
   while (true) {
-    timer.expires_after(delay);
+    timer.expires_after(kRolloutStoreInterval);
     co_await timer.async_wait(net::use_awaitable);
-    delay = kRolloutStoreInterval;
     const Instant now = SteadyNow();
-    std::optional<RolloutEdit> edit;
+    std::vector<RolloutEdit> edits;
     if (ShouldReadStore() && !mIsStopping) {
-      edit = mState.mRollouts.NextEdit(
+      edits = mState.mRollouts.NextEdits(
         [&](std::string_view aService) {
           return mState.VersionsOf(aService, now);
         },
         now);
     }
-    if (!edit || due != edit->mStage) {
-      due = edit ? std::optional{ edit->mStage } : std::nullopt;
-      dueSince = now;
-    }
-    if (!edit || now - dueSince < RolloutWriteDelay()) {
-      continue;
+    std::map<std::string, std::pair<RolloutStage, Instant>> known =
+      std::exchange(due, {});
+    for (RolloutEdit& edit : edits) {
+      const RolloutStage stage = edit.mStage;
+      const std::string service = edit.mOrder.mId.mService;
+      const auto it = known.find(service);
+      const bool isNew = it == known.end() || it->second.first != stage;
+      std::pair<RolloutStage, Instant>& since =
+        due.emplace(service, isNew ? std::pair{ stage, now } : it->second)
+          .first->second;
+      if (now - since.second < RolloutWriteDelay()) {
+        continue;
+      }
+      const Result<void> done =
+        co_await mRolloutRecords.mWrite(std::move(edit));
+      mState.mLog.WriteAlways(
+        "rollout-status",
+        { { "service", service },
+          { "stage", ToString(stage) },
+          { "outcome", done ? std::string{ "done" } : done.error().mDetail } });
+      // The stage is not written again before it can have come back.
+      since.second = SteadyNow() + kRolloutVisibleTime - RolloutWriteDelay();
     }
-    const RolloutStage stage = edit->mStage;
-    const std::string service = edit->mOrder.mId.mService;
-    const Result<void> done = co_await mRolloutRecords.mWrite(std::move(*edit));
-    mState.mLog.WriteAlways(
-      "rollout-status",
-      { { "service", service },
-        { "stage", ToString(stage) },
-        { "outcome", done ? std::string{ "done" } : done.error().mDetail } });
-    delay = kRolloutVisibleTime;
   }
 }
 
--- a/src/cactusgw/rollout/rollout_control.cpp
+++ b/src/cactusgw/rollout/rollout_control.cpp
@@ -133,18 +133,20 @@
   return events;
 }
 
-std::optional<RolloutEdit>
-RolloutControl::NextEdit(
+std::vector<RolloutEdit>
+RolloutControl::NextEdits(
   const std::function<std::vector<VersionedUpstream>(std::string_view)>&
     aUpstreams,
-  Instant aNow)
+  Instant aNow) const
 {
+  std::vector<RolloutEdit> edits;
   for (const auto& [service, rollout] : mRollouts) {
     if (rollout.mIsWithdrawn) {
       continue;
     }
     if (rollout.mStoredStage != rollout.mStage) {
-      return RolloutEdit{ rollout.mOrder, rollout.mRevision, rollout.mStage };
+      edits.push_back({ rollout.mOrder, rollout.mRevision, rollout.mStage });
+      continue;
     }
     RolloutSituation situation;
     situation.mStage = rollout.mStage;
@@ -162,10 +164,10 @@
     }
     const RolloutStage next = NextRolloutStage(situation);
     if (next != rollout.mStage) {
-      return RolloutEdit{ rollout.mOrder, rollout.mRevision, next };
+      edits.push_back({ rollout.mOrder, rollout.mRevision, next });
     }
   }
-  return std::nullopt;
+  return edits;
 }
 
 std::optional<RolloutSide>
--- a/src/cactusgw/rollout/rollout_control.hpp
+++ b/src/cactusgw/rollout/rollout_control.hpp
@@ -39,6 +39,7 @@
   std::string_view mId;
   std::string_view mVersion;
   bool mIsCold = false;
+  bool mIsDraining = false;
   /// Requests in progress, of all gateways.
   std::uint32_t mRequests = 0;
 };
@@ -97,12 +98,12 @@
   /// Evaluates the evidence. Returns what has changed since the last call.
   std::vector<RolloutEvent> Update(Instant aNow);
 
-  /// Returns the next stage to store, if any is due.
+  /// Returns the next stages to store, at most one for each service.
   /// @param aUpstreams the upstreams of a service that accept requests
-  std::optional<RolloutEdit> NextEdit(
+  std::vector<RolloutEdit> NextEdits(
     const std::function<std::vector<VersionedUpstream>(std::string_view)>&
       aUpstreams,
-    Instant aNow);
+    Instant aNow) const;
 
   /// Counts a request of the service and returns the side that is to get it;
   /// nullopt if any upstream may.
--- /dev/null
+++ b/tests/rollout/rollout_control_test.cpp
@@ -0,0 +1,131 @@
+#include "cactusgw/rollout/rollout_control.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cactusgw {
+
+namespace {
+
+constexpr Milliseconds kDuration{ 20'000 };
+const Instant kStart{ std::chrono::hours{ 1 } };
+
+StoredRollout
+Order(std::uint64_t aNumber,
+      std::optional<RolloutStage> aStage = RolloutStage::Observing,
+      const std::string& aTarget = "v2",
+      const std::string& aService = "s")
+{
+  return { { { aService, aTarget, aNumber }, kDuration }, aNumber, aStage };
+}
+
+class RolloutControlTest : public ::testing::Test
+{
+protected:
+  RolloutControlTest() { mControl.SetSettings({ 0.1, 50, 76 }); }
+
+  void Store(const StoredRollout& aStored, Instant aNow = kStart)
+  {
+    mControl.OnStored(aStored.mOrder.mId.mService, aStored, aNow);
+  }
+
+  /// Failures enough for Bad beside sound responses of other versions.
+  void MakeBad(const StoredRollout& aStored, Instant aNow)
+  {
+    const RolloutId& id = aStored.mOrder.mId;
+    for (int i = 0; i < 100; ++i) {
+      mControl.Evidence().OnFirstEvent(
+        id, "r", RolloutSide::OtherVersions, Milliseconds{ 100 });
+      mControl.Evidence().OnFailed(id, "r", RolloutSide::Target, false);
+    }
+    mControl.Update(aNow);
+  }
+
+  std::optional<RolloutEdit> NextEdit(Instant aNow,
+                                      std::uint32_t aOnOthers = 0) const
+  {
+    const std::vector<RolloutEdit> edits = mControl.NextEdits(
+      [&](std::string_view) {
+        return std::vector<VersionedUpstream>{
+          { "a", "v1", false, false, aOnOthers },
+            { "b", "v2", false, false, 1 }
+        };
+      },
+      aNow);
+    return edits.empty() ? std::nullopt : std::optional{ edits.front() };
+  }
+
+  bool Admits(std::string_view aVersion,
+              std::optional<RolloutSide> aSide,
+              Instant aNow = kStart) const
+  {
+    const std::vector<VersionedUpstream> upstreams{ { "u", aVersion } };
+    return !mControl.Admitted("s", aSide, upstreams, aNow).empty();
+  }
+
+  RolloutControl mControl = RolloutControl::Create(7);
+};
+
+} // namespace
+
+TEST_F(RolloutControlTest, BadIsFinalAndIsWrittenAsRolledBack)
+{
+  Store(Order(1));
+  MakeBad(Order(1), kStart + Milliseconds{ 200 });
+  EXPECT_FALSE(mControl.MaySend("s", "v2"));
+  EXPECT_EQ(mControl.OnRequest("s", true), RolloutSide::OtherVersions);
+  const auto edit = NextEdit(kStart + Milliseconds{ 300 });
+  ASSERT_TRUE(edit);
+  EXPECT_EQ(edit->mStage, RolloutStage::RolledBack);
+  for (int i = 0; i < 10'000; ++i) {
+    mControl.Evidence().OnFirstEvent(Order(1).mOrder.mId,
+                                     "r",
+                                     RolloutSide::Target,
+                                     Milliseconds{ 100 });
+  }
+  mControl.Update(kStart + Milliseconds{ 900 });
+  Store(Order(1, RolloutStage::Completed));
+  EXPECT_FALSE(mControl.MaySend("s", "v2"));
+}
+
+TEST_F(RolloutControlTest, AWithdrawnOrderRefusesItsTargetWithoutAStatus)
+{
+  Store(Order(1, RolloutStage::Half));
+  mControl.OnStored("s", std::nullopt, kStart);
+  EXPECT_FALSE(Admits("v2", std::nullopt));
+  EXPECT_TRUE(Admits("v1", RolloutSide::OtherVersions));
+  EXPECT_FALSE(NextEdit(kStart + kDuration));
+}
+
+TEST_F(RolloutControlTest, ACompletedTargetServesDuringTheNextRollout)
+{
+  Store(Order(1, RolloutStage::Completed));
+  Store(Order(2, RolloutStage::Observing, "v3"));
+  EXPECT_TRUE(Admits("v2", RolloutSide::OtherVersions));
+}
+
+TEST_F(RolloutControlTest, AStoreRestoredFromACopyGetsTheStageAgain)
+{
+  Store(Order(1, RolloutStage::All));
+  Store(Order(1, RolloutStage::Quarter));
+  const auto edit = NextEdit(kStart);
+  ASSERT_TRUE(edit);
+  EXPECT_EQ(edit->mStage, RolloutStage::All);
+  EXPECT_EQ(mControl.OnRequest("s", true), RolloutSide::Target);
+}
+
+// A status that can't be written, as the object is gone, must not keep the
+// stage of another service from being written.
+TEST_F(RolloutControlTest, TwoServicesAdvanceIndependently)
+{
+  Store(Order(1, std::nullopt, "v2", "s"));
+  Store(Order(2, std::nullopt, "v2", "t"));
+  const auto none = [](std::string_view) {
+    return std::vector<VersionedUpstream>{};
+  };
+  EXPECT_EQ(mControl.NextEdits(none, kStart).size(), 2U);
+  MakeBad(Order(1, std::nullopt), kStart + Milliseconds{ 200 });
+  EXPECT_FALSE(mControl.MaySend("s", "v2"));
+  EXPECT_TRUE(mControl.MaySend("t", "v2"));
+}
+
+} // namespace cactusgw
