Roll-outs: keep the verdict when a withdrawn order returns

An order that was missing for a moment, as in a restored store or while it was unreadable, was taken as a new one and its target was served again. BadHoldsWhenAWithdrawnOrderReturns failed before.

--- a/src/cactusgw/rollout/rollout_control.cpp
+++ b/src/cactusgw/rollout/rollout_control.cpp
@@ -53,8 +53,8 @@
     }
     return;
   }
-  const bool isKnown = it != mRollouts.end() && !it->second.mIsWithdrawn &&
-                       it->second.mOrder.mId == aStored->mOrder.mId;
+  const bool isKnown =
+    it != mRollouts.end() && it->second.mOrder.mId == aStored->mOrder.mId;
   if (!isKnown) {
     if (it != mRollouts.end()) {
       mEvidence.Forget(it->second.mOrder.mId);
@@ -72,6 +72,7 @@
     mRollouts.emplace(aService, std::move(rollout));
   }
   Rollout& rollout = mRollouts.at(aService);
+  rollout.mIsWithdrawn = false;
   rollout.mOrder.mDuration = aStored->mOrder.mDuration;
   rollout.mRevision = aStored->mRevision;
   rollout.mStoredStage = aStored->mStage;
--- a/tests/rollout/rollout_control_test.cpp
+++ b/tests/rollout/rollout_control_test.cpp
@@ -96,6 +96,16 @@
   EXPECT_FALSE(NextEdit(kStart + kDuration));
 }
 
+// A store that lost the order for a moment must not clear its verdict.
+TEST_F(RolloutControlTest, BadHoldsWhenAWithdrawnOrderReturns)
+{
+  Store(Order(1));
+  MakeBad(Order(1), kStart + Milliseconds{ 200 });
+  mControl.OnStored("s", std::nullopt, kStart);
+  Store(Order(1));
+  EXPECT_FALSE(mControl.MaySend("s", "v2"));
+}
+
 TEST_F(RolloutControlTest, ACompletedTargetServesDuringTheNextRollout)
 {
   Store(Order(1, RolloutStage::Completed));
