Roll-outs: refuse the former target of a replaced order

The target of an order that another one replaced counted as one of the other versions and got nearly all requests, also if it had been judged bad. AReplacedOrdersTargetIsRefused failed before.

--- a/src/cactusgw/rollout/rollout_control.cpp
+++ b/src/cactusgw/rollout/rollout_control.cpp
@@ -56,11 +56,16 @@
   const bool isKnown =
     it != mRollouts.end() && it->second.mOrder.mId == aStored->mOrder.mId;
   if (!isKnown) {
+    Rollout rollout;
     if (it != mRollouts.end()) {
+      rollout.mFormerTargets = std::move(it->second.mFormerTargets);
+      if (it->second.mStage != RolloutStage::Completed) {
+        rollout.mFormerTargets.insert(it->second.mOrder.mId.mTarget);
+      }
+      rollout.mFormerTargets.erase(aStored->mOrder.mId.mTarget);
       mEvidence.Forget(it->second.mOrder.mId);
       mRollouts.erase(it);
     }
-    Rollout rollout;
     rollout.mOrder = aStored->mOrder;
     rollout.mStageAt = aNow;
     rollout.mShare =
@@ -316,7 +321,8 @@
                    (!isObserving ||
                     (observed.contains(upstream.mId) && !upstream.mIsCold));
     } else {
-      isAdmitted = aSide != RolloutSide::Target;
+      isAdmitted = aSide != RolloutSide::Target &&
+                   !rollout->IsFormerTarget(upstream.mVersion);
     }
     if (isAdmitted) {
       admitted.insert(upstream.mId);
@@ -333,6 +339,9 @@
   if (rollout == nullptr) {
     return true;
   }
+  if (rollout->IsFormerTarget(aVersion)) {
+    return false;
+  }
   return rollout->IsTarget(aVersion)
            ? !rollout->RefusesTarget()
            : rollout->mStage < RolloutStage::Drained ||
--- a/src/cactusgw/rollout/rollout_control.hpp
+++ b/src/cactusgw/rollout/rollout_control.hpp
@@ -150,6 +150,8 @@
     RolloutStage mStage = RolloutStage::Observing;
     Instant mStageAt;
     bool mIsWithdrawn = false;
+    /// Targets of orders that this one replaced before they were completed.
+    std::set<std::string, std::less<>> mFormerTargets;
     RolloutVerdict mVerdict;
     std::uint64_t mJudgedVersion = 0;
     std::optional<ExposureShare> mShare;
@@ -162,6 +164,10 @@
     {
       return mIsWithdrawn || IsBad() || mStage == RolloutStage::RolledBack;
     }
+    bool IsFormerTarget(std::string_view aVersion) const
+    {
+      return mFormerTargets.contains(aVersion);
+    }
     bool IsTarget(std::string_view aVersion) const
     {
       return aVersion == mOrder.mId.mTarget;
--- a/tests/rollout/rollout_control_test.cpp
+++ b/tests/rollout/rollout_control_test.cpp
@@ -106,6 +106,19 @@
   EXPECT_FALSE(mControl.MaySend("s", "v2"));
 }
 
+// The former target may be why the order was replaced.
+TEST_F(RolloutControlTest, AReplacedOrdersTargetIsRefused)
+{
+  Store(Order(1, RolloutStage::Half));
+  Store(Order(2, RolloutStage::Observing, "v3"));
+  EXPECT_FALSE(Admits("v2", RolloutSide::OtherVersions));
+  EXPECT_FALSE(mControl.MaySend("s", "v2"));
+  EXPECT_TRUE(Admits("v1", RolloutSide::OtherVersions));
+  Store(Order(3, RolloutStage::Observing, "v2"));
+  EXPECT_TRUE(mControl.MaySend("s", "v2"));
+  EXPECT_FALSE(mControl.MaySend("s", "v3"));
+}
+
 TEST_F(RolloutControlTest, ACompletedTargetServesDuringTheNextRollout)
 {
   Store(Order(1, RolloutStage::Completed));
