Roll-outs: hold a new version also while an earlier order is stored

Ended orders stay in the store. A version that appeared before the order that names it got requests at once, as one of the other versions. AVersionWithoutAnOrderIsHeldForTwoSeconds failed before.

--- a/src/cactusgw/rollout/rollout_control.cpp
+++ b/src/cactusgw/rollout/rollout_control.cpp
@@ -322,7 +322,8 @@
                     (observed.contains(upstream.mId) && !upstream.mIsCold));
     } else {
       isAdmitted = aSide != RolloutSide::Target &&
-                   !rollout->IsFormerTarget(upstream.mVersion);
+                   !rollout->IsFormerTarget(upstream.mVersion) &&
+                   !IsHeld(aService, upstream.mVersion, aNow);
     }
     if (isAdmitted) {
       admitted.insert(upstream.mId);
--- a/tests/rollout/rollout_control_test.cpp
+++ b/tests/rollout/rollout_control_test.cpp
@@ -151,4 +151,20 @@
   EXPECT_TRUE(mControl.MaySend("t", "v2"));
 }
 
+TEST_F(RolloutControlTest, AVersionWithoutAnOrderIsHeldForTwoSeconds)
+{
+  const Instant later = kStart + Milliseconds{ 10'000 };
+  const auto at = [&](int aMs) { return later + Milliseconds{ aMs }; };
+  mControl.OnUpstreamSeen("s", "v1", kStart);
+  mControl.OnUpstreamSeen("s", "v2", later);
+  EXPECT_FALSE(Admits("v2", std::nullopt, at(1999)));
+  EXPECT_TRUE(Admits("v1", std::nullopt, at(1999)));
+  EXPECT_TRUE(Admits("v2", std::nullopt, at(2000)));
+  // Also while an earlier order of the service is stored.
+  Store(Order(1, RolloutStage::RolledBack));
+  mControl.OnUpstreamSeen("s", "v3", at(5000));
+  EXPECT_FALSE(Admits("v3", RolloutSide::OtherVersions, at(6999)));
+  EXPECT_TRUE(Admits("v3", RolloutSide::OtherVersions, at(7000)));
+}
+
 } // namespace cactusgw
