Roll-outs: don't hold versions that a starting gateway finds

A gateway that starts sees all versions in its first list, some microseconds apart, and refused all but the first one for 2 s. VersionsOfTheFirstListAreNotHeld failed before.

--- a/src/cactusgw/rollout/rollout_control.cpp
+++ b/src/cactusgw/rollout/rollout_control.cpp
@@ -255,7 +255,7 @@
   }
   return std::any_of(
     versions->second.begin(), versions->second.end(), [&](const auto& aOther) {
-      return aOther.second < version->second;
+      return aOther.second + kTogether < version->second;
     });
 }
 
--- a/src/cactusgw/rollout/rollout_control.hpp
+++ b/src/cactusgw/rollout/rollout_control.hpp
@@ -80,6 +80,10 @@
   /// serves: its registration may arrive before the order.
   static constexpr Milliseconds kUnorderedVersionHold{ 2000 };
 
+  /// Versions that are registered within this time, such as those of the first
+  /// list, appear together.
+  static constexpr Milliseconds kTogether{ 100 };
+
   /// @param aSelf stable hash of this gateway's name and incarnation
   static RolloutControl Create(std::uint64_t aSelf);
 
--- a/tests/rollout/rollout_control_test.cpp
+++ b/tests/rollout/rollout_control_test.cpp
@@ -167,4 +167,13 @@
   EXPECT_TRUE(Admits("v3", RolloutSide::OtherVersions, at(7000)));
 }
 
+// A gateway that starts sees all versions at about the same time, and must not
+// refuse the requests of one of them.
+TEST_F(RolloutControlTest, VersionsOfTheFirstListAreNotHeld)
+{
+  mControl.OnUpstreamSeen("s", "v1", kStart);
+  mControl.OnUpstreamSeen("s", "v2", kStart + Milliseconds{ 1 });
+  EXPECT_TRUE(Admits("v2", std::nullopt, kStart + Milliseconds{ 2 }));
+}
+
 } // namespace cactusgw
