Roll-outs: sides of requests that waited while the stage changed

Requests that had waited for room since before the order have no side, and all went to the idle target, beyond its share. Those that had waited for other versions were still sent there once nothing may run on them. ARequestWithoutASideDoesntUseTheTarget and OtherVersionsGetNothingOnceDrained failed before.

--- a/src/cactusgw/rollout/rollout_control.cpp
+++ b/src/cactusgw/rollout/rollout_control.cpp
@@ -307,6 +307,14 @@
   const bool isRefused = rollout != nullptr && rollout->RefusesTarget();
   const bool isObserving =
     rollout != nullptr && rollout->mStage == RolloutStage::Observing;
+  const bool isDrained = rollout != nullptr && !isRefused &&
+                         rollout->mStage >= RolloutStage::Drained;
+  if (isDrained) {
+    aSide = RolloutSide::Target; // Also for requests that chose a side before.
+  } else if (rollout != nullptr && !aSide) {
+    // A request from before the order has no part in the share.
+    aSide = RolloutSide::OtherVersions;
+  }
   const std::set<std::string_view> observed =
     isObserving ? Observed(aUpstreams, *rollout) : std::set<std::string_view>{};
   for (const VersionedUpstream& upstream : aUpstreams) {
--- a/tests/rollout/rollout_control_test.cpp
+++ b/tests/rollout/rollout_control_test.cpp
@@ -176,4 +176,26 @@
   EXPECT_TRUE(Admits("v2", std::nullopt, kStart + Milliseconds{ 2 }));
 }
 
+// Requests that waited for room when the order arrived have no side. All of
+// them went to the idle target.
+TEST_F(RolloutControlTest, ARequestWithoutASideDoesntUseTheTarget)
+{
+  Store(Order(1));
+  EXPECT_FALSE(Admits("v2", std::nullopt));
+  EXPECT_TRUE(Admits("v1", std::nullopt));
+}
+
+TEST_F(RolloutControlTest, OtherVersionsGetNothingOnceDrained)
+{
+  Store(Order(1, RolloutStage::Drained));
+  EXPECT_FALSE(mControl.MayFallBack("s"));
+  for (const auto side : { RolloutSide::Target, RolloutSide::OtherVersions }) {
+    EXPECT_TRUE(Admits("v2", side));
+    EXPECT_FALSE(Admits("v1", side));
+  }
+  MakeBad(Order(1), kStart + Milliseconds{ 200 });
+  EXPECT_TRUE(mControl.MayFallBack("s"));
+  EXPECT_TRUE(Admits("v1", RolloutSide::OtherVersions));
+}
+
 } // namespace cactusgw
