--- a/src/cactusgw/rollout/rollout_control.cpp
+++ b/src/cactusgw/rollout/rollout_control.cpp
@@ -192,7 +192,8 @@
     return RolloutSide::Target;
   }
   // A gateway that may lack the evidence of others sends nothing.
-  return rollout.mShare->OnRequest(aIsConfigFresh ? share : 0);
+  return aIsConfigFresh ? rollout.mShare->OnRequest(share)
+                        : RolloutSide::OtherVersions;
 }
 
 std::optional<RolloutSide>
--- a/tests/rollout/rollout_control_test.cpp
+++ b/tests/rollout/rollout_control_test.cpp
@@ -198,4 +198,19 @@
   EXPECT_TRUE(Admits("v1", RolloutSide::OtherVersions));
 }
 
+// The unused part of the share let a gateway send although its configuration
+// was stale.
+TEST_F(RolloutControlTest, AStaleGatewaySendsNothingWhileObserving)
+{
+  Store(Order(1));
+  for (int i = 0; i < 1000; ++i) {
+    if (mControl.OnRequest("s", true) == RolloutSide::Target) {
+      mControl.OnSent("s", "v1", "r", RolloutSide::Target); // Fell back.
+    }
+  }
+  for (int i = 0; i < 1000; ++i) {
+    ASSERT_EQ(mControl.OnRequest("s", false), RolloutSide::OtherVersions);
+  }
+}
+
 } // namespace cactusgw
