Roll-outs: observe upstreams that are warm and don't drain

Cold and draining upstreams were among those selected for the observation and then got no requests, so that the target was observed on fewer or none. ObservesWarmUpstreamsThatAcceptRequests failed before.

--- a/src/cactusgw/rollout/rollout_control.cpp
+++ b/src/cactusgw/rollout/rollout_control.cpp
@@ -163,7 +163,7 @@
     situation.mSoundness = rollout.mVerdict.mSoundness;
     for (const VersionedUpstream& upstream : aUpstreams(service)) {
       if (rollout.IsTarget(upstream.mVersion)) {
-        ++situation.mTargetUpstreams;
+        situation.mTargetUpstreams += upstream.mIsDraining ? 0 : 1;
       } else {
         situation.mRequestsOnOthers += upstream.mRequests;
       }
@@ -265,14 +265,21 @@
                          const Rollout& aRollout) const
 {
   std::vector<std::pair<std::uint64_t, std::string_view>> ranked;
+  std::size_t known = 0;
   for (const VersionedUpstream& upstream : aUpstreams) {
-    if (aRollout.IsTarget(upstream.mVersion)) {
+    if (!aRollout.IsTarget(upstream.mVersion) || upstream.mIsDraining) {
+      continue;
+    }
+    ++known;
+    // A cold upstream is slow whatever its version.
+    if (!upstream.mIsCold) {
       ranked.emplace_back(StableHash(upstream.mId), upstream.mId);
     }
   }
   std::sort(ranked.begin(), ranked.end());
-  const std::size_t count =
-    TargetUpstreams(aRollout.mStage, mSettings.mExposureShare, ranked.size());
+  const std::size_t count = std::min(
+    ranked.size(),
+    TargetUpstreams(aRollout.mStage, mSettings.mExposureShare, known));
   std::set<std::string_view> observed;
   for (const auto& [rank, id] : std::span{ ranked }.first(count)) {
     observed.insert(id);
@@ -325,10 +332,8 @@
     if (rollout == nullptr) {
       isAdmitted = !IsHeld(aService, upstream.mVersion, aNow);
     } else if (isTarget) {
-      // A cold upstream is slow whatever its version.
       isAdmitted = !isRefused && aSide != RolloutSide::OtherVersions &&
-                   (!isObserving ||
-                    (observed.contains(upstream.mId) && !upstream.mIsCold));
+                   (!isObserving || observed.contains(upstream.mId));
     } else {
       isAdmitted = aSide != RolloutSide::Target &&
                    !rollout->IsFormerTarget(upstream.mVersion) &&
--- a/src/cactusgw/rollout/rollout_control.hpp
+++ b/src/cactusgw/rollout/rollout_control.hpp
@@ -33,12 +33,13 @@
   std::uint32_t mGatewayCount = 1;
 };
 
-/// An upstream that accepts requests.
+/// An upstream that accepts requests or still runs some.
 struct VersionedUpstream
 {
   std::string_view mId;
   std::string_view mVersion;
   bool mIsCold = false;
+  /// Still listed because of its requests in progress.
   bool mIsDraining = false;
   /// Requests in progress, of all gateways.
   std::uint32_t mRequests = 0;
--- a/tests/rollout/rollout_control_test.cpp
+++ b/tests/rollout/rollout_control_test.cpp
@@ -213,4 +213,35 @@
   }
 }
 
+// A draining or cold upstream that is selected takes no requests, so that the
+// target would not be observed at all.
+TEST_F(RolloutControlTest, ObservesWarmUpstreamsThatAcceptRequests)
+{
+  Store(Order(1));
+  std::vector<std::string> ids;
+  for (int i = 0; i < 20; ++i) {
+    ids.push_back("u" + std::to_string(i));
+  }
+  std::vector<VersionedUpstream> upstreams;
+  for (const std::string& id : ids) {
+    upstreams.push_back({ id, "v2" });
+  }
+  const auto admitted = [&] {
+    return mControl.Admitted("s", RolloutSide::Target, upstreams, kStart);
+  };
+  ASSERT_EQ(admitted().size(), 2U); // 0.06 of 20, rounded up.
+  const std::set<std::string_view> before = admitted();
+  for (VersionedUpstream& upstream : upstreams) {
+    if (upstream.mId == *before.begin()) {
+      upstream.mIsCold = true;
+    } else if (before.contains(upstream.mId)) {
+      upstream.mIsDraining = true;
+      upstream.mRequests = 1;
+    }
+  }
+  EXPECT_EQ(admitted().size(), 2U);
+  EXPECT_FALSE(admitted().contains(*before.begin()));
+  EXPECT_FALSE(admitted().contains(*before.rbegin()));
+}
+
 } // namespace cactusgw
