Roll-outs: don't judge a completed target after its duration

Its responses of later hours were compared with those of the other versions during the roll-out. A busy hour condemned it, and its service had no upstreams. ACompletedTargetIsNotJudgedAfterItsDuration failed before.

--- a/src/cactusgw/rollout/rollout_control.cpp
+++ b/src/cactusgw/rollout/rollout_control.cpp
@@ -108,7 +108,12 @@
   mJudgedAt = aNow;
   for (auto& [service, rollout] : mRollouts) {
     const RolloutId& id = rollout.mOrder.mId;
-    if (rollout.mJudgedVersion != mEvidence.Version() && !rollout.IsBad()) {
+    // Without other versions there is nothing to compare the target's responses
+    // of later hours with.
+    const bool isOver = rollout.mStage == RolloutStage::Completed &&
+                        mEvidence.Age(id, aNow) > rollout.mOrder.mDuration;
+    if (rollout.mJudgedVersion != mEvidence.Version() && !rollout.IsBad() &&
+        !isOver) {
       rollout.mJudgedVersion = mEvidence.Version();
       rollout.mVerdict = JudgeRollout(mEvidence.Totals(id));
     }
--- a/tests/rollout/rollout_control_test.cpp
+++ b/tests/rollout/rollout_control_test.cpp
@@ -244,4 +244,13 @@
   EXPECT_FALSE(admitted().contains(*before.rbegin()));
 }
 
+// Once the other versions are gone, they no longer show what the load of the
+// moment does: a busy hour condemned a version that had all requests.
+TEST_F(RolloutControlTest, ACompletedTargetIsNotJudgedAfterItsDuration)
+{
+  Store(Order(1, RolloutStage::Completed));
+  MakeBad(Order(1), kStart + kDuration + Milliseconds{ 1 });
+  EXPECT_TRUE(mControl.MaySend("s", "v2"));
+}
+
 } // namespace cactusgw
