Roll-outs: evidence of ended orders makes room for that of new ones

Ended orders stay in the store. With eight of them, nothing was counted for the next one, so that a bad version was never detected. EndedOrdersMakeRoomForNewOnes failed before.

--- a/src/cactusgw/rollout/rollout_control.cpp
+++ b/src/cactusgw/rollout/rollout_control.cpp
@@ -73,6 +73,7 @@
                             mSelf,
                             kInitialFraction * mSettings.mExposureExtra /
                               std::max(1U, mSettings.mGatewayCount));
+    MakeRoomForEvidence();
     mEvidence.Begin(aStored->mOrder.mId, aNow);
     mRollouts.emplace(aService, std::move(rollout));
   }
@@ -90,6 +91,22 @@
   }
 }
 
+void
+RolloutControl::MakeRoomForEvidence()
+{
+  if (mEvidence.Rollouts().size() < RolloutEvidence::kMaxRollouts) {
+    return;
+  }
+  for (const RolloutId& id : mEvidence.Rollouts()) {
+    const Rollout* const rollout = Find(id.mService);
+    if (rollout == nullptr || rollout->mIsWithdrawn ||
+        rollout->mStage >= RolloutStage::Completed) {
+      mEvidence.Forget(id);
+      return;
+    }
+  }
+}
+
 void
 RolloutControl::OnUpstreamSeen(const std::string& aService,
                                const std::string& aVersion,
--- a/src/cactusgw/rollout/rollout_control.hpp
+++ b/src/cactusgw/rollout/rollout_control.hpp
@@ -181,6 +181,8 @@
 
   explicit RolloutControl(std::uint64_t aSelf);
   const Rollout* Find(std::string_view aService) const;
+  /// Forgets the evidence of an ended order if there is no room for another.
+  void MakeRoomForEvidence();
   bool IsHeld(std::string_view aService,
               std::string_view aVersion,
               Instant aNow) const;
--- a/tests/rollout/rollout_control_test.cpp
+++ b/tests/rollout/rollout_control_test.cpp
@@ -253,4 +253,15 @@
   EXPECT_TRUE(mControl.MaySend("s", "v2"));
 }
 
+// Completed orders stay in the store and used up the room for new ones.
+TEST_F(RolloutControlTest, EndedOrdersMakeRoomForNewOnes)
+{
+  for (std::size_t i = 0; i < RolloutEvidence::kMaxRollouts; ++i) {
+    Store(Order(i + 1, RolloutStage::Completed, "v2", std::to_string(i)));
+  }
+  Store(Order(100));
+  MakeBad(Order(100), kStart + Milliseconds{ 200 });
+  EXPECT_FALSE(mControl.MaySend("s", "v2"));
+}
+
 } // namespace cactusgw
