Roll-outs: gateways that start later get no early requests

A restarted gateway got its part of the early requests again, computed for the 8 gateways that are assumed before others are known: 2.5 requests each, 190 for a fleet of 76, where 50 are allowed in all. GatewaysThatStartLaterGetNoEarlyRequests failed before.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -356,6 +356,7 @@
     mState.mRollouts.OnStored(
       change.mName, std::move(change.mValue), SteadyNow());
   }
+  mState.mRollouts.OnStoreListed();
   mState.mWaitQueue.WakeFirstWaiters();
 }
 
--- a/src/cactusgw/rollout/rollout_control.cpp
+++ b/src/cactusgw/rollout/rollout_control.cpp
@@ -71,8 +71,10 @@
     rollout.mShare =
       ExposureShare::Create(aStored->mOrder.mId,
                             mSelf,
-                            kInitialFraction * mSettings.mExposureExtra /
-                              std::max(1U, mSettings.mGatewayCount));
+                            mHasStoreList
+                              ? kInitialFraction * mSettings.mExposureExtra /
+                                  std::max(1U, mSettings.mGatewayCount)
+                              : 0);
     MakeRoomForEvidence();
     mEvidence.Begin(aStored->mOrder.mId, aNow);
     mRollouts.emplace(aService, std::move(rollout));
--- a/src/cactusgw/rollout/rollout_control.hpp
+++ b/src/cactusgw/rollout/rollout_control.hpp
@@ -95,6 +95,10 @@
   void OnStored(const std::string& aService,
                 std::optional<StoredRollout> aStored,
                 Instant aNow);
+  /// All orders that the store had at the start were passed to OnStored. Only
+  /// later ones grant early requests: a gateway that starts again would send
+  /// its part twice, and doesn't know yet how many gateways there are.
+  void OnStoreListed() { mHasStoreList = true; }
   /// An upstream was registered.
   void OnUpstreamSeen(const std::string& aService,
                       const std::string& aVersion,
@@ -195,6 +199,7 @@
   static constexpr Milliseconds kJudgeInterval{ 100 };
 
   std::uint64_t mSelf;
+  bool mHasStoreList = false;
   Instant mJudgedAt;
   RolloutSettings mSettings;
   RolloutEvidence mEvidence;
--- a/tests/rollout/rollout_control_test.cpp
+++ b/tests/rollout/rollout_control_test.cpp
@@ -264,4 +264,21 @@
   EXPECT_FALSE(mControl.MaySend("s", "v2"));
 }
 
+// A gateway that starts again during a roll-out knows no peers yet, and got its
+// early requests a second time.
+TEST_F(RolloutControlTest, GatewaysThatStartLaterGetNoEarlyRequests)
+{
+  int sent = 0;
+  for (std::uint64_t self = 0; self < 100; ++self) {
+    RolloutControl control = RolloutControl::Create(self);
+    control.SetSettings({ 0.1, 50, 8 });
+    control.OnStored("s", Order(1, RolloutStage::Quarter), kStart);
+    control.OnStored("s", Order(1, RolloutStage::Quarter), kStart);
+    sent += control.OnRequest("s", true) == RolloutSide::Target ? 1 : 0;
+    sent += control.OnRequest("s", true) == RolloutSide::Target ? 1 : 0;
+  }
+  // A quarter of 200 requests, with the deviation of 100 independent shares.
+  EXPECT_NEAR(sent, 50, 20);
+}
+
 } // namespace cactusgw
--- a/tests/rollout/rollout_fleet.cpp
+++ b/tests/rollout/rollout_fleet.cpp
@@ -46,6 +46,7 @@
       mGateways.push_back(RolloutControl::Create(aSeed * 1000 + i + 1));
       mGateways.back().SetSettings(
         { kFleetExposureShare, kFleetExposureExtra, aCase.mGateways });
+      mGateways.back().OnStoreListed();
       mSentVersions.push_back(0);
       weights.push_back(1 + i % 5);
     }
