Roll-outs: hold the drained stage before completing

The platform stops the other versions as soon as the status is completed, while gateways that had not heard of the drained stage could still send there. EachStageFollowsTheFormerOne failed before.

--- a/src/cactusgw/rollout/rollout_stages.cpp
+++ b/src/cactusgw/rollout/rollout_stages.cpp
@@ -112,7 +112,11 @@
       return isHeld || aSituation.mRequestsOnOthers > 0 ? stage
                                                         : RolloutStage::Drained;
     case RolloutStage::Drained:
-      return aSituation.mRequestsOnOthers > 0 ? stage : RolloutStage::Completed;
+      // Gateways that haven't heard of the stage may still use other versions,
+      // which the platform stops at once.
+      return isHeld || aSituation.mRequestsOnOthers > 0
+               ? stage
+               : RolloutStage::Completed;
     case RolloutStage::Completed:
     case RolloutStage::RolledBack:
       break;
