--- a/src/cactusgw/rollout/rollout_control.cpp
+++ b/src/cactusgw/rollout/rollout_control.cpp
@@ -53,25 +53,34 @@
     }
     return;
   }
-  const bool isKnown = it != mRollouts.end() && !it->second.mIsWithdrawn &&
-                       it->second.mOrder.mId == aStored->mOrder.mId;
+  const bool isKnown =
+    it != mRollouts.end() && it->second.mOrder.mId == aStored->mOrder.mId;
   if (!isKnown) {
+    Rollout rollout;
     if (it != mRollouts.end()) {
+      rollout.mFormerTargets = std::move(it->second.mFormerTargets);
+      if (it->second.mStage != RolloutStage::Completed) {
+        rollout.mFormerTargets.insert(it->second.mOrder.mId.mTarget);
+      }
+      rollout.mFormerTargets.erase(aStored->mOrder.mId.mTarget);
       mEvidence.Forget(it->second.mOrder.mId);
       mRollouts.erase(it);
     }
-    Rollout rollout;
     rollout.mOrder = aStored->mOrder;
     rollout.mStageAt = aNow;
     rollout.mShare =
       ExposureShare::Create(aStored->mOrder.mId,
                             mSelf,
-                            kInitialFraction * mSettings.mExposureExtra /
-                              std::max(1U, mSettings.mGatewayCount));
+                            mHasStoreList
+                              ? kInitialFraction * mSettings.mExposureExtra /
+                                  std::max(1U, mSettings.mGatewayCount)
+                              : 0);
+    MakeRoomForEvidence();
     mEvidence.Begin(aStored->mOrder.mId, aNow);
     mRollouts.emplace(aService, std::move(rollout));
   }
   Rollout& rollout = mRollouts.at(aService);
+  rollout.mIsWithdrawn = false;
   rollout.mOrder.mDuration = aStored->mOrder.mDuration;
   rollout.mRevision = aStored->mRevision;
   rollout.mStoredStage = aStored->mStage;
@@ -84,6 +93,22 @@
   }
 }
 
+void
+RolloutControl::MakeRoomForEvidence()
+{
+  if (mEvidence.Rollouts().size() < RolloutEvidence::kMaxRollouts) {
+    return;
+  }
+  for (const RolloutId& id : mEvidence.Rollouts()) {
+    const Rollout* const rollout = Find(id.mService);
+    if (rollout == nullptr || rollout->mIsWithdrawn ||
+        rollout->mStage >= RolloutStage::Completed) {
+      mEvidence.Forget(id);
+      return;
+    }
+  }
+}
+
 void
 RolloutControl::OnUpstreamSeen(const std::string& aService,
                                const std::string& aVersion,
@@ -102,7 +127,12 @@
   mJudgedAt = aNow;
   for (auto& [service, rollout] : mRollouts) {
     const RolloutId& id = rollout.mOrder.mId;
-    if (rollout.mJudgedVersion != mEvidence.Version() && !rollout.IsBad()) {
+    // Without other versions there is nothing to compare the target's responses
+    // of later hours with.
+    const bool isOver = rollout.mStage == RolloutStage::Completed &&
+                        mEvidence.Age(id, aNow) > rollout.mOrder.mDuration;
+    if (rollout.mJudgedVersion != mEvidence.Version() && !rollout.IsBad() &&
+        !isOver) {
       rollout.mJudgedVersion = mEvidence.Version();
       rollout.mVerdict = JudgeRollout(mEvidence.Totals(id));
     }
@@ -133,18 +163,20 @@
   return events;
 }
 
-std::optional<RolloutEdit>
-RolloutControl::NextEdit(
+std::vector<RolloutEdit>
+RolloutControl::NextEdits(
   const std::function<std::vector<VersionedUpstream>(std::string_view)>&
     aUpstreams,
-  Instant aNow)
+  Instant aNow) const
 {
+  std::vector<RolloutEdit> edits;
   for (const auto& [service, rollout] : mRollouts) {
     if (rollout.mIsWithdrawn) {
       continue;
     }
     if (rollout.mStoredStage != rollout.mStage) {
-      return RolloutEdit{ rollout.mOrder, rollout.mRevision, rollout.mStage };
+      edits.push_back({ rollout.mOrder, rollout.mRevision, rollout.mStage });
+      continue;
     }
     RolloutSituation situation;
     situation.mStage = rollout.mStage;
@@ -155,17 +187,17 @@
     situation.mSoundness = rollout.mVerdict.mSoundness;
     for (const VersionedUpstream& upstream : aUpstreams(service)) {
       if (rollout.IsTarget(upstream.mVersion)) {
-        ++situation.mTargetUpstreams;
+        situation.mTargetUpstreams += upstream.mIsDraining ? 0 : 1;
       } else {
         situation.mRequestsOnOthers += upstream.mRequests;
       }
     }
     const RolloutStage next = NextRolloutStage(situation);
     if (next != rollout.mStage) {
-      return RolloutEdit{ rollout.mOrder, rollout.mRevision, next };
+      edits.push_back({ rollout.mOrder, rollout.mRevision, next });
     }
   }
-  return std::nullopt;
+  return edits;
 }
 
 std::optional<RolloutSide>
@@ -184,7 +216,8 @@
     return RolloutSide::Target;
   }
   // A gateway that may lack the evidence of others sends nothing.
-  return rollout.mShare->OnRequest(aIsConfigFresh ? share : 0);
+  return aIsConfigFresh ? rollout.mShare->OnRequest(share)
+                        : RolloutSide::OtherVersions;
 }
 
 std::optional<RolloutSide>
@@ -247,7 +280,7 @@
   }
   return std::any_of(
     versions->second.begin(), versions->second.end(), [&](const auto& aOther) {
-      return aOther.second < version->second;
+      return aOther.second + kTogether < version->second;
     });
 }
 
@@ -256,14 +289,21 @@
                          const Rollout& aRollout) const
 {
   std::vector<std::pair<std::uint64_t, std::string_view>> ranked;
+  std::size_t known = 0;
   for (const VersionedUpstream& upstream : aUpstreams) {
-    if (aRollout.IsTarget(upstream.mVersion)) {
+    if (!aRollout.IsTarget(upstream.mVersion) || upstream.mIsDraining) {
+      continue;
+    }
+    ++known;
+    // A cold upstream is slow whatever its version.
+    if (!upstream.mIsCold) {
       ranked.emplace_back(StableHash(upstream.mId), upstream.mId);
     }
   }
   std::sort(ranked.begin(), ranked.end());
-  const std::size_t count =
-    TargetUpstreams(aRollout.mStage, mSettings.mExposureShare, ranked.size());
+  const std::size_t count = std::min(
+    ranked.size(),
+    TargetUpstreams(aRollout.mStage, mSettings.mExposureShare, known));
   std::set<std::string_view> observed;
   for (const auto& [rank, id] : std::span{ ranked }.first(count)) {
     observed.insert(id);
@@ -299,6 +339,14 @@
   const bool isRefused = rollout != nullptr && rollout->RefusesTarget();
   const bool isObserving =
     rollout != nullptr && rollout->mStage == RolloutStage::Observing;
+  const bool isDrained = rollout != nullptr && !isRefused &&
+                         rollout->mStage >= RolloutStage::Drained;
+  if (isDrained) {
+    aSide = RolloutSide::Target; // Also for requests that chose a side before.
+  } else if (rollout != nullptr && !aSide) {
+    // A request from before the order has no part in the share.
+    aSide = RolloutSide::OtherVersions;
+  }
   const std::set<std::string_view> observed =
     isObserving ? Observed(aUpstreams, *rollout) : std::set<std::string_view>{};
   for (const VersionedUpstream& upstream : aUpstreams) {
@@ -308,12 +356,12 @@
     if (rollout == nullptr) {
       isAdmitted = !IsHeld(aService, upstream.mVersion, aNow);
     } else if (isTarget) {
-      // A cold upstream is slow whatever its version.
       isAdmitted = !isRefused && aSide != RolloutSide::OtherVersions &&
-                   (!isObserving ||
-                    (observed.contains(upstream.mId) && !upstream.mIsCold));
+                   (!isObserving || observed.contains(upstream.mId));
     } else {
-      isAdmitted = aSide != RolloutSide::Target;
+      isAdmitted = aSide != RolloutSide::Target &&
+                   !rollout->IsFormerTarget(upstream.mVersion) &&
+                   !IsHeld(aService, upstream.mVersion, aNow);
     }
     if (isAdmitted) {
       admitted.insert(upstream.mId);
@@ -330,6 +378,9 @@
   if (rollout == nullptr) {
     return true;
   }
+  if (rollout->IsFormerTarget(aVersion)) {
+    return false;
+  }
   return rollout->IsTarget(aVersion)
            ? !rollout->RefusesTarget()
            : rollout->mStage < RolloutStage::Drained ||
--- a/src/cactusgw/rollout/rollout_control.hpp
+++ b/src/cactusgw/rollout/rollout_control.hpp
@@ -33,12 +33,14 @@
   std::uint32_t mGatewayCount = 1;
 };
 
-/// An upstream that accepts requests.
+/// An upstream that accepts requests or still runs some.
 struct VersionedUpstream
 {
   std::string_view mId;
   std::string_view mVersion;
   bool mIsCold = false;
+  /// Still listed because of its requests in progress.
+  bool mIsDraining = false;
   /// Requests in progress, of all gateways.
   std::uint32_t mRequests = 0;
 };
@@ -79,6 +81,10 @@
   /// serves: its registration may arrive before the order.
   static constexpr Milliseconds kUnorderedVersionHold{ 2000 };
 
+  /// Versions that are registered within this time, such as those of the first
+  /// list, appear together.
+  static constexpr Milliseconds kTogether{ 100 };
+
   /// @param aSelf stable hash of this gateway's name and incarnation
   static RolloutControl Create(std::uint64_t aSelf);
 
@@ -89,6 +95,10 @@
   void OnStored(const std::string& aService,
                 std::optional<StoredRollout> aStored,
                 Instant aNow);
+  /// All orders that the store had at the start were passed to OnStored. Only
+  /// later ones grant early requests: a gateway that starts again would send
+  /// its part twice, and doesn't know yet how many gateways there are.
+  void OnStoreListed() { mHasStoreList = true; }
   /// An upstream was registered.
   void OnUpstreamSeen(const std::string& aService,
                       const std::string& aVersion,
@@ -97,12 +107,12 @@
   /// Evaluates the evidence. Returns what has changed since the last call.
   std::vector<RolloutEvent> Update(Instant aNow);
 
-  /// Returns the next stage to store, if any is due.
+  /// Returns the next stages to store, at most one for each service.
   /// @param aUpstreams the upstreams of a service that accept requests
-  std::optional<RolloutEdit> NextEdit(
+  std::vector<RolloutEdit> NextEdits(
     const std::function<std::vector<VersionedUpstream>(std::string_view)>&
       aUpstreams,
-    Instant aNow);
+    Instant aNow) const;
 
   /// Counts a request of the service and returns the side that is to get it;
   /// nullopt if any upstream may.
@@ -149,6 +159,8 @@
     RolloutStage mStage = RolloutStage::Observing;
     Instant mStageAt;
     bool mIsWithdrawn = false;
+    /// Targets of orders that this one replaced before they were completed.
+    std::set<std::string, std::less<>> mFormerTargets;
     RolloutVerdict mVerdict;
     std::uint64_t mJudgedVersion = 0;
     std::optional<ExposureShare> mShare;
@@ -161,6 +173,10 @@
     {
       return mIsWithdrawn || IsBad() || mStage == RolloutStage::RolledBack;
     }
+    bool IsFormerTarget(std::string_view aVersion) const
+    {
+      return mFormerTargets.contains(aVersion);
+    }
     bool IsTarget(std::string_view aVersion) const
     {
       return aVersion == mOrder.mId.mTarget;
@@ -169,6 +185,8 @@
 
   explicit RolloutControl(std::uint64_t aSelf);
   const Rollout* Find(std::string_view aService) const;
+  /// Forgets the evidence of an ended order if there is no room for another.
+  void MakeRoomForEvidence();
   bool IsHeld(std::string_view aService,
               std::string_view aVersion,
               Instant aNow) const;
@@ -181,6 +199,7 @@
   static constexpr Milliseconds kJudgeInterval{ 100 };
 
   std::uint64_t mSelf;
+  bool mHasStoreList = false;
   Instant mJudgedAt;
   RolloutSettings mSettings;
   RolloutEvidence mEvidence;
