--- a/src/cactusgw/gateway/call_admission.cpp
+++ b/src/cactusgw/gateway/call_admission.cpp
@@ -202,6 +202,11 @@
     return homes.error();
   }
   request.mTokenNeed = EstimateTokens(aExchange, names);
+  if (request.mService != nullptr && request.mService->mEngine) {
+    request.mPromptPrefixes =
+      PromptPrefixes(request.mService->mName,
+                     ParsePromptParts(aExchange.Header(names.mPromptParts)));
+  }
   const Milliseconds clientTime =
     ClientTime(aExchange.Header(names.mRemainingTime))
       .value_or(request.mRoute->mTimeout);
--- a/src/cactusgw/gateway/call_admission.hpp
+++ b/src/cactusgw/gateway/call_admission.hpp
@@ -21,6 +21,8 @@
   /// Zero is the most urgent.
   std::uint32_t mRank = 0;
   TokenNeed mTokenNeed;
+  /// Prefixes of the prompt; empty for plain services.
+  std::vector<PromptPrefix> mPromptPrefixes;
   /// The versions that a roll-out leaves to the next attempt; empty for any.
   std::optional<RolloutSide> mSide;
   /// Deadline of the final response: the earlier of the client's deadline and
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -604,6 +604,7 @@
       break;
     case DirectoryChange::DrainingOrRemoved:
       mState.mPool.Forget(aId);
+      mState.mPromptCaches.Forget(aId);
       mMigrator.OnDraining(aId);
       RecordDraining(aId);
       mState.mLog.Write(
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -321,6 +321,14 @@
   mRollout.OnSent(aUpstream.mRecord.mVersion, now);
   mTrial =
     mState.mRequestCrashes.BeginTrial(mAdmitted.mOrigin.mFingerprint, now);
+  const std::uint64_t heldTokens =
+    mContinuation
+      ? 0
+      : mState.OnPromptSent(*mAdmitted.mService,
+                            mAdmitted.mPromptPrefixes,
+                            aUpstream,
+                            mAdmitted.mTokenNeed,
+                            now);
   mSentAt = now;
   ++mAttempts;
   mState.mLog.Write(
@@ -339,6 +347,7 @@
       { "parts", JoinParts(mAdmitted.mOrigin.mSharedParts) },
       { "fingerprint", ToString(mAdmitted.mOrigin.mFingerprint) },
       { "crashes", KnownCrashes() },
+      { "heldTokens", static_cast<std::int64_t>(heldTokens) },
       { "afterMs", Elapsed().count() } },
     now);
   const net::any_io_executor executor = co_await net::this_coro::executor;
@@ -662,6 +671,12 @@
 GatewayCall::OnEventsRelayed()
 {
   const Instant now = SteadyNow();
+  if (!mFirstEventAt && !mContinuation) {
+    const UpstreamTarget& upstream = mConnection->Target();
+    mState.mPromptCaches.OnRead(mAdmitted.mPromptPrefixes,
+                                { upstream.mId, upstream.mStartedMs },
+                                now);
+  }
   mFirstEventAt = mFirstEventAt.value_or(now);
   mRollout.OnEvents(now);
   if (now - *mFirstEventAt >= kBegunTime) {
--- a/src/cactusgw/gateway/gateway_metrics.cpp
+++ b/src/cactusgw/gateway/gateway_metrics.cpp
@@ -101,6 +101,14 @@
       { "cactusgw_outlier_upstreams",
         "Upstreams that are ejected, as they fail more than others.",
         "" }))
+  , mPromptCacheHits(mRegistry.AddCounter(
+      { "cactusgw_prompt_cache_hits_total",
+        "Tokens of shared prompt parts that the upstream was expected to hold.",
+        "" }))
+  , mPromptCacheMisses(mRegistry.AddCounter(
+      { "cactusgw_prompt_cache_misses_total",
+        "Tokens of shared prompt parts that the upstream was expected to read.",
+        "" }))
   , mPauses(mRegistry.AddCounter(
       { "cactusgw_upstream_pauses_total",
         "Refusals by which an upstream asked for a pause, or a longer one.",
--- a/src/cactusgw/gateway/gateway_metrics.hpp
+++ b/src/cactusgw/gateway/gateway_metrics.hpp
@@ -47,6 +47,8 @@
   Counter& mRolloutOtherFailures;
   Gauge& mRolloutStage;
   Gauge& mOutlierUpstreams;
+  Counter& mPromptCacheHits;
+  Counter& mPromptCacheMisses;
   Counter& mPauses;
   Counter& mPausedRequests;
   Gauge& mPausedUpstreams;
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -61,6 +61,7 @@
   , mLimitPacer(LimitPacer::Create())
   , mRollouts(RolloutControl::Create(
       StableHash(mSettings.mPlace.mVm + " " + std::to_string(WallClockMs()))))
+  , mPromptCaches(PromptCacheIndex::Create())
   , mColdStartLimiter(ColdStartLimiter::Create())
   , mPauses(UpstreamPauses::Create())
   , mPool(UpstreamConnectionPool::Create())
@@ -166,6 +167,8 @@
     admitted =
       mRollouts.Admitted(aService.mName, aFilter.mSide, versions, aNow);
   }
+  const PreferredUpstreams preferred =
+    PreferredFor(aService, aFilter.mPromptPrefixes, aNow);
   // Decides by regions that the caller has derived, whatever their age.
   const SendGate gate = Gate(BootNow());
   for (const KnownUpstream* const known : mDirectory.Serving(aService.mName)) {
@@ -190,13 +193,79 @@
             load,
             DistanceBetween(aFilter.mFromDataCentre, record.mDataCentre),
             mHealth.FailurePenalty(record.mId, aNow),
-            TieBreakRank(mSettings.mPlace.mVm, record.mId) });
+            TieBreakRank(mSettings.mPlace.mVm, record.mId),
+            HeldTokens(aService, preferred, *known, load, aNow) });
     }
   }
   // An upstream that fails often is better than none.
   return candidates.empty() ? ejected : candidates;
 }
 
+PreferredUpstreams
+GatewayState::PreferredFor(const GatewayService& aService,
+                           std::span<const PromptPrefix> aPrefixes,
+                           Instant aNow) const
+{
+  if (!aService.mEngine || aPrefixes.size() < 2) {
+    return {};
+  }
+  // Distance costs more than a cache saves, so that the gateways of a region
+  // agree on upstreams of that region.
+  std::vector<std::string> near;
+  std::size_t all = 0;
+  for (const KnownUpstream* const known : mDirectory.Serving(aService.mName)) {
+    ++all;
+    if (DistanceBetween(mSettings.mPlace.mDataCentre,
+                        known->mRecord.mDataCentre) != Distance::OtherRegion) {
+      near.push_back(known->mRecord.mId);
+    }
+  }
+  // Gateways are assumed to be spread over regions as upstreams are.
+  const double gateways = all == 0 ? 0
+                                   : static_cast<double>(mKnownGateways - 1) *
+                                       static_cast<double>(near.size()) /
+                                       static_cast<double>(all);
+  return mPromptCaches.Preferred(aPrefixes, near, gateways, aNow);
+}
+
+double
+GatewayState::HeldTokens(const GatewayService& aService,
+                         const PreferredUpstreams& aPreferred,
+                         const KnownUpstream& aUpstream,
+                         const UpstreamLoad& aLoad,
+                         Instant aNow) const
+{
+  if (aPreferred.mLevels.empty()) {
+    return 0;
+  }
+  return mPromptCaches.HeldTokens(
+    aPreferred,
+    StartOf(aUpstream.mRecord),
+    { aService.mEngine->mMemoryTokens, aLoad.mTokens },
+    aNow);
+}
+
+std::uint64_t
+GatewayState::OnPromptSent(const GatewayService& aService,
+                           std::span<const PromptPrefix> aPrefixes,
+                           const KnownUpstream& aUpstream,
+                           const TokenNeed& aNeed,
+                           Instant aNow)
+{
+  if (aPrefixes.empty()) {
+    return 0;
+  }
+  const PreferredUpstreams preferred = PreferredFor(aService, aPrefixes, aNow);
+  UpstreamLoad load = mLoads.Total(aUpstream.mRecord.mId, aNow);
+  load -= { 1, aNeed.mTotal, aNeed.mPrompt, 0 };
+  const std::uint64_t held = static_cast<std::uint64_t>(
+    HeldTokens(aService, preferred, aUpstream, load, aNow));
+  mMetrics.mPromptCacheHits.Add(held);
+  mMetrics.mPromptCacheMisses.Add(aPrefixes.back().mTokens - held);
+  mPromptCaches.OnSent(aPrefixes, aNow);
+  return held;
+}
+
 bool
 GatewayState::IsEjected(const GatewayService& aService,
                         const std::string& aUpstream,
@@ -295,6 +364,7 @@
 GatewayState::SetGatewayCount(std::uint32_t aCount)
 {
   mGatewayCount = std::max(kMinGateways, aCount);
+  mKnownGateways = std::max<std::uint32_t>(1, aCount);
   mRollouts.SetSettings(SettingsOfRollouts());
 }
 
@@ -393,6 +463,7 @@
 GatewayState::Forget(const std::string& aUpstream)
 {
   mHealth.Forget(aUpstream);
+  mPromptCaches.Forget(aUpstream);
   mColdStartLimiter.Forget(aUpstream);
   mPool.Forget(aUpstream);
 }
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -8,6 +8,7 @@
 #include "cactusgw/core/crash_evidence.hpp"
 #include "cactusgw/core/limit_pacer.hpp"
 #include "cactusgw/core/outlier_detector.hpp"
+#include "cactusgw/core/prompt_cache_index.hpp"
 #include "cactusgw/core/request_crashes.hpp"
 #include "cactusgw/core/stated_limits.hpp"
 #include "cactusgw/gateway/cold_start_limiter.hpp"
@@ -57,6 +58,9 @@
   bool mIsWaiting = false;
   /// The versions that a roll-out leaves to the request; empty for any.
   std::optional<RolloutSide> mSide;
+  /// Prefixes of the prompt that upstreams may hold; empty for plain services
+  /// and for migrated generations, whose memory is copied.
+  std::span<const PromptPrefix> mPromptPrefixes;
 };
 
 /// Not thread-safe; one instance per process.
@@ -95,6 +99,15 @@
   /// upstream.
   void OnSent(const KnownUpstream& aUpstream, Instant aNow);
 
+  /// Counts a request in the load of its prompt's parts, and the tokens that its
+  /// upstream is expected to hold. Returns their number.
+  /// @param aNeed already included in the load of the upstream
+  std::uint64_t OnPromptSent(const GatewayService& aService,
+                             std::span<const PromptPrefix> aPrefixes,
+                             const KnownUpstream& aUpstream,
+                             const TokenNeed& aNeed,
+                             Instant aNow);
+
   /// Counts a request towards the limit that its upstream states. Called as
   /// soon as the upstream is selected, so that no other request takes the same
   /// place.
@@ -147,6 +160,7 @@
   StatedLimits mStatedLimits;
   LimitPacer mLimitPacer;
   RolloutControl mRollouts;
+  PromptCacheIndex mPromptCaches;
   ColdStartLimiter mColdStartLimiter;
   UpstreamPauses mPauses;
   UpstreamConnectionPool mPool;
@@ -161,6 +175,9 @@
   std::shared_ptr<std::set<GatewayCall*>> mCalls =
     std::make_shared<std::set<GatewayCall*>>();
   std::uint32_t mGatewayCount = kMinGateways;
+  /// Gateways that are known, this one included; may be less than
+  /// mGatewayCount.
+  std::uint32_t mKnownGateways = 1;
   /// Position of this gateway among all, ordered by name.
   std::uint32_t mGatewayRank = 0;
   /// Memory of requests and responses in progress. Shared with them, as they
@@ -171,6 +188,15 @@
   DecisionLog mLog;
 
 private:
+  /// The upstreams near this gateway that requests with this prompt prefer.
+  PreferredUpstreams PreferredFor(const GatewayService& aService,
+                                  std::span<const PromptPrefix> aPrefixes,
+                                  Instant aNow) const;
+  double HeldTokens(const GatewayService& aService,
+                    const PreferredUpstreams& aPreferred,
+                    const KnownUpstream& aUpstream,
+                    const UpstreamLoad& aLoad,
+                    Instant aNow) const;
   /// Whether an upstream may be selected, as far as its responses tell.
   bool IsEjected(const GatewayService& aService,
                  const std::string& aUpstream,
--- a/src/cactusgw/gateway/generation_migrator.cpp
+++ b/src/cactusgw/gateway/generation_migrator.cpp
@@ -236,7 +236,8 @@
                                 aIdentity.mDataCentre,
                                 false,
                                 mState.mRollouts.SideOfRetry(
-                                  aIdentity.mService) };
+                                  aIdentity.mService),
+                                {} };
   std::vector<Candidate> candidates =
     mState.Candidates(*service, filter, SteadyNow());
   // A copy to another region takes minutes and delays those queued behind it.
--- a/src/cactusgw/gateway/message_headers.cpp
+++ b/src/cactusgw/gateway/message_headers.cpp
@@ -8,12 +8,17 @@
 #include <charconv>
 #include <cmath>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cactusgw {
 
 namespace {
 
+/// Upper bound of a stated number of tokens: counts of all requests in progress
+/// and of all parts of a prompt are added up.
+constexpr std::uint64_t kMaxTokens = std::uint64_t{ 1 } << 40U;
+
 constexpr std::array<std::string_view, 9> kHopByHopHeaders{
   "Connection",
   "Keep-Alive",
@@ -26,6 +31,16 @@
   "Upgrade"
 };
 
+std::string_view
+Trimmed(std::string_view aText)
+{
+  const std::size_t first = aText.find_first_not_of(' ');
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(first, aText.find_last_not_of(' ') - first + 1);
+}
+
 beast::string_view
 ToBeastView(std::string_view aText)
 {
@@ -124,18 +139,21 @@
   return number;
 }
 
-std::vector<std::string>
-ParseSharedParts(std::string_view aText)
+std::vector<PromptPart>
+ParsePromptParts(std::string_view aText)
 {
-  std::vector<std::string> parts;
+  std::vector<PromptPart> parts;
   std::size_t comma = aText.find(',');
   while (comma != std::string_view::npos && parts.size() < kMaxPromptParts) {
     const std::string_view entry = aText.substr(0, comma);
-    const std::string_view id = entry.substr(0, entry.find(':'));
-    const std::size_t first = id.find_first_not_of(' ');
-    if (first != std::string_view::npos) {
-      const std::size_t last = id.find_last_not_of(' ');
-      parts.emplace_back(id.substr(first, last - first + 1));
+    const std::size_t colon = entry.find(':');
+    const std::string_view id = Trimmed(entry.substr(0, colon));
+    if (!id.empty()) {
+      const std::string_view count =
+        colon == std::string_view::npos ? "" : entry.substr(colon + 1);
+      parts.push_back(
+        { std::string{ id },
+          std::min(ParseNumber(Trimmed(count)).value_or(0), kMaxTokens) });
     }
     aText.remove_prefix(comma + 1);
     comma = aText.find(',');
@@ -143,6 +161,16 @@
   return parts;
 }
 
+std::vector<std::string>
+ParseSharedParts(std::string_view aText)
+{
+  std::vector<std::string> ids;
+  for (PromptPart& part : ParsePromptParts(aText)) {
+    ids.push_back(std::move(part.mId));
+  }
+  return ids;
+}
+
 std::string
 JoinParts(std::span<const std::string> aParts)
 {
@@ -196,8 +224,6 @@
   if (!prompt || !output) {
     return std::nullopt;
   }
-  // Counts of all requests in progress are added up.
-  constexpr std::uint64_t kMaxTokens = std::uint64_t{ 1 } << 40U;
   return TokenCounts{ std::min(*prompt, kMaxTokens),
                       std::min(*output, kMaxTokens) };
 }
--- a/src/cactusgw/gateway/message_headers.hpp
+++ b/src/cactusgw/gateway/message_headers.hpp
@@ -4,6 +4,7 @@
 /// Selects the headers that are forwarded from clients to upstreams and back,
 /// and parses header values.
 
+#include "cactusgw/core/prompt_cache_index.hpp"
 #include "cactusgw/core/verdict.hpp"
 #include "cactusgw/gateway/header_names.hpp"
 #include "cactusgw/net/http_types.hpp"
@@ -49,6 +50,10 @@
 /// left out.
 std::vector<std::string> ParseSharedParts(std::string_view aText);
 
+/// Parses the same parts with their token counts. A malformed count is zero, and
+/// one beyond that of any prompt is lowered.
+std::vector<PromptPart> ParsePromptParts(std::string_view aText);
+
 /// Lists the first parts of a prompt for a log line.
 std::string JoinParts(std::span<const std::string> aParts);
 
--- a/src/cactusgw/gateway/upstream_choice.hpp
+++ b/src/cactusgw/gateway/upstream_choice.hpp
@@ -34,6 +34,9 @@
   /// Between zero and one; differs from gateway to gateway. Keeps gateways that
   /// see the same load from all selecting the same upstream.
   double mTieBreakRank = 0;
+  /// Expected number of the prompt's first tokens that the upstream still holds,
+  /// from PromptCacheIndex.
+  double mHeldTokens = 0;
 };
 
 /// Tokens of engine memory that a request needs; zero for plain services.
--- a/src/cactusgw/gateway/upstream_selector.cpp
+++ b/src/cactusgw/gateway/upstream_selector.cpp
@@ -81,7 +81,8 @@
                           aTried,
                           mState.mSettings.mPlace.mDataCentre,
                           mWaitEntry != nullptr,
-                          aRequest.mSide };
+                          aRequest.mSide,
+                          aRequest.mPromptPrefixes };
   const GatewayService& service = *aRequest.mService;
   std::vector<Candidate> candidates =
     mState.Candidates(service, filter, SteadyNow());
--- a/tests/gateway/gateway_core_test.cpp
+++ b/tests/gateway/gateway_core_test.cpp
@@ -411,6 +411,23 @@
   EXPECT_THAT(ParseSharedParts(",:5, 7 ,x"), ElementsAre("7"));
 }
 
+// Sums of counts that clients state must not overflow.
+TEST(MessageHeadersTest, PromptPartsKeepTheirTokenCounts)
+{
+  const auto tokens = [](std::string_view aText) {
+    std::vector<std::uint64_t> counts;
+    for (const PromptPart& part : ParsePromptParts(aText)) {
+      counts.push_back(part.mTokens);
+    }
+    return counts;
+  };
+  EXPECT_THAT(tokens("5c1e:800,91bd: 410 , e440:250"), ElementsAre(800, 410));
+  EXPECT_THAT(tokens("a:18446744073709551615,b:99999999999999999999,c"),
+              ElementsAre(std::uint64_t{ 1 } << 40U, 0));
+  EXPECT_THAT(tokens("a,b:,c:-5,d:5x,e:1:2,f"), ElementsAre(0, 0, 0, 0, 0));
+  EXPECT_THAT(ParsePromptParts("5c1e:800"), IsEmpty());
+}
+
 TEST(MessageHeadersTest, DecimalsAreReadStrictly)
 {
   EXPECT_EQ(ParseDecimal("5.4"), 5.4);
