--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -392,6 +392,13 @@
   mRollout.OnSent(aUpstream.mRecord.mVersion, now);
   mTrial =
     mState.mRequestCrashes.BeginTrial(mAdmitted.mOrigin.mFingerprint, now);
+  const std::uint64_t heldTokens =
+    mContinuation ? 0
+                  : mState.OnPromptSent(*mAdmitted.mService,
+                                        mAdmitted.mPromptPrefixes,
+                                        aUpstream,
+                                        mAdmitted.mTokenNeed,
+                                        now);
   mSentAt = now;
   ++mAttempts;
   mState.mLog.Write(
@@ -410,6 +417,7 @@
       { "parts", JoinParts(mAdmitted.mOrigin.mSharedParts) },
       { "fingerprint", ToString(mAdmitted.mOrigin.mFingerprint) },
       { "crashes", KnownCrashes() },
+      { "heldTokens", static_cast<std::int64_t>(heldTokens) },
       { "afterMs", Elapsed().count() } },
     now);
   ChooseBackupFor(aUpstream.mRecord);
@@ -809,6 +817,11 @@
 GatewayCall::OnEventsRelayed()
 {
   const Instant now = SteadyNow();
+  if (!mFirstEventAt && !mContinuation) {
+    const UpstreamTarget& upstream = mConnection->Target();
+    mState.mPromptCaches.OnRead(
+      mAdmitted.mPromptPrefixes, { upstream.mId, upstream.mStartedMs }, now);
+  }
   mFirstEventAt = mFirstEventAt.value_or(now);
   mRollout.OnEvents(now);
   if (now - *mFirstEventAt >= kBegunTime) {
