--- a/src/cactusgw/config/process_settings.cpp
+++ b/src/cactusgw/config/process_settings.cpp
@@ -15,6 +15,7 @@
                                                       "warn",
                                                       "error" };
 constexpr IntegerRange kTimeRange{ 10, 3'600'000 };
+constexpr NumberRange kMemoryRange{ 1, 1e7 };
 
 Milliseconds
 TimeOr(ObjectReader& aReader, std::string_view aStem, std::int64_t aDefault)
@@ -161,6 +162,8 @@
     settings.mListen = aReader.Address("listen");
     settings.mAgent = aReader.Address("agent");
     settings.mOperator = ReadOperator(aReader);
+    settings.mMemoryMb =
+      aReader.NumberOr("memoryMb", kMemoryRange, settings.mMemoryMb);
     settings.mLog = ReadLog(aReader);
     settings.mUnreadyTime = TimeOr(aReader, "unready", 3000);
     settings.mStopTime = TimeOr(aReader, "stop", 620'000);
@@ -174,7 +177,6 @@
   return ReadSettings<GatewaySettings>(aText, aFile, [](ObjectReader& aReader) {
     constexpr NumberRange kCapacityRange{ 0, 1000 };
     constexpr NumberRange kLinkRange{ 0.1, 1e6 };
-    constexpr NumberRange kMemoryRange{ 1, 1e7 };
     GatewaySettings settings;
     settings.mPlace = ReadPlace(aReader);
     settings.mRegions = ReadRegions(aReader);
--- a/src/cactusgw/config/process_settings.hpp
+++ b/src/cactusgw/config/process_settings.hpp
@@ -55,6 +55,8 @@
   /// The agent of the same VM.
   std::string mAgent;
   OperatorSettings mOperator;
+  /// Memory that this process may use, in units of 2^20 bytes.
+  double mMemoryMb = 100;
   LogSettings mLog;
   /// How long a stopping entry still accepts, while it is unready.
   Milliseconds mUnreadyTime{ 0 };
--- a/src/cactusgw/entry/entry.cpp
+++ b/src/cactusgw/entry/entry.cpp
@@ -30,6 +30,8 @@
 
 constexpr std::string_view kServicePrefix = "/v1/services/";
 constexpr std::size_t kMaxKeyBytes = 255;
+/// Time after which a body that did not fit may fit.
+constexpr Milliseconds kMemoryRetryAfter{ 1000 };
 
 HttpServerLimits
 ToServerLimits(const LimitsConfig& aLimits)
@@ -43,6 +45,14 @@
   return limits;
 }
 
+std::shared_ptr<ByteBudget>
+BudgetOf(const EntrySettings& aSettings)
+{
+  constexpr double kBytesPerMb = 1024.0 * 1024.0;
+  return ByteBudget::Create(ByteBudgetSizes::ForProcess(
+    static_cast<std::size_t>(aSettings.mMemoryMb * kBytesPerMb)));
+}
+
 /// The service's name and the target as the service sees it.
 PlainRequest
 ToPlainRequest(const HttpExchange& aExchange)
@@ -71,6 +81,7 @@
 Entry::Entry(net::io_context& aContext, EntrySettings aSettings)
   : mContext(aContext)
   , mSettings(std::move(aSettings))
+  , mMemory(BudgetOf(mSettings))
   , mZmq(1)
   , mRecorder("entry/" + mSettings.mPlace.mVm)
   , mLog("entry")
@@ -104,7 +115,11 @@
     mContext,
     mSettings.mListen,
     [this] { return Limits(); },
-    [this](HttpExchange& aExchange) { return HandleCaller(aExchange); });
+    [this](HttpExchange& aExchange) { return HandleCaller(aExchange); },
+    { mMemory, [this](const HttpRequest&, const Failure& aFailure) {
+       mMetrics.CountRequest();
+       ReportRefusal(aFailure);
+     } });
   if (!server) {
     return server.error();
   }
@@ -166,6 +181,15 @@
   return scope;
 }
 
+void
+Entry::ReportRefusal(const Failure& aFailure)
+{
+  mMetrics.CountFailure(aFailure);
+  mLog.Warn("event=refused verdict=not-run detail=\"" + aFailure.mDetail +
+            "\" usedBytes=" + std::to_string(mMemory->Used()) +
+            " capacityBytes=" + std::to_string(mMemory->Capacity()));
+}
+
 Task<void>
 Entry::HandleCaller(HttpExchange& aExchange)
 {
@@ -191,6 +215,17 @@
   mRecorder.Record(EventKind::RequestReceived,
                    scope.value().mRequestId,
                    scope.value().mWorkspace);
+  // A body is copied once to be parsed or kept for retries, and once to be sent.
+  constexpr std::size_t kCopies = 2;
+  ByteReservation copies{ mMemory };
+  if (!copies.TryGrowTo(kCopies * aExchange.Request().body().size())) {
+    const Failure failure = NotRun(FailureCode::OutOfMemory,
+                                   "the memory for requests is used up",
+                                   kMemoryRetryAfter);
+    ReportRefusal(failure);
+    co_await aExchange.Reply(ProblemResponse(failure));
+    co_return;
+  }
   co_await Route(aExchange, scope.value());
 }
 
--- a/src/cactusgw/entry/entry.hpp
+++ b/src/cactusgw/entry/entry.hpp
@@ -4,6 +4,7 @@
 /// The entry of a VM: serves callers.
 
 #include "cactusgw/config/process_settings.hpp"
+#include "cactusgw/core/byte_budget.hpp"
 #include "cactusgw/entry/agent_link.hpp"
 #include "cactusgw/entry/entry_context.hpp"
 #include "cactusgw/entry/entry_metrics.hpp"
@@ -36,6 +37,8 @@
   Entry(boost::asio::io_context& aContext, EntrySettings aSettings);
   Result<void> Listen();
   HttpServerLimits Limits() const;
+  /// Counts and logs a request that does not fit into the memory.
+  void ReportRefusal(const Failure& aFailure);
   Task<void> HandleCaller(HttpExchange& aExchange);
   Task<void> Route(HttpExchange& aExchange, const RequestScope& aScope);
   Result<RequestScope> Recognise(const HttpExchange& aExchange);
@@ -52,6 +55,8 @@
 
   boost::asio::io_context& mContext;
   EntrySettings mSettings;
+  /// Bounds the bodies of requests in progress together.
+  std::shared_ptr<ByteBudget> mMemory;
   zmq::context_t mZmq;
   EventRecorder mRecorder;
   EntryMetrics mMetrics;
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -524,6 +524,7 @@
                           { "listen", vm.mListen },
                           { "agent", vm.mEntryPort },
                           { "unreadyMs", 300 },
+                          { "memoryMb", mEntryMemoryMb },
                           { "operator",
                             json::object{ { "listen", vm.mEntryOperator },
                                           { "token", kToken } } } });
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -83,6 +83,9 @@
   /// Sets how long requests may wait for admission.
   void SetQueueMs(std::int64_t aQueueMs) { mQueueMs = aQueueMs; }
 
+  /// Sets the memory of entries, in units of 2^20 bytes; call before Start.
+  void SetEntryMemoryMb(std::int64_t aMemoryMb) { mEntryMemoryMb = aMemoryMb; }
+
   void StartEngine(const std::string& aName);
   void StartAgent(const std::string& aVm);
   void StartEntry(const std::string& aVm);
@@ -149,6 +152,7 @@
   std::map<std::string, EnginePorts> mEngines;
   boost::json::object mLimits;
   std::size_t mEnginesPerProcess = 1;
+  std::int64_t mEntryMemoryMb = 100;
   std::int64_t mQueueMs = 20'000;
   std::string mOverflow = "none";
   std::vector<std::string> mHomes;
