--- a/tests/system/hostile_clients_test.cpp
+++ b/tests/system/hostile_clients_test.cpp
@@ -348,6 +348,7 @@
   {
     mCluster.AddEngine("plain-1", "dc-1");
     mCluster.AddVm("vm-1", "dc-1");
+    mCluster.SetEntryMemoryMb(kMemoryMb);
     mCluster.SetLimit("maxBodyBytes", kBodyBytes);
     mCluster.Start();
     EXPECT_TRUE(mCluster.WaitForCredits("vm-1"));
