Backups: count a broken stream for shared health and roll-outs

A stream that a backup continues was broken off by its upstream all the same; a version that breaks its streams must not look sound because of it.

--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -484,7 +484,8 @@
     co_return false;
   }
   if (CanContinueAtBackup()) {
-    mState.OnResponse(mUpstream, true, SteadyNow());
+    mState.OnResponse({ mUpstream, mStartedMs }, true, SteadyNow());
+    mRollout.OnBroken();
     mState.mMigrator->StopForBackup(mGeneration);
   }
   if (mGeneration->ContinuesAtBackup()) {
