--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -514,9 +514,9 @@
   if (!regions) {
     return;
   }
-  const CandidateFilter filter{
-    regions.value(), {}, aUpstream.mDataCentre, false, mAdmitted.mSide
-  };
+  const CandidateFilter filter{ regions.value(),       {},
+                                aUpstream.mDataCentre, false,
+                                mAdmitted.mSide,       {} };
   const std::vector<Candidate> candidates =
     mState.Candidates(service, filter, SteadyNow());
   const Candidate* const chosen =
