--- a/src/cactusgw/gateway/generation_migrator.cpp
+++ b/src/cactusgw/gateway/generation_migrator.cpp
@@ -283,7 +283,7 @@
 
 void
 GenerationMigrator::StopForBackup(
-  std::shared_ptr<MigratableGeneration> aGeneration)
+  const std::shared_ptr<MigratableGeneration>& aGeneration)
 {
   const KnownUpstream* const target = UsableBackup(*aGeneration);
   if (target == nullptr) {
--- a/src/cactusgw/gateway/generation_migrator.hpp
+++ b/src/cactusgw/gateway/generation_migrator.hpp
@@ -44,7 +44,7 @@
   /// Stops a generation whose backup is to continue it; returns at once. The
   /// order makes sure that the source doesn't go on, also if only its
   /// connection has broken.
-  void StopForBackup(std::shared_ptr<MigratableGeneration> aGeneration);
+  void StopForBackup(const std::shared_ptr<MigratableGeneration>& aGeneration);
   /// Frees a copy from which no call will continue.
   void Free(const Continuation& aContinuation);
 
