--- a/src/cactusgw/entry/entry.cpp
+++ b/src/cactusgw/entry/entry.cpp
@@ -215,7 +215,8 @@
   mRecorder.Record(EventKind::RequestReceived,
                    scope.value().mRequestId,
                    scope.value().mWorkspace);
-  // A body is copied once to be parsed or kept for retries, and once to be sent.
+  // A body is copied once to be parsed or kept for retries, and once to be
+  // sent.
   constexpr std::size_t kCopies = 2;
   ByteReservation copies{ mMemory };
   if (!copies.TryGrowTo(kCopies * aExchange.Request().body().size())) {
--- a/src/cactusgw/gateway/relay_selector.hpp
+++ b/src/cactusgw/gateway/relay_selector.hpp
@@ -32,8 +32,9 @@
 {
 public:
   /// Number of gateways up to which all others of a data centre select the
-  /// first one. It has the fastest link; with a level of smaller gateways between,
-  /// a configuration of 2,000 routes took longer than it may to be in force.
+  /// first one. It has the fastest link; with a level of smaller gateways
+  /// between, a configuration of 2,000 routes took longer than it may to be in
+  /// force.
   static constexpr std::size_t kMaxDirectChildren = 24;
   /// Backoff after a request to a gateway timed out. It doubles with each
   /// timeout up to the maximum; any message from that gateway ends it.
