--- a/src/cactusgw/gateway/generation_migrator.cpp
+++ b/src/cactusgw/gateway/generation_migrator.cpp
@@ -289,7 +289,7 @@
   if (target == nullptr) {
     return;
   }
-  aGeneration->SetState(GenerationState::Stopping);
+  aGeneration->StopForBackup();
   SpawnTask(mContext.get_executor(),
             "stop-for-backup",
             StopAtSource(aGeneration, *target));
--- a/src/cactusgw/gateway/migratable_generation.cpp
+++ b/src/cactusgw/gateway/migratable_generation.cpp
@@ -9,6 +9,9 @@
 MigratableGeneration::SetState(GenerationState aState)
 {
   mState = aState;
+  if (aState == GenerationState::Running) {
+    mIsLeftToBackup = false; // The order to stop has failed.
+  }
   mChanged.cancel();
 }
 
--- a/src/cactusgw/gateway/migratable_generation.hpp
+++ b/src/cactusgw/gateway/migratable_generation.hpp
@@ -78,10 +78,18 @@
   /// upstream had no room.
   void SetBackup(Continuation aBackup) { mBackup = std::move(aBackup); }
   const std::optional<Continuation>& Backup() const { return mBackup; }
+  /// Stops the generation so that its backup continues it. The call needn't
+  /// wait for the reply.
+  void StopForBackup()
+  {
+    mIsLeftToBackup = true;
+    SetState(GenerationState::Stopping);
+  }
   /// Whether the call may continue at the backup while the stop is in progress.
+  /// A stop for another target doesn't count: the backup may be unusable.
   bool ContinuesAtBackup() const
   {
-    return mState == GenerationState::Stopping && mBackup.has_value();
+    return mState == GenerationState::Stopping && mIsLeftToBackup;
   }
   /// Valid once the generation has stopped.
   const Continuation& Next() const { return mNext; }
@@ -98,6 +106,7 @@
   Continuation mNext;
   std::optional<Continuation> mCopy;
   std::optional<Continuation> mBackup;
+  bool mIsLeftToBackup = false;
 };
 
 } // namespace cactusgw
