--- a/tests/gateway/backup_test.cpp
+++ b/tests/gateway/backup_test.cpp
@@ -61,6 +61,12 @@
     };
     AddUpstream("a", "engine", either);
     AddUpstream("b", "engine", either);
+    // The call must not wait for the reply to the order to stop.
+    mControl.mCopy = [this](CopyOrder aOrder) -> Task<CopyReply> {
+      mCopies.push_back(std::move(aOrder));
+      co_await Until([this] { return !BackupUpstream().Requests().empty(); });
+      co_return CopyReply{ CopyOutcome::Copied, "handle" };
+    };
     StartGateway();
     Configure(2, [](GatewayConfig& aConfig) {
       aConfig.mServices[1].mEngine->mCanBackUp = true;
