--- a/src/cactusgw/gateway/relay_selector.cpp
+++ b/src/cactusgw/gateway/relay_selector.cpp
@@ -124,10 +124,16 @@
 std::optional<std::string>
 RelaySelector::Relay(Instant aNow) const
 {
-  const std::optional<std::string> relay = Select([&](const Peer& aPeer) {
+  const std::optional<std::string> relay = SelectInDataCentre(aNow);
+  return relay ? relay : SelectInRegion(aNow);
+}
+
+std::optional<std::string>
+RelaySelector::SelectInDataCentre(Instant aNow) const
+{
+  return Select([&](const Peer& aPeer) {
     return aPeer.mBackoffUntil <= aNow && aPeer.mStoreLostUntil <= aNow;
   });
-  return relay ? relay : SelectInRegion(aNow);
 }
 
 std::optional<std::string>
@@ -171,7 +177,9 @@
   if (!mPeersListedAt) {
     return aNow - *mStartedAt < kMaxDiscoveryTime;
   }
-  const Milliseconds wait = Relay(aNow)      ? kFirstResponseTime
+  // The reader of the region may have started at the same time, and a data
+  // centre that waits for it refuses requests meanwhile.
+  const Milliseconds wait = SelectInDataCentre(aNow) ? kFirstResponseTime
                             : mPeers.empty() ? kSettleTime + kSecondListTime
                                              : Milliseconds::zero();
   return aNow - *mPeersListedAt < wait;
--- a/src/cactusgw/gateway/relay_selector.hpp
+++ b/src/cactusgw/gateway/relay_selector.hpp
@@ -126,6 +126,8 @@
   {
   }
   Peer* Find(std::string_view aName);
+  /// The relay among the gateways of this data centre.
+  std::optional<std::string> SelectInDataCentre(Instant aNow) const;
   /// The first gateway of the region's data centres that come before this one.
   std::optional<std::string> SelectInRegion(Instant aNow) const;
   template<typename Condition>
--- a/tests/gateway/store_sharing_test.cpp
+++ b/tests/gateway/store_sharing_test.cpp
@@ -356,6 +356,20 @@
   EXPECT_EQ(selector.Relay(At(1100)), "a1");
 }
 
+/// Guards against requests that are refused for want of a configuration after a
+/// common start, while a data centre waits for another one.
+TEST(RelaySelectorTest, AfterTheStartADataCentreDoesNotWaitForAnotherOne)
+{
+  const std::set<std::string> region{ "dc-a", "dc-b", "dc-c" };
+  RelaySelector selector =
+    RelaySelector::Create(PeerIn("dc-b", "b1", 1), region);
+  selector.OnStarted(At(0));
+  selector.SetPeer(PeerIn("dc-a", "a1", 1));
+  selector.SetPeer(PeerIn("dc-b", "b2", 0.5));
+  selector.OnPeersListed(At(100));
+  EXPECT_TRUE(selector.ShouldRead(At(100)));
+}
+
 TEST(RelaySelectorTest, EachDataCentreOfASmallRegionReadsItself)
 {
   RelaySelector selector =
