--- a/src/cactusgw/gateway/backup_choice.cpp
+++ b/src/cactusgw/gateway/backup_choice.cpp
@@ -9,8 +9,7 @@
 /// Output from which a generation is replicated: it takes more than a second.
 constexpr std::uint64_t kMinOutputTokens = 128;
 /// Part of an engine's memory up to which it takes backups. The rest stays free
-/// for requests, which are worth more than backups: at 0.5, four times as many
-/// requests were refused for want of room.
+/// for requests, which are worth more than backups.
 constexpr double kMaxMemoryFraction = 0.25;
 /// The same for its slots.
 constexpr double kMaxSlotFraction = 0.5;
