--- a/src/cactusgw/gateway/store_relay.cpp
+++ b/src/cactusgw/gateway/store_relay.cpp
@@ -181,6 +181,12 @@
          mState.mFreshness.HasContact(kMaxContactAge, BootNow());
 }
 
+std::uint64_t
+StoreRelay::AppliedVersion() const
+{
+  return mState.mTable ? mState.mTable->Config().mVersion : 0;
+}
+
 bool
 StoreRelay::RespondIfDue(const HeldRequest& aHeld, Instant aNow)
 {
@@ -198,6 +204,7 @@
   answer->set_id(aHeld.mId);
   answer->set_in_contact(isInContact);
   answer->set_era(mView.Era());
+  answer->set_config_version(AppliedVersion());
   answer->set_held_ms(static_cast<std::uint32_t>(held.count()));
   answer->set_no_config(!mState.mFreshness.IsKnown());
   answer->set_age_ms(
@@ -219,7 +226,15 @@
                        const wire::StoreAnswer& aAnswer)
 {
   if (!mPending || mPending->mId != aAnswer.id()) {
-    return; // The request has timed out or was replaced.
+    // The request has timed out or was replaced.
+    mState.mLog.Write(
+      "store-relay-late",
+      { { "relay", aPeer },
+        { "bytes", static_cast<std::int64_t>(aAnswer.ByteSizeLong()) },
+        { "heldMs", static_cast<std::int64_t>(aAnswer.held_ms()) },
+        { "outstanding", static_cast<std::int64_t>(mLastId - aAnswer.id()) } },
+      SteadyNow());
+    return;
   }
   const PendingRequest request = *std::exchange(mPending, std::nullopt);
   const Instant now = SteadyNow();
@@ -247,6 +262,15 @@
   // held_ms.
   const BootTime heldUntil = std::min(
     BootNow(), request.mSentAtBoot + Milliseconds{ aAnswer.held_ms() });
+  if (aAnswer.config_version() > AppliedVersion()) {
+    mState.mLog.Write(
+      "config-behind-relay",
+      { { "relay", aPeer },
+        { "applied", static_cast<std::int64_t>(AppliedVersion()) },
+        { "relayApplies",
+          static_cast<std::int64_t>(aAnswer.config_version()) } },
+      now);
+  }
   if (aAnswer.no_config()) {
     mState.mFreshness.OnMissing(heldUntil);
   } else {
--- a/src/cactusgw/gateway/store_relay.hpp
+++ b/src/cactusgw/gateway/store_relay.hpp
@@ -99,6 +99,8 @@
                  const wire::StoreQuestion& aQuestion);
   void OnResponse(const std::string& aPeer, const wire::StoreAnswer& aAnswer);
   bool RespondIfDue(const HeldRequest& aHeld, Instant aNow);
+  /// The version of the configuration in use here; zero if there is none.
+  std::uint64_t AppliedVersion() const;
 
   GatewayState& mState;
   StoreView& mView;
