--- a/tests/standins/link_relay.cpp
+++ b/tests/standins/link_relay.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -73,6 +74,22 @@
   net::co_spawn(mContext, Copy(far, near, generation), net::detached);
 }
 
+Task<void>
+LinkRelay::Pace(std::size_t aBytes)
+{
+  using Clock = std::chrono::steady_clock;
+  const std::uint64_t rate = mBytesPerSecond;
+  if (rate == 0) {
+    co_return;
+  }
+  const std::chrono::duration<double> time{ static_cast<double>(aBytes) /
+                                            static_cast<double>(rate) };
+  mBusyUntil = std::max(mBusyUntil, Clock::now()) +
+               std::chrono::duration_cast<Clock::duration>(time);
+  net::steady_timer timer{ mContext, mBusyUntil };
+  co_await timer.async_wait(net::use_awaitable);
+}
+
 Task<void>
 LinkRelay::Copy(std::shared_ptr<tcp::socket> aFrom,
                 std::shared_ptr<tcp::socket> aTo,
@@ -88,6 +105,7 @@
       timer.expires_after(kCutPause);
       co_await timer.async_wait(net::use_awaitable);
     }
+    co_await Pace(n);
     if (!ec) {
       co_await net::async_write(*aTo,
                                 net::buffer(buf.data(), n),
--- a/tests/standins/link_relay.hpp
+++ b/tests/standins/link_relay.hpp
@@ -10,6 +10,8 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -33,6 +35,9 @@
   /// Nothing passes while cut, on old connections and new ones; connections
   /// stay open and silent.
   void SetCut(bool aCut) { mCut = aCut; }
+  /// Limits what passes in both directions and on all connections together;
+  /// zero means no limit.
+  void SetBytesPerSecond(std::uint64_t aRate) { mBytesPerSecond = aRate; }
   /// Connections open now fall silent for good; new ones work.
   void ForgetOpenConnections() { ++mGeneration; }
 
@@ -43,10 +48,16 @@
                   std::shared_ptr<net::ip::tcp::socket> aTo,
                   std::uint64_t aGeneration);
 
+  /// Waits for as long as the link needs for this many bytes.
+  Task<void> Pace(std::size_t aBytes);
+
   std::string mTarget;
   net::io_context mContext;
   net::ip::tcp::acceptor mAcceptor;
   std::atomic<bool> mCut = false;
+  std::atomic<std::uint64_t> mBytesPerSecond = 0;
+  /// When everything that was accepted so far has passed.
+  std::chrono::steady_clock::time_point mBusyUntil;
   std::atomic<std::uint64_t> mGeneration = 0;
   std::thread mThread;
 };
