Relay: pass large updates on in compressed parts

Callers saw 404 and 503 from three seconds after a change of some 900 KB: a gateway with a link of 10 Mbit/s got it from its relay in one message, which took longer than the second after which a poll times out. The response was dropped, the poll began again, and the gateway read the same document from the store meanwhile; both shared the link and neither ended. The class of fault: time limits that don't grow with what is transferred, and retries from the beginning.

The receiver names the update by a hash and asks for the next part at once, at any relay that has the same one; a part that arrives late counts too. While parts arrive the relay counts as being in contact, so nobody turns to the store. A response confirms the configuration only if the receiver applies the version of its sender. Gateways of earlier releases get whole updates as before.

--- a/src/cactusgw/gateway/store_freshness.cpp
+++ b/src/cactusgw/gateway/store_freshness.cpp
@@ -46,6 +46,9 @@
 bool
 StoreFreshness::HasContact(Milliseconds aMaxAge, BootTime aNow) const
 {
+  if (mContactAsOf && aNow - *mContactAsOf < aMaxAge) {
+    return true;
+  }
   return mIsKnown ? aNow - mAsOf < aMaxAge
                   : mMissingAsOf && aNow - *mMissingAsOf < aMaxAge;
 }
--- a/src/cactusgw/gateway/store_freshness.hpp
+++ b/src/cactusgw/gateway/store_freshness.hpp
@@ -45,6 +45,9 @@
   bool IsStoreBehind() const { return mReadVersion < mNewestVersion; }
   /// Records that the store had no configuration yet at this time.
   void OnMissing(BootTime aAsOf) { mMissingAsOf = aAsOf; }
+  /// Records that the store was heard of at this time, while the latest
+  /// configuration is still being received.
+  void OnContact(BootTime aAsOf) { mContactAsOf = aAsOf; }
   /// Whether the store has been heard of within this time, by the latest
   /// configuration or by the lack of any.
   bool HasContact(Milliseconds aMaxAge, BootTime aNow) const;
@@ -73,6 +76,7 @@
   bool mIsUsable = true;
   BootTime mAsOf{ 0 };
   std::optional<BootTime> mMissingAsOf;
+  std::optional<BootTime> mContactAsOf;
   std::uint64_t mReadVersion = 0;
   std::uint64_t mNewestVersion = 0;
 };
--- a/src/cactusgw/gateway/store_relay.cpp
+++ b/src/cactusgw/gateway/store_relay.cpp
@@ -53,6 +53,26 @@
   }
 }
 
+void
+Encode(const UpdatePart& aPart, wire::UpdatePart& aMessage)
+{
+  aMessage.set_digest(aPart.mPosition.mDigest);
+  aMessage.set_offset(static_cast<std::uint32_t>(aPart.mPosition.mOffset));
+  aMessage.set_packed_bytes(static_cast<std::uint32_t>(aPart.mPackedBytes));
+  aMessage.set_plain_bytes(static_cast<std::uint32_t>(aPart.mPlainBytes));
+  aMessage.set_content(std::string{ aPart.mContent });
+}
+
+/// The result refers to the message.
+UpdatePart
+Decode(const wire::UpdatePart& aMessage)
+{
+  return { { aMessage.digest(), aMessage.offset() },
+           aMessage.packed_bytes(),
+           aMessage.plain_bytes(),
+           aMessage.content() };
+}
+
 GatewayPeer
 SelfOf(const GatewaySettings& aSettings)
 {
@@ -86,6 +106,8 @@
   , mPeers(aPeers)
   , mSelector(RelaySelector::Create(SelfOf(aState.mSettings),
                                     RegionOf(aState.mSettings)))
+  , mSender(UpdateSender::Create())
+  , mReceiver(UpdateReceiver::Create())
 {
 }
 
@@ -129,6 +151,13 @@
     request->add_known_revisions(version.mRevision);
     request->add_known_eras(version.mEra);
   }
+  request->set_accepts_parts(true);
+  const std::optional<UpdatePosition> position = mReceiver.Position();
+  if (position) {
+    request->mutable_receiving()->set_digest(position->mDigest);
+    request->mutable_receiving()->set_offset(
+      static_cast<std::uint32_t>(position->mOffset));
+  }
   mPeers.SendTo(aRelay, envelope); // A lost request times out.
 }
 
@@ -171,6 +200,14 @@
                   : mView.Version(static_cast<StoreCollection>(i)).mEra;
     held.mKnownVersions[i] = { aQuestion.known_revisions(at), era };
   }
+  held.mAcceptsParts = aQuestion.accepts_parts();
+  if (aQuestion.has_receiving()) {
+    held.mReceiving = UpdatePosition{ aQuestion.receiving().digest(),
+                                      aQuestion.receiving().offset() };
+    mHeldRequests.erase(aPeer);
+    RespondIfDue(held, now);
+    return;
+  }
   mHeldRequests[aPeer] = std::move(held);
 }
 
@@ -196,7 +233,7 @@
     isInContact && mView.HasChangesSince(aHeld.mKnownVersions);
   const Milliseconds longest =
     mState.mFreshness.HasEverHadContact() ? kLongPollTime : kStartPollTime;
-  if (!hasChanges && held < longest && !mIsStopping) {
+  if (!hasChanges && !aHeld.mReceiving && held < longest && !mIsStopping) {
     return false;
   }
   wire::Envelope envelope;
@@ -211,29 +248,98 @@
     static_cast<std::uint32_t>(mState.mFreshness.Age(BootNow()).count()));
   answer->set_lapse_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(
     0, Since(aNow, mState.mDirectory.GraceUntil()).count())));
-  for (std::size_t i = 0; isInContact && i < kStoreCollections; ++i) {
-    const StoreCollection collection = static_cast<StoreCollection>(i);
-    wire::StoreCollectionUpdate* const update = answer->add_updates();
-    update->set_collection(static_cast<std::uint32_t>(i));
-    Encode(mView.Since(collection, aHeld.mKnownVersions[i]), *update);
+  if (isInContact) {
+    AddUpdates(aHeld, *answer);
   }
   mPeers.Reply(aHeld.mIdentity, envelope);
   return true;
 }
 
+void
+StoreRelay::AddUpdates(const HeldRequest& aHeld, wire::StoreAnswer& aAnswer)
+{
+  if (aHeld.mReceiving) {
+    const std::optional<UpdatePart> part = mSender.Continue(*aHeld.mReceiving);
+    if (part) {
+      Encode(*part, *aAnswer.mutable_part());
+    }
+  }
+  for (std::size_t i = 0; i < kStoreCollections; ++i) {
+    wire::StoreCollectionUpdate update;
+    update.set_collection(static_cast<std::uint32_t>(i));
+    Encode(mView.Since(static_cast<StoreCollection>(i),
+                       aHeld.mKnownVersions[i]),
+           update);
+    AddUpdate(aHeld, std::move(update), aAnswer);
+  }
+}
+
+void
+StoreRelay::AddUpdate(const HeldRequest& aHeld,
+                      wire::StoreCollectionUpdate aUpdate,
+                      wire::StoreAnswer& aAnswer)
+{
+  if (!aHeld.mAcceptsParts ||
+      aUpdate.ByteSizeLong() <= UpdateSender::kMaxWholeBytes) {
+    *aAnswer.add_updates() = std::move(aUpdate);
+  } else if (!aAnswer.has_part()) {
+    Encode(mSender.Begin(aUpdate.SerializeAsString()), *aAnswer.mutable_part());
+  }
+}
+
+void
+StoreRelay::Apply(const wire::StoreCollectionUpdate& aUpdate, Instant aNow)
+{
+  if (aUpdate.collection() < kStoreCollections && aUpdate.revision() != 0) {
+    mView.Apply(static_cast<StoreCollection>(aUpdate.collection()),
+                Decode(aUpdate),
+                aNow);
+  }
+}
+
+void
+StoreRelay::OnPart(const std::string& aPeer, const wire::UpdatePart& aPart)
+{
+  const Result<std::optional<std::string>> whole =
+    mReceiver.OnPart(Decode(aPart));
+  const Instant now = SteadyNow();
+  if (!whole) {
+    mState.mLog.Write(
+      "store-relay-part-ignored",
+      { { "relay", aPeer }, { "reason", whole.error().mDetail } },
+      now);
+    return;
+  }
+  wire::StoreCollectionUpdate update;
+  if (whole.value() && update.ParseFromString(*whole.value())) {
+    Apply(update, now);
+  }
+}
+
+void
+StoreRelay::OnLateResponse(const std::string& aPeer,
+                           const wire::StoreAnswer& aAnswer)
+{
+  mState.mLog.Write(
+    "store-relay-late",
+    { { "relay", aPeer },
+      { "bytes", static_cast<std::int64_t>(aAnswer.ByteSizeLong()) },
+      { "heldMs", static_cast<std::int64_t>(aAnswer.held_ms()) },
+      { "outstanding", static_cast<std::int64_t>(mLastId - aAnswer.id()) } },
+    SteadyNow());
+  // A part is the same whenever it arrives, so that a transfer goes on even if
+  // each response is late.
+  if (aAnswer.has_part() && mReceiver.IsNext(Decode(aAnswer.part()))) {
+    OnPart(aPeer, aAnswer.part());
+  }
+}
+
 void
 StoreRelay::OnResponse(const std::string& aPeer,
                        const wire::StoreAnswer& aAnswer)
 {
   if (!mPending || mPending->mId != aAnswer.id()) {
-    // The request has timed out or was replaced.
-    mState.mLog.Write(
-      "store-relay-late",
-      { { "relay", aPeer },
-        { "bytes", static_cast<std::int64_t>(aAnswer.ByteSizeLong()) },
-        { "heldMs", static_cast<std::int64_t>(aAnswer.held_ms()) },
-        { "outstanding", static_cast<std::int64_t>(mLastId - aAnswer.id()) } },
-      SteadyNow());
+    OnLateResponse(aPeer, aAnswer);
     return;
   }
   const PendingRequest request = *std::exchange(mPending, std::nullopt);
@@ -252,27 +358,42 @@
     now + std::min(UpstreamDirectory::kReregistrationGrace,
                    Milliseconds{ aAnswer.lapse_ms() }));
   for (const wire::StoreCollectionUpdate& update : aAnswer.updates()) {
-    if (update.collection() < kStoreCollections && update.revision() != 0) {
-      mView.Apply(
-        static_cast<StoreCollection>(update.collection()), Decode(update), now);
-    }
+    Apply(update, now);
+  }
+  if (aAnswer.has_part()) {
+    OnPart(aPeer, aAnswer.part());
+  } else {
+    mReceiver.Reset();
+  }
+  Confirm(request, aPeer, aAnswer);
+  if (mReceiver.Position() && mSelector.Relay(now) == aPeer) {
+    SendRequest(aPeer, now);
   }
+}
+
+void
+StoreRelay::Confirm(const PendingRequest& aRequest,
+                    const std::string& aPeer,
+                    const wire::StoreAnswer& aAnswer)
+{
   // The relay's boot clock has a different origin, so only durations are used.
   // The response can't have been sent before the request had been held for
   // held_ms.
   const BootTime heldUntil = std::min(
-    BootNow(), request.mSentAtBoot + Milliseconds{ aAnswer.held_ms() });
-  if (aAnswer.config_version() > AppliedVersion()) {
+    BootNow(), aRequest.mSentAtBoot + Milliseconds{ aAnswer.held_ms() });
+  if (aAnswer.no_config()) {
+    mState.mFreshness.OnMissing(heldUntil);
+  } else if (aAnswer.config_version() > AppliedVersion()) {
+    // The relay's knowledge is complete, this gateway's is not.
+    mState.mFreshness.OnContact(heldUntil);
+    mState.mFreshness.OnApplied(aAnswer.config_version());
     mState.mLog.Write(
       "config-behind-relay",
       { { "relay", aPeer },
         { "applied", static_cast<std::int64_t>(AppliedVersion()) },
         { "relayApplies",
           static_cast<std::int64_t>(aAnswer.config_version()) } },
-      now);
-  }
-  if (aAnswer.no_config()) {
-    mState.mFreshness.OnMissing(heldUntil);
+      SteadyNow());
   } else {
     mState.mFreshness.OnConfirmed(heldUntil - Milliseconds{ aAnswer.age_ms() });
   }
--- a/src/cactusgw/gateway/store_relay.hpp
+++ b/src/cactusgw/gateway/store_relay.hpp
@@ -8,6 +8,7 @@
 #include "cactusgw/gateway/relay_selector.hpp"
 #include "cactusgw/gateway/store_freshness.hpp"
 #include "cactusgw/gateway/store_view.hpp"
+#include "cactusgw/gateway/update_transfer.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -21,7 +22,8 @@
 
 /// Uses long polling: a request names the versions that the sender holds, and
 /// the response follows as soon as there are changes, or after kLongPollTime
-/// without changes. Not thread-safe; lives on one io_context.
+/// without changes. Large changes take several requests, each for a part. Not
+/// thread-safe; lives on one io_context.
 class StoreRelay
 {
 public:
@@ -91,6 +93,9 @@
     std::uint64_t mId = 0;
     StoreVersions mKnownVersions{};
     Instant mReceivedAt;
+    bool mAcceptsParts = false;
+    /// The update that the sender is receiving in parts, if any.
+    std::optional<UpdatePosition> mReceiving;
   };
 
   void SendRequest(const std::string& aRelay, Instant aNow);
@@ -99,6 +104,23 @@
                  const wire::StoreQuestion& aQuestion);
   void OnResponse(const std::string& aPeer, const wire::StoreAnswer& aAnswer);
   bool RespondIfDue(const HeldRequest& aHeld, Instant aNow);
+  /// Adds the changes since what the sender of the request knows, or a part of
+  /// them.
+  void AddUpdates(const HeldRequest& aHeld, wire::StoreAnswer& aAnswer);
+  /// Adds the update whole, or its first part.
+  void AddUpdate(const HeldRequest& aHeld,
+                 wire::StoreCollectionUpdate aUpdate,
+                 wire::StoreAnswer& aAnswer);
+  void Apply(const wire::StoreCollectionUpdate& aUpdate, Instant aNow);
+  void OnPart(const std::string& aPeer, const wire::UpdatePart& aPart);
+  /// A response to a request that has timed out or was replaced.
+  void OnLateResponse(const std::string& aPeer,
+                      const wire::StoreAnswer& aAnswer);
+  /// Records up to when the knowledge of the relay, and so this gateway's, is
+  /// complete.
+  void Confirm(const PendingRequest& aRequest,
+               const std::string& aPeer,
+               const wire::StoreAnswer& aAnswer);
   /// The version of the configuration in use here; zero if there is none.
   std::uint64_t AppliedVersion() const;
 
@@ -107,6 +129,8 @@
   PeerExchange& mPeers;
   RelaySelector mSelector;
   std::optional<PendingRequest> mPending;
+  UpdateSender mSender;
+  UpdateReceiver mReceiver;
   /// Keyed by the name of the requesting gateway.
   std::map<std::string, HeldRequest> mHeldRequests;
   /// The relay that was last logged; empty if this gateway reads itself.
