Admission: deny nothing by a configuration that is too old

Callers got 404 for routes that were in force: a gateway that refused everything else as too old still looked the route up first, and answered that there is none. The age is now checked before anything that denies.

--- a/src/cactusgw/gateway/call_admission.cpp
+++ b/src/cactusgw/gateway/call_admission.cpp
@@ -175,6 +175,11 @@
   if (aTable == nullptr) {
     return NotRun(FailureCode::StoreUnavailable, "no configuration yet");
   }
+  // Before anything is denied: what this configuration lacks may be in force.
+  const Result<void> fresh = CheckFreshness(aState.mFreshness, BootNow());
+  if (!fresh) {
+    return fresh.error();
+  }
   AdmittedRequest request;
   request.mRoute =
     aTable->FindRoute(aExchange.Header("Host"), aExchange.Path());
@@ -189,10 +194,6 @@
   request.mRank = request.mRoute->mRank;
   request.mService = SelectService(*aTable, *request.mRoute, id);
   request.mOrigin = OriginOf(*aTable, request, aExchange, names);
-  const Result<void> fresh = CheckFreshness(aState.mFreshness, BootNow());
-  if (!fresh) {
-    return fresh.error();
-  }
   const Result<void> key = Authenticate(*aTable, request);
   if (!key) {
     return key.error();
