--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -1,3 +1,4 @@
+#include "link_relay.hpp"
 #include "platform/store_documents.hpp"
 #include "platform/store_sources.hpp"
 #include "scripted_upstream.hpp"
@@ -302,6 +303,30 @@
   });
 }
 
+// Guards against reads of a large configuration that never end, as the link
+// needs more time for it than a call may take.
+TEST_F(StoreSourceTest, ALargeConfigurationIsReadOverASlowLink)
+{
+  const std::string routes(1'000'000, 'r');
+  ScriptedUpstream store{
+    mContext,
+    [&](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.Answer(
+        200,
+        "",
+        R"({"metadata":{"name":"main","revision":5},"specification":")" +
+          routes + R"("})");
+    }
+  };
+  standins::LinkRelay link{ store.Address() };
+  link.SetBytesPerSecond(400'000);
+  ConfigSource source{ link.Address(), mCalls };
+  Run([&]() -> Task<void> {
+    const Result<CollectionUpdate> read = co_await source.Read();
+    EXPECT_TRUE(read.has_value());
+  });
+}
+
 TEST(StoreDocumentsTest, AQuarantineIsDecodedAsItWasStored)
 {
   const StoredQuarantine stored{ { "91bd", "5c1e" }, 1'700'000'000'000 };
