--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -407,6 +407,7 @@
       { "route", mAdmitted.mRoute->mName },
       { "configVersion", static_cast<std::int64_t>(mTable->Config().mVersion) },
       { "upstream", mUpstream },
+      { "version", aUpstream.mRecord.mVersion },
       { "dataCentre", aUpstream.mRecord.mDataCentre },
       { "region", mState.RegionOf(aUpstream.mRecord.mDataCentre) },
       { "homes", mState.Gate(BootNow()).RegionsFor(mAdmitted.mOrigin).Text() },
@@ -414,6 +415,10 @@
         static_cast<std::int64_t>(mState.mTable->Config().mVersion) },
       { "attempt", static_cast<std::int64_t>(mAttempts) },
       { "continues", mContinuation ? mContinuation->mHandle : "nothing" },
+      { "afterEvent",
+        mProgress.mLastEventId.empty()
+          ? mExchange.Header(mState.mNames.mLastEventId)
+          : mProgress.mLastEventId },
       { "parts", JoinParts(mAdmitted.mOrigin.mSharedParts) },
       { "fingerprint", ToString(mAdmitted.mOrigin.mFingerprint) },
       { "crashes", KnownCrashes() },
