--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -164,6 +164,7 @@
   record.mService = aService;
   record.mAddress = mUpstreams.back()->Address();
   record.mDataCentre = aDataCentre;
+  record.mVersion = mUpstreamVersion;
   // Upstreams that are added earlier get more slots, so that they are selected
   // first regardless of the tie-break rank.
   record.mSlots = mRecords.empty() ? 100 : mRecords.size() < 2 ? 2 : 1;
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -87,6 +87,8 @@
   GenerationControl mControl;
   /// Age of the configuration when the gateway starts.
   Milliseconds mConfigAge{ 0 };
+  /// Version of the upstreams that are added from now on.
+  std::string mUpstreamVersion = "v1";
   std::unique_ptr<Gateway> mGateway;
   std::vector<std::unique_ptr<ScriptedUpstream>> mUpstreams;
   std::vector<CopyOrder> mCopies;
--- /dev/null
+++ b/tests/gateway/stream_version_test.cpp
@@ -0,0 +1,149 @@
+#include "gateway_fixture.hpp"
+
+#include "cactusgw/net/steady_now.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace cactusgw::test {
+
+namespace {
+
+constexpr const char* kOld = "v1";
+constexpr const char* kNew = "v2";
+
+std::string
+Event(int aId)
+{
+  return "id: " + std::to_string(aId) + "\ndata: t\n\n";
+}
+
+/// Breaks a new stream off after its first event, and ends a resumed one with
+/// its second.
+Task<void>
+BreakOrEnd(ScriptedExchange& aExchange)
+{
+  co_await aExchange.BeginChunks("Seal: s\r\n");
+  if (aExchange.Header("Last-Event-Id").empty()) {
+    co_await aExchange.Chunk(Event(1));
+    aExchange.Close();
+    co_return;
+  }
+  co_await aExchange.Chunk(Event(2));
+  co_await aExchange.EndChunks();
+}
+
+} // namespace
+
+/// Upstreams of one service that run two versions of its software.
+class StreamVersionTest : public GatewayTest
+{
+protected:
+  /// The upstreams that are added first are preferred.
+  void StartWith(const std::vector<std::string>& aVersions)
+  {
+    for (std::size_t i = 0; i < aVersions.size(); ++i) {
+      mUpstreamVersion = aVersions[i];
+      AddUpstream("u" + std::to_string(i), "engine", &BreakOrEnd);
+    }
+    StartGateway();
+  }
+
+  void Remove(const std::string& aId)
+  {
+    mGateway->OnUpstreamChanges({ { aId, std::nullopt } });
+  }
+
+  /// A route with one attempt leaves the resumption to the client.
+  void SetAttempts(std::uint32_t aAttempts)
+  {
+    Configure(2, [&](GatewayConfig& aConfig) {
+      for (GatewayRoute& route : aConfig.mRoutes) {
+        route.mMaxAttempts = aAttempts;
+      }
+    });
+  }
+
+  ClientResponse Stream(const std::string& aId,
+                        const std::string& aResumes = {})
+  {
+    HttpRequest request = MakeRequest(http::verb::post, "/resumable/x");
+    request.set("Request-Id", aId);
+    if (!aResumes.empty()) {
+      request.set("Resumes", aResumes);
+      request.set("Last-Event-Id", "1");
+    }
+    ClientResponse response;
+    Run([&]() -> Task<void> { response = co_await Call(std::move(request)); });
+    return response;
+  }
+
+  std::size_t Resumed(std::size_t aUpstream) const
+  {
+    std::size_t count = 0;
+    for (const HttpRequest& request : mUpstreams[aUpstream]->Requests()) {
+      count += request["Last-Event-Id"].empty() ? 0 : 1;
+    }
+    return count;
+  }
+};
+
+// Guards against a stream with events of two versions in one response.
+TEST_F(StreamVersionTest, ABrokenStreamIsCutRatherThanContinuedByAnotherVersion)
+{
+  StartWith({ kOld, kNew });
+  const ClientResponse response = Stream("r-1");
+  EXPECT_FALSE(response.mIsWhole);
+  EXPECT_EQ(Resumed(1), 0U);
+}
+
+TEST_F(StreamVersionTest, ABrokenStreamGoesOnAtItsOwnVersion)
+{
+  StartWith({ kOld, kNew, kOld });
+  const ClientResponse response = Stream("r-1");
+  EXPECT_TRUE(response.mIsWhole);
+  EXPECT_EQ(response.mBody, Event(1) + Event(2));
+  EXPECT_EQ(Resumed(1), 0U);
+}
+
+// Guards against a stream with events of two versions over a client's requests.
+TEST_F(StreamVersionTest, AClientResumesAtTheVersionThatBegan)
+{
+  StartWith({ kOld, kNew, kOld });
+  SetAttempts(1);
+  Stream("r-1");
+  Remove("u0");
+  const ClientResponse response = Stream("r-2", "r-1");
+  EXPECT_EQ(response.mBody, Event(2));
+  EXPECT_EQ(Resumed(1), 0U);
+  EXPECT_EQ(Resumed(2), 1U);
+}
+
+TEST_F(StreamVersionTest, AResumptionIsRefusedAtOnceWhenItsVersionHasLeft)
+{
+  StartWith({ kOld, kNew });
+  SetAttempts(1);
+  Stream("r-1");
+  Remove("u0");
+  const Instant start = SteadyNow();
+  EXPECT_EQ(Stream("r-2", "r-1").mStatus, 503U);
+  EXPECT_LT(SteadyNow() - start, Milliseconds{ 400 });
+  EXPECT_EQ(Resumed(1), 0U);
+}
+
+// Guards against joined streams after all gateways have lost their memory.
+TEST_F(StreamVersionTest, AnUnknownStreamIsNotResumedWhileVersionsAreMixed)
+{
+  StartWith({ kOld, kNew });
+  EXPECT_EQ(Stream("r-2", "r-1").mStatus, 503U);
+  EXPECT_EQ(Resumed(0) + Resumed(1), 0U);
+}
+
+// Refusing each resumption would lose streams that can go on.
+TEST_F(StreamVersionTest, AnUnknownStreamIsResumedIfOnlyOneVersionRan)
+{
+  StartWith({ kOld, kOld });
+  EXPECT_EQ(Stream("r-2", "r-1").mBody, Event(2));
+}
+
+} // namespace cactusgw::test
