Streams: go on only at the version that began them

Clients got streams with events of two versions of a service: the gateway continued a broken stream at any upstream, and so did resumptions, migrations and backups. Nothing compared versions, and a gateway that got a resumption couldn't know what another one had begun. The class of fault: a property of the state that a request leaves behind is not part of the decision where it may go.

The version is now part of RequestOrigin, so that SendGate checks it at each send: retries, continuations, copies and backups alike; candidates are chosen by it. A stream whose version has left is refused at once. StreamOrigins remembers which version began each resumable stream; while several versions of a service run or ran within a minute, gateways tell each other along the relay tree. For a stream that no gateway knows, the only version that ran in twice its route's time counts, if there is just one. A gateway that starts learns the history of versions from the others; without others it relies on how long ago the last upstream started, and refuses meanwhile (503, not run).

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -279,6 +279,7 @@
   mStore.Tick(now, mRelay->IsStoreReachable());
   RegisterIfLost(now);
   UpdateRollouts(now);
+  mState.UpdateStreamOriginsIfDue(now);
   mState.UpdateOutliers(now);
   mState.mPool.CloseExpired(now);
   UpdateQuarantines(now);
@@ -656,6 +657,7 @@
       OnRemoved(change.mName, now);
     }
   }
+  mState.UpdateStreamOrigins(now);
 }
 
 void
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -117,6 +117,11 @@
     co_return;
   }
   mAdmitted = std::move(admitted.value());
+  const Result<void> bound = BindResumedStream();
+  if (!bound) {
+    co_await Refuse(bound.error());
+    co_return;
+  }
   mForwarded = ForwardedRequest(mExchange.Request(), mState.mNames);
   mClientWatch = mExchange.WatchClient([this] { OnClientDisconnected(); });
   if (mAdmitted.mService != nullptr) {
@@ -129,6 +134,54 @@
   co_await Forward();
 }
 
+Result<void>
+GatewayCall::BindResumedStream()
+{
+  const HeaderNames& names = mState.mNames;
+  mStreamId = mRequestId;
+  if (mAdmitted.mRoute->mKind != RouteKind::ResumableStream ||
+      mAdmitted.mService == nullptr ||
+      mExchange.Header(names.mLastEventId).empty()) {
+    return boost::outcome_v2::success();
+  }
+  mStreamId = mExchange.Header(names.mResumes);
+  // The client's own limit for a request may have been used up twice: by the
+  // one that began the stream, and by others before this one.
+  constexpr int kTimeouts = 2;
+  const Instant now = SteadyNow();
+  const std::optional<std::string> version = mState.mStreamOrigins.VersionOf(
+    mAdmitted.mService->mName,
+    mStreamId,
+    mAdmitted.mRoute->mTimeout * kTimeouts,
+    now);
+  mState.mLog.Write("stream-resumed",
+                    { { "request", mRequestId },
+                      { "resumes", mStreamId },
+                      { "version", version.value_or("unknown") } },
+                    now);
+  if (!version) {
+    mState.mMetrics.mUnknownStreams.Add();
+    return NotRun(FailureCode::UpstreamUnreachable,
+                  "which version began stream " + mStreamId + " isn't known");
+  }
+  mState.mMetrics.mResumedStreams.Add();
+  mAdmitted.mOrigin.mStreamVersion = *version;
+  return boost::outcome_v2::success();
+}
+
+void
+GatewayCall::OnStreamBegun(Instant aNow)
+{
+  if (std::exchange(mHasStreamBegun, true)) {
+    return;
+  }
+  mAdmitted.mOrigin.mStreamVersion = mUpstreamVersion;
+  if (mAdmitted.mRoute->mKind == RouteKind::ResumableStream) {
+    mState.mStreamOrigins.OnBegun(
+      mAdmitted.mService->mName, mStreamId, mUpstreamVersion, aNow);
+  }
+}
+
 Task<void>
 GatewayCall::Forward()
 {
@@ -311,6 +364,7 @@
   const KnownUpstream upstream = *known;
   mUpstream = aUpstream;
   mStartedMs = upstream.mRecord.mStartedMs;
+  mUpstreamVersion = upstream.mRecord.mVersion;
   mTriedUpstreams.push_back(aUpstream);
   mState.OnSelected(aUpstream, SteadyNow());
   mFirstEventAt.reset();
@@ -472,6 +526,8 @@
                                mAdmitted.mOrigin,   aUpstream.mId,
                                aUpstream.mAddress,  aUpstream.mDataCentre,
                                mAdmitted.mTokenNeed };
+  // The state of a generation is of use to its own version only.
+  identity.mOrigin.mStreamVersion = aUpstream.mVersion;
   mGeneration =
     std::make_shared<MigratableGeneration>(executor, std::move(identity));
   if (mBackup) {
@@ -521,7 +577,8 @@
   }
   const CandidateFilter filter{ regions.value(),       {},
                                 aUpstream.mDataCentre, false,
-                                mAdmitted.mSide,       {} };
+                                mAdmitted.mSide,       {},
+                                aUpstream.mVersion };
   const std::vector<Candidate> candidates =
     mState.Candidates(service, filter, SteadyNow());
   const Candidate* const chosen =
@@ -829,6 +886,7 @@
       mAdmitted.mPromptPrefixes, { upstream.mId, upstream.mStartedMs }, now);
   }
   mFirstEventAt = mFirstEventAt.value_or(now);
+  OnStreamBegun(now);
   mRollout.OnEvents(now);
   if (now - *mFirstEventAt >= kBegunTime) {
     OnServed();
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -77,6 +77,11 @@
   void OnCompleted();
 
   SendPurpose Purpose() const;
+  /// Binds a stream that the client resumes to the version that began it.
+  /// Errors: NotRun with UpstreamUnreachable, if the version isn't known.
+  Result<void> BindResumedStream();
+  /// Records the version that began the stream, for its continuations.
+  void OnStreamBegun(Instant aNow);
   /// Whether the next send must not happen, as upstreams may crash on this
   /// request. Errors: NotRun with Quarantined.
   Result<void> CheckQuarantine();
@@ -133,6 +138,11 @@
   std::string mUpstream;
   /// Start of the upstream that got the attempt.
   std::int64_t mStartedMs = 0;
+  /// Version of the upstream that got the attempt.
+  std::string mUpstreamVersion;
+  /// Id of the request that received the first event of the stream.
+  std::string mStreamId;
+  bool mHasStreamBegun = false;
   std::unique_ptr<UpstreamConnection> mConnection;
   /// The generation at the current upstream, if it can be migrated.
   std::shared_ptr<MigratableGeneration> mGeneration;
--- a/src/cactusgw/gateway/gateway_metrics.cpp
+++ b/src/cactusgw/gateway/gateway_metrics.cpp
@@ -29,6 +29,15 @@
            std::string{ "outcome=\"" } + aOutcome + "\"" };
 }
 
+MetricName
+ResumptionMetric(const char* aVersion)
+{
+  return { "cactusgw_resumptions_total",
+           "Streams that clients resumed, by whether the version that began "
+           "them was known; the others were refused.",
+           std::string{ "version=\"" } + aVersion + "\"" };
+}
+
 MetricName
 RolloutMetric(const char* aName, const char* aSide)
 {
@@ -68,6 +77,8 @@
   , mBackupsOrdered(mRegistry.AddCounter(BackupMetric("ordered")))
   , mBackupsUsed(mRegistry.AddCounter(BackupMetric("used")))
   , mBackupsRefused(mRegistry.AddCounter(BackupMetric("refused")))
+  , mResumedStreams(mRegistry.AddCounter(ResumptionMetric("known")))
+  , mUnknownStreams(mRegistry.AddCounter(ResumptionMetric("unknown")))
   , mHomeRefusals(
       mRegistry.AddCounter({ "cactusgw_home_refusals_total",
                              "Requests refused for want of an upstream in the "
--- a/src/cactusgw/gateway/gateway_metrics.hpp
+++ b/src/cactusgw/gateway/gateway_metrics.hpp
@@ -37,6 +37,8 @@
   Counter& mBackupsOrdered;
   Counter& mBackupsUsed;
   Counter& mBackupsRefused;
+  Counter& mResumedStreams;
+  Counter& mUnknownStreams;
   Counter& mHomeRefusals;
   Counter& mCrashSuspects;
   Counter& mQuarantinedRequests;
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -68,6 +68,7 @@
   , mWaitQueue(WaitQueue::Create())
   , mFreshness(
       StoreFreshness::Create(FreshnessLimit(mSettings.mBounds.mKeyFreshness)))
+  , mStreamOrigins(StreamOrigins::Create(mSettings.mIsFirstStart))
   , mMemory(ByteBudget::Create(MemorySizes(mSettings)))
   , mRecorder(mSettings.mPlace.mVm + "/gateway")
   , mLog("gateway")
@@ -186,7 +187,9 @@
     const bool hasRate =
       mLimitPacer.Allows(record.mId, load.mRecent, aFilter.mIsWaiting, aNow);
     const bool isVersionAllowed =
-      !isRestricted || admitted.contains(record.mId);
+      (!isRestricted || admitted.contains(record.mId)) &&
+      (aFilter.mStreamVersion.empty() ||
+       aFilter.mStreamVersion == record.mVersion);
     if (isAllowed && isVersionAllowed && !isLimited && !isPaused && hasRate &&
         !Contains(aFilter.mExcluded, record.mId)) {
       const bool isEjected = IsEjected(aService, record.mId, aNow);
@@ -359,6 +362,52 @@
   mMetrics.mOutlierUpstreams.Set(static_cast<double>(ejected));
 }
 
+void
+GatewayState::UpdateStreamOrigins(Instant aNow)
+{
+  if (!mTable) {
+    return;
+  }
+  mStreamOriginsAt = aNow;
+  mStreamOrigins.Expire(aNow);
+  for (const GatewayService& service : mTable->Config().mServices) {
+    RunningVersions running;
+    std::int64_t lastStartedMs = 0;
+    for (const KnownUpstream* const known :
+         mDirectory.OfService(service.mName)) {
+      running.mVersions.insert(known->mRecord.mVersion);
+      lastStartedMs = std::max(lastStartedMs, known->mRecord.mStartedMs);
+    }
+    if (!running.mVersions.empty()) {
+      running.mSinceLastStart = std::max(
+        Milliseconds{ 0 }, Milliseconds{ WallClockMs() - lastStartedMs });
+      mStreamOrigins.OnRunning(service.mName, running, aNow);
+    }
+  }
+}
+
+void
+GatewayState::UpdateStreamOriginsIfDue(Instant aNow)
+{
+  // Versions count as running for as long as this at least.
+  constexpr Milliseconds kInterval{ 500 };
+  if (aNow - mStreamOriginsAt >= kInterval) {
+    UpdateStreamOrigins(aNow);
+  }
+}
+
+bool
+GatewayState::IsVersionServing(std::string_view aService,
+                               std::string_view aVersion) const
+{
+  const std::vector<const KnownUpstream*> serving =
+    mDirectory.Serving(aService);
+  return std::any_of(
+    serving.begin(), serving.end(), [&](const KnownUpstream* aUpstream) {
+      return aUpstream->mRecord.mVersion == aVersion;
+    });
+}
+
 std::vector<VersionedUpstream>
 GatewayState::VersionsOf(std::string_view aService, Instant aNow) const
 {
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -23,6 +23,7 @@
 #include "cactusgw/gateway/shared_retry_budget.hpp"
 #include "cactusgw/gateway/stop_schedule.hpp"
 #include "cactusgw/gateway/store_freshness.hpp"
+#include "cactusgw/gateway/stream_origins.hpp"
 #include "cactusgw/gateway/upstream_choice.hpp"
 #include "cactusgw/gateway/upstream_connection_pool.hpp"
 #include "cactusgw/gateway/upstream_directory.hpp"
@@ -61,6 +62,8 @@
   /// Prefixes of the prompt that upstreams may hold; empty for plain services
   /// and for migrated generations, whose memory is copied.
   std::span<const PromptPrefix> mPromptPrefixes;
+  /// The version of the upstreams that may continue a stream; empty for any.
+  std::string_view mStreamVersion;
 };
 
 /// Not thread-safe; one instance per process.
@@ -125,6 +128,13 @@
   void OnResponse(const UpstreamStart& aUpstream,
                   bool aIsFailure,
                   Instant aNow);
+  /// Records which versions of each service run. Called when upstreams change,
+  /// and regularly.
+  void UpdateStreamOrigins(Instant aNow);
+  void UpdateStreamOriginsIfDue(Instant aNow);
+  /// Whether an upstream of this version takes new requests.
+  bool IsVersionServing(std::string_view aService,
+                        std::string_view aVersion) const;
   /// Ejects upstreams that fail more than others, and admits them again.
   void UpdateOutliers(Instant aNow);
 
@@ -171,6 +181,7 @@
   /// Set by the owner of this state before the first call.
   GenerationMigrator* mMigrator = nullptr;
   StoreFreshness mFreshness;
+  StreamOrigins mStreamOrigins;
   /// Set once this gateway is stopping.
   std::optional<StopSchedule> mStop;
   /// The calls in progress. Shared with them, as a call that is destroyed with
@@ -212,6 +223,7 @@
 
   std::map<std::string, SharedRetryBudget> mRetryBudgets;
   Instant mOutliersAt;
+  Instant mStreamOriginsAt;
   /// When this gateway last selected an upstream that is probed.
   std::map<std::string, Instant, std::less<>> mProbedAt;
 };
--- a/src/cactusgw/gateway/generation_migrator.cpp
+++ b/src/cactusgw/gateway/generation_migrator.cpp
@@ -249,7 +249,8 @@
                                 false,
                                 mState.mRollouts.SideOfRetry(
                                   aIdentity.mService),
-                                {} };
+                                {},
+                                aIdentity.mOrigin.mStreamVersion };
   std::vector<Candidate> candidates =
     mState.Candidates(*service, filter, SteadyNow());
   // A copy to another region takes minutes and delays those queued behind it.
--- a/src/cactusgw/gateway/header_names.hpp
+++ b/src/cactusgw/gateway/header_names.hpp
@@ -42,6 +42,9 @@
   std::string mLengthHint;
   /// Id of the last event that the receiver of a stream has received.
   std::string mLastEventId;
+  /// Id of the request that received the first event of the stream that the
+  /// client resumes.
+  std::string mResumes;
   /// Address and handle of a migrated generation that is to be continued.
   std::string mMigratedFrom;
   /// Address of the upstream that the generation's memory is replicated to.
--- a/src/cactusgw/gateway/load_exchange.cpp
+++ b/src/cactusgw/gateway/load_exchange.cpp
@@ -3,6 +3,7 @@
 #include "cactusgw/gateway/gateway_state.hpp"
 #include "cactusgw/messaging/crash_messages.hpp"
 #include "cactusgw/messaging/rollout_messages.hpp"
+#include "cactusgw/messaging/stream_messages.hpp"
 #include "cactusgw/net/steady_now.hpp"
 
 #include <algorithm>
@@ -100,7 +101,7 @@
 {
   return mState.mLoads.OwnVersion() + mState.mDrainNotices.Version() +
          mState.mCrashes.Version() + mState.mRequestCrashes.Version() +
-         mState.mStatedLimits.Version() +
+         mState.mStatedLimits.Version() + mState.mStreamOrigins.Version() +
          mState.mRollouts.Evidence().Version() + mReceivedVersion;
 }
 
@@ -232,11 +233,12 @@
   const bool hasSuspicions = AddSuspicions(aPeer, *message, now);
   const bool hasLimits = AddLimits(aPeer, *message, now);
   const bool hasRollouts = AddRollouts(aPeer, *message, now);
+  const bool hasOrigins = AddStreamOrigins(aPeer, *message, now);
   const std::uint64_t drainVersion = mState.mDrainNotices.Version();
   const bool hasDrains =
     std::exchange(sent.mDrainVersion, drainVersion) != drainVersion;
   if (!update && !hasEvidence && !hasSuspicions && !hasLimits && !hasRollouts &&
-      !hasDrains) {
+      !hasOrigins && !hasDrains) {
     return 0;
   }
   for (const DrainingUpstream& upstream : mState.mDrainNotices.Recent(now)) {
@@ -299,6 +301,38 @@
   return !due.empty();
 }
 
+bool
+LoadExchange::AddStreamOrigins(const std::string& aPeer,
+                               wire::GatewayUse& aMessage,
+                               Instant aNow)
+{
+  Sent& sent = mSent[aPeer];
+  const std::vector<StreamOrigin> due =
+    sent.mStreamOrigins.Next(mState.mStreamOrigins, aNow);
+  for (const StreamOrigin& origin : due) {
+    EncodeStreamOrigin(origin, aNow, *aMessage.add_stream_origins());
+  }
+  if (aNow - sent.mHistoriesAt < kRepeatInterval) {
+    return !due.empty();
+  }
+  sent.mHistoriesAt = aNow;
+  for (const VersionHistory& history : mState.mStreamOrigins.Histories()) {
+    EncodeVersionHistory(history, aNow, *aMessage.add_version_histories());
+  }
+  return !due.empty() || aMessage.version_histories_size() > 0;
+}
+
+void
+LoadExchange::OnStreamOrigins(const wire::GatewayUse& aMessage, Instant aNow)
+{
+  for (const wire::VersionHistory& entry : aMessage.version_histories()) {
+    mState.mStreamOrigins.Merge(DecodeVersionHistory(entry, aNow), aNow);
+  }
+  for (const wire::StreamOrigin& entry : aMessage.stream_origins()) {
+    mState.mStreamOrigins.Merge(DecodeStreamOrigin(entry, aNow), aNow);
+  }
+}
+
 bool
 LoadExchange::AddLimits(const std::string& aPeer,
                         wire::GatewayUse& aMessage,
@@ -379,6 +413,7 @@
     aEnvelope.gateway_use().rollout_digest());
   MergeRollouts(
     aEnvelope.gateway_use(), SteadyNow(), mState.mRollouts.Evidence());
+  OnStreamOrigins(aEnvelope.gateway_use(), SteadyNow());
   OnLimits(aEnvelope.gateway_use(), SteadyNow());
   mState.mWaitQueue.WakeFirstWaiters();
 }
@@ -401,6 +436,8 @@
     mSent[sender].mLoads.Restart();
     mSent[sender].mSuspicions.Restart();
     mSent[sender].mRollouts.Restart();
+    mSent[sender].mStreamOrigins.Restart();
+    mSent[sender].mHistoriesAt = Instant{};
   }
   if (direction == wire::GatewayUse::BESIDE) {
     mRelayRoots.OnRootMessage(sender, message.data_centre(), now);
--- a/src/cactusgw/gateway/load_exchange.hpp
+++ b/src/cactusgw/gateway/load_exchange.hpp
@@ -14,6 +14,7 @@
 #include "cactusgw/gateway/load_changes.hpp"
 #include "cactusgw/gateway/peer_exchange.hpp"
 #include "cactusgw/gateway/relay_root_tracker.hpp"
+#include "cactusgw/gateway/stream_origins.hpp"
 #include "cactusgw/gateway/suspicion_sender.hpp"
 #include "cactusgw/rollout/rollout_evidence.hpp"
 
@@ -96,6 +97,8 @@
     std::uint64_t mReportedDigest = 0;
     SuspicionSender mSuspicions;
     ChangeSender<RolloutEvidence> mRollouts;
+    ChangeSender<StreamOrigins> mStreamOrigins;
+    Instant mHistoriesAt;
   };
 
   /// What one gateway reports, separately for each direction: it may be the
@@ -130,9 +133,13 @@
   bool AddRollouts(const std::string& aPeer,
                    wire::GatewayUse& aMessage,
                    Instant aNow);
+  bool AddStreamOrigins(const std::string& aPeer,
+                        wire::GatewayUse& aMessage,
+                        Instant aNow);
   bool AddLimits(const std::string& aPeer,
                  wire::GatewayUse& aMessage,
                  Instant aNow);
+  void OnStreamOrigins(const wire::GatewayUse& aMessage, Instant aNow);
   void OnLimits(const wire::GatewayUse& aMessage, Instant aNow);
 
   GatewayState& mState;
--- a/src/cactusgw/gateway/send_gate.cpp
+++ b/src/cactusgw/gateway/send_gate.cpp
@@ -176,6 +176,13 @@
     return NotRun(FailureCode::UpstreamUnreachable,
                   "upstream " + aTarget.mId + " has left, restarted or moved");
   }
+  if (!aOrigin.mStreamVersion.empty() &&
+      known->mRecord.mVersion != aOrigin.mStreamVersion) {
+    return NotRun(FailureCode::UpstreamUnreachable,
+                  "upstream " + aTarget.mId + " runs version " +
+                    known->mRecord.mVersion + ", the stream began at version " +
+                    aOrigin.mStreamVersion);
+  }
   const Result<void> isSafe = CheckCrashes(aOrigin, aPurpose);
   if (!isSafe) {
     return isSafe.error();
--- a/src/cactusgw/gateway/send_gate.hpp
+++ b/src/cactusgw/gateway/send_gate.hpp
@@ -44,6 +44,9 @@
   /// Supposed crashes that ended attempts of this request itself. A sound
   /// stream may be broken off more than once and is retried for its client.
   std::size_t mOwnCrashes = 0;
+  /// Version of the upstream that began the stream; empty before its first
+  /// event.
+  std::string mStreamVersion;
   /// IDs of the prompt's parts that other requests may share.
   std::vector<std::string> mSharedParts;
 };
--- a/src/cactusgw/gateway/upstream_selector.cpp
+++ b/src/cactusgw/gateway/upstream_selector.cpp
@@ -37,6 +37,13 @@
   if (!homes) {
     co_return homes.error();
   }
+  const std::string& version = aRequest.mOrigin.mStreamVersion;
+  if (!version.empty() &&
+      !mState.IsVersionServing(aRequest.mService->mName, version)) {
+    co_return NotRun(FailureCode::UpstreamUnreachable,
+                     "no upstream of version " + version +
+                       ", which began the stream, is left");
+  }
   std::string found = SelectAtOnce(aRequest, aTried);
   if (!found.empty()) {
     co_return found;
@@ -82,7 +89,8 @@
                           mState.mSettings.mPlace.mDataCentre,
                           mWaitEntry != nullptr,
                           aRequest.mSide,
-                          aRequest.mPromptPrefixes };
+                          aRequest.mPromptPrefixes,
+                          aRequest.mOrigin.mStreamVersion };
   const GatewayService& service = *aRequest.mService;
   std::vector<Candidate> candidates =
     mState.Candidates(service, filter, SteadyNow());
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -29,6 +29,7 @@
   names.mPromptParts = "Prompt-Parts";
   names.mLengthHint = "Hint";
   names.mLastEventId = "Last-Event-Id";
+  names.mResumes = "Resumes";
   names.mMigratedFrom = "Moved-From";
   names.mBackupTo = "Backup-To";
   names.mReserved = {
