--- a/src/cactusgw/gateway/store_relay.cpp
+++ b/src/cactusgw/gateway/store_relay.cpp
@@ -267,9 +267,9 @@
   for (std::size_t i = 0; i < kStoreCollections; ++i) {
     wire::StoreCollectionUpdate update;
     update.set_collection(static_cast<std::uint32_t>(i));
-    Encode(mView.Since(static_cast<StoreCollection>(i),
-                       aHeld.mKnownVersions[i]),
-           update);
+    Encode(
+      mView.Since(static_cast<StoreCollection>(i), aHeld.mKnownVersions[i]),
+      update);
     AddUpdate(aHeld, std::move(update), aAnswer);
   }
 }
--- a/src/cactusgw/gateway/update_transfer.cpp
+++ b/src/cactusgw/gateway/update_transfer.cpp
@@ -2,10 +2,9 @@
 
 #include "cactusgw/core/hash.hpp"
 
-#include <zlib.h>
-
 #include <algorithm>
 #include <utility>
+#include <zlib.h>
 
 namespace cactusgw {
 
@@ -129,11 +128,11 @@
 Result<std::optional<std::string>>
 UpdateReceiver::Append(const UpdatePart& aPart)
 {
-  const bool fits = aPart.mPosition == UpdatePosition{ mDigest, mBytes.size() } &&
-                    aPart.mPackedBytes == mPackedBytes &&
-                    aPart.mPlainBytes == mPlainBytes &&
-                    mPlainBytes <= kMaxPlainBytes && !aPart.mContent.empty() &&
-                    aPart.mContent.size() <= mPackedBytes - mBytes.size();
+  const bool fits =
+    aPart.mPosition == UpdatePosition{ mDigest, mBytes.size() } &&
+    aPart.mPackedBytes == mPackedBytes && aPart.mPlainBytes == mPlainBytes &&
+    mPlainBytes <= kMaxPlainBytes && !aPart.mContent.empty() &&
+    aPart.mContent.size() <= mPackedBytes - mBytes.size();
   if (!fits) {
     return NotRun(FailureCode::InvalidInput,
                   "a part at offset " +
--- a/tests/gateway/large_config_test.cpp
+++ b/tests/gateway/large_config_test.cpp
@@ -19,7 +19,7 @@
 /// Time in which a confirmed configuration has to be in force everywhere.
 constexpr Milliseconds kMaxApplyTime{ 4000 };
 
-/// A configuration of this many routes, with names that don't repeat.
+/// A document of this many objects, with names that don't repeat.
 std::string
 ConfigDocument(std::size_t aRoutes)
 {
@@ -28,12 +28,12 @@
   for (std::size_t i = 0; i < aRoutes; ++i) {
     text += i == 0 ? "" : ",";
     text += R"({"name":"r-)" + std::to_string(random()) +
-            R"(","host":"node39.example","pathPrefix":"/)" +
+            R"(","host":"some.host.example","path":"/)" +
             std::to_string(random()) +
-            R"(/","kind":"streaming","timeoutMs":39000,"targetLatencyMs":1800,)"
-            R"("priority":1,"service":"bench-office","attempts":1,)"
-            R"("public":false,"stickySessions":true,"streamResumption":false,)"
-            R"("targetGapMs":180,"allowedRegions":[]})";
+            R"(/","kind":"idempotent stream","timeout":39000,"objective":1800,)"
+            R"("rank":1,"target":"some-service","maximum":1,"needsKey":true,)"
+            R"("keepsUpstream":true,"canBeResumed":false,"longestPause":180,)"
+            R"("regions":[]})";
   }
   return text + "]}";
 }
--- a/tests/gateway/update_transfer_test.cpp
+++ b/tests/gateway/update_transfer_test.cpp
@@ -38,8 +38,7 @@
         return {};
       }
       EXPECT_LE(part->mContent.size(), UpdateSender::kPartBytes);
-      const Result<std::optional<std::string>> update =
-        mReceiver.OnPart(*part);
+      const Result<std::optional<std::string>> update = mReceiver.OnPart(*part);
       if (!update) {
         return {};
       }
@@ -114,8 +113,8 @@
   while (true) {
     std::optional<UpdatePart> part = mSender.Continue(*mReceiver.Position());
     ASSERT_TRUE(part);
-    const bool isLast = part->mPosition.mOffset + part->mContent.size() ==
-                        part->mPackedBytes;
+    const bool isLast =
+      part->mPosition.mOffset + part->mContent.size() == part->mPackedBytes;
     changed = part->mContent;
     changed.back() ^= 1;
     part->mContent = changed;
