Streams: tell others of them while the history of versions is incomplete

After a start of all gateways beside upstreams that had started lately, each gateway refused to resume what another one had begun: only one version ran, so that nothing was told, but that alone didn't prove which version it was. Streams are now told also while the history doesn't cover a minute.

StreamOriginsTest.GatewaysTellEachOtherWhileTheHistoryIsIncomplete states the case; the sharing before was for several versions only.

--- a/src/cactusgw/gateway/stream_origins.cpp
+++ b/src/cactusgw/gateway/stream_origins.cpp
@@ -56,15 +56,16 @@
   std::erase_if(history.mSeenAt, [&](const auto& aEntry) {
     return aNow - aEntry.second >= kLifetime;
   });
-  const bool isMixed = history.mSeenAt.size() > 1;
-  if (isMixed && !aService.mIsShared) {
+  const bool isNeeded =
+    history.mSeenAt.size() > 1 || history.mCompleteFrom > aNow - kLifetime;
+  if (isNeeded && !aService.mIsShared) {
     for (auto& [request, stream] : mStreams) {
       if (stream.mService == history.mService) {
         Share(request, stream);
       }
     }
   }
-  aService.mIsShared = isMixed;
+  aService.mIsShared = isNeeded;
 }
 
 void
@@ -75,8 +76,7 @@
 {
   const auto service = mServices.find(aService);
   const std::uint64_t request = StableHash(aRequestId);
-  Add(request,
-      { std::string{ aService }, std::string{ aVersion }, aNow, 0 });
+  Add(request, { std::string{ aService }, std::string{ aVersion }, aNow, 0 });
   if (service == mServices.end()) {
     return;
   }
--- a/src/cactusgw/gateway/stream_origins.hpp
+++ b/src/cactusgw/gateway/stream_origins.hpp
@@ -89,8 +89,8 @@
                                        Instant aNow) const;
   std::vector<VersionHistory> Histories() const;
 
-  /// What other gateways need, for ChangeSender: only the streams of services
-  /// that are mixed.
+  /// What other gateways need to be told, for ChangeSender: the streams of
+  /// services of which several versions run or may have run lately.
   std::pair<std::vector<StreamOrigin>, std::uint64_t> ChangedSince(
     std::uint64_t aVersion,
     std::size_t aMax) const;
@@ -104,8 +104,8 @@
   struct Service
   {
     VersionHistory mHistory;
-    /// Whether several versions ran lately, so that other gateways need to know
-    /// which began a stream.
+    /// Whether other gateways need to be told which version began a stream:
+    /// several ran lately, or may have.
     bool mIsShared = false;
   };
   struct Stream
@@ -123,7 +123,7 @@
   {
   }
   Service& Find(std::string_view aService, Instant aCompleteFrom);
-  /// Shares the streams of the service once several versions have run.
+  /// Shares the streams of the service as soon as others need them.
   void UpdateSharing(Service& aService, Instant aNow);
   void Share(std::uint64_t aRequest, Stream& aStream);
   void Unshare(const Stream& aStream);
--- a/tests/gateway/stream_origins_test.cpp
+++ b/tests/gateway/stream_origins_test.cpp
@@ -1,6 +1,5 @@
-#include "cactusgw/gateway/stream_origins.hpp"
-
 #include "cactusgw/gateway/change_sender.hpp"
+#include "cactusgw/gateway/stream_origins.hpp"
 #include "cactusgw/messaging/stream_messages.hpp"
 
 #include <gtest/gtest.h>
@@ -117,6 +116,20 @@
   EXPECT_EQ(VersionOf(third, "a", 500), "v1");
 }
 
+// Guards against refused resumptions after all gateways have started anew: the
+// others can't tell which version began a stream, so they have to be told.
+TEST(StreamOriginsTest, GatewaysTellEachOtherWhileTheHistoryIsIncomplete)
+{
+  StreamOrigins one = StreamOrigins::Create(false);
+  StreamOrigins other = StreamOrigins::Create(false);
+  one.OnRunning("s", Running({ "v1" }, Milliseconds{ 500 }), At(0));
+  other.OnRunning("s", Running({ "v1" }, Milliseconds{ 500 }), At(0));
+  one.OnBegun("s", "a", "v1", At(100));
+  EXPECT_EQ(VersionOf(other, "a", 200), std::nullopt);
+  Tell(one, other, 200);
+  EXPECT_EQ(VersionOf(other, "a", 200), "v1");
+}
+
 // A gateway that lost its memory, but not its peers, need not refuse.
 TEST(StreamOriginsTest, AGatewayThatStartsLearnsTheHistoryOfTheOthers)
 {
