--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -149,11 +149,11 @@
   // one that began the stream, and by others before this one.
   constexpr int kTimeouts = 2;
   const Instant now = SteadyNow();
-  const std::optional<std::string> version = mState.mStreamOrigins.VersionOf(
-    mAdmitted.mService->mName,
-    mStreamId,
-    mAdmitted.mRoute->mTimeout * kTimeouts,
-    now);
+  const std::optional<std::string> version =
+    mState.mStreamOrigins.VersionOf(mAdmitted.mService->mName,
+                                    mStreamId,
+                                    mAdmitted.mRoute->mTimeout * kTimeouts,
+                                    now);
   mState.mLog.Write("stream-resumed",
                     { { "request", mRequestId },
                       { "resumes", mStreamId },
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -1,6 +1,6 @@
-#include "gateway_fixture.hpp"
-
 #include "cactusgw/net/steady_now.hpp"
+#include "free_address.hpp"
+#include "gateway_fixture.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -139,6 +139,27 @@
   EXPECT_EQ(Resumed(0) + Resumed(1), 0U);
 }
 
+// Guards against joined streams after all gateways were killed right after the
+// last upstream of a version had left without a successor.
+TEST_F(StreamVersionTest, AVersionThatLeftBeforeARestartOfAllIsNotForgotten)
+{
+  StartWith({ kOld, kNew });
+  SetAttempts(1);
+  Stream("r-1");
+  const UpstreamRecord left = mGateway->State().mDirectory.Find("u1")->mRecord;
+  const std::unique_ptr<Gateway> before = std::move(mGateway);
+  mSettings.mListen = FreeAddress();
+  mSettings.mReadyListen = FreeAddress();
+  mSettings.mMetricsListen = FreeAddress();
+  mSettings.mPeerListen = FreeAddress();
+  mGateway = MakeGateway(mSettings);
+  mGateway->OnConfig(StandardConfig());
+  mGateway->OnConfigConfirmed(BootNow());
+  mGateway->OnUpstreamChanges({ { "u1", left } });
+  mGateway->OnDrainedChanges({});
+  EXPECT_EQ(Stream("r-2", "r-1").mStatus, 503U);
+}
+
 // Refusing each resumption would lose streams that can go on.
 TEST_F(StreamVersionTest, AnUnknownStreamIsResumedIfOnlyOneVersionRan)
 {
