--- a/tests/gateway/backup_test.cpp
+++ b/tests/gateway/backup_test.cpp
@@ -60,6 +60,7 @@
       }
     };
     AddUpstream("a", "engine", either);
+    mUpstreamVersion = mSecondVersion;
     AddUpstream("b", "engine", either);
     // The call must not wait for the reply to the order to stop.
     mControl.mCopy = [this](CopyOrder aOrder) -> Task<CopyReply> {
@@ -73,6 +74,9 @@
     });
   }
 
+  /// Version of the second upstream.
+  std::string mSecondVersion = mUpstreamVersion;
+
   HttpRequest LongRequest() const
   {
     HttpRequest request = MakeRequest(http::verb::post, "/stream/x");
@@ -201,6 +205,18 @@
   EXPECT_EQ(SourceUpstream().Requests()[0].count("Backup-To"), 0U);
 }
 
+// Guards against a stream that another version continues.
+TEST_F(BackupTest, ABackupIsOfTheSameVersion)
+{
+  mSecondVersion = "another";
+  StartWith(&Continue, &Continue);
+  Run([&]() -> Task<void> {
+    const ClientResponse response = co_await Call(LongRequest());
+    EXPECT_TRUE(response.mIsWhole);
+  });
+  EXPECT_EQ(SourceUpstream().Requests()[0].count("Backup-To"), 0U);
+}
+
 // In a burst, room for requests is worth more than backups.
 TEST(BackupChoiceTest, TakesTheNearestUpstreamWithAmpleRoom)
 {
--- a/tests/gateway/moved_generation_test.cpp
+++ b/tests/gateway/moved_generation_test.cpp
@@ -86,6 +86,33 @@
   }
 }
 
+// Guards against a stream that another version continues.
+TEST_F(MovedGenerationTest, AnUpstreamOfAnotherVersionIsNoTarget)
+{
+  AddSource(&CloseConnection);
+  mUpstreamVersion = "another";
+  ScriptedUpstream& other = AddUpstream(
+    "b-target", "engine", [](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.Answer(200, kSealed, Event(3));
+    });
+  mUpstreamVersion = "v1";
+  AddUpstream(
+    "c-target", "engine", [](ScriptedExchange& aExchange) -> Task<void> {
+      co_await aExchange.Answer(200, kSealed, Event(3));
+    });
+  StartGateway();
+  Run([&]() -> Task<void> {
+    const ClientResponse response =
+      co_await Call(MakeRequest(http::verb::post, "/stream/x"));
+    EXPECT_EQ(response.mBody, Event(1) + Event(2) + Event(3));
+  });
+  EXPECT_TRUE(other.Requests().empty());
+  ASSERT_FALSE(mCopies.empty());
+  for (const CopyOrder& copy : mCopies) {
+    EXPECT_EQ(copy.mTarget.Target().mId, "c-target");
+  }
+}
+
 // A generation was cut off when its upstream said only in the header of the
 // stream that it is draining.
 TEST_F(MovedGenerationTest, AStreamWhoseHeaderStatesADrainIsMigrated)
