Relay: bound the packed size of an update that is received

The unpacked size was bounded, but parts were collected up to whatever packed size the sender had stated. Found by reading; UpdateTransferTest. RefusesAnUpdateOfExcessiveSize now covers both.

--- a/src/cactusgw/gateway/update_transfer.cpp
+++ b/src/cactusgw/gateway/update_transfer.cpp
@@ -131,7 +131,8 @@
   const bool fits =
     aPart.mPosition == UpdatePosition{ mDigest, mBytes.size() } &&
     aPart.mPackedBytes == mPackedBytes && aPart.mPlainBytes == mPlainBytes &&
-    mPlainBytes <= kMaxPlainBytes && !aPart.mContent.empty() &&
+    mPlainBytes <= kMaxPlainBytes && mPackedBytes <= kMaxPlainBytes &&
+    !aPart.mContent.empty() &&
     aPart.mContent.size() <= mPackedBytes - mBytes.size();
   if (!fits) {
     return NotRun(FailureCode::InvalidInput,
--- a/src/cactusgw/gateway/update_transfer.hpp
+++ b/src/cactusgw/gateway/update_transfer.hpp
@@ -77,7 +77,8 @@
 class UpdateReceiver
 {
 public:
-  /// Larger updates are refused: no collection of the store is as large.
+  /// Larger updates are refused, packed or not: no collection of the store is
+  /// as large.
   static constexpr std::size_t kMaxPlainBytes = std::size_t{ 16 } * 1024 * 1024;
 
   static UpdateReceiver Create() { return UpdateReceiver{}; }
--- a/tests/gateway/update_transfer_test.cpp
+++ b/tests/gateway/update_transfer_test.cpp
@@ -132,6 +132,9 @@
   UpdatePart part = mSender.Begin(mText);
   part.mPlainBytes = UpdateReceiver::kMaxPlainBytes + 1;
   EXPECT_FALSE(mReceiver.OnPart(part));
+  part = mSender.Begin(mText);
+  part.mPackedBytes = UpdateReceiver::kMaxPlainBytes + 1;
+  EXPECT_FALSE(mReceiver.OnPart(part));
 }
 
 } // namespace cactusgw::test
