Streams: a resumption without a name names no stream; bounds on what others tell

A client that resumed a stream without naming its first request was recorded as the stream with the empty name, and a later one without a name was then taken for it. StreamVersionTest.AResumptionThatNamesNoStreamIsUnknown holds it. What other gateways tell of versions is bounded in number and length, as anyone can connect to the peer port: StreamOriginsTest.TakesABoundedAmountFromOthers. Both found by reading.

--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -144,25 +144,28 @@
       mExchange.Header(names.mLastEventId).empty()) {
     return boost::outcome_v2::success();
   }
-  mStreamId = mExchange.Header(names.mResumes);
-  // The client's own limit for a request may have been used up twice: by the
-  // one that began the stream, and by others before this one.
+  const std::string resumes = mExchange.Header(names.mResumes);
+  // The request that began the stream and one that resumed it before may each
+  // have taken the route's time.
   constexpr int kTimeouts = 2;
   const Instant now = SteadyNow();
   const std::optional<std::string> version =
     mState.mStreamOrigins.VersionOf(mAdmitted.mService->mName,
-                                    mStreamId,
+                                    resumes,
                                     mAdmitted.mRoute->mTimeout * kTimeouts,
                                     now);
   mState.mLog.Write("stream-resumed",
                     { { "request", mRequestId },
-                      { "resumes", mStreamId },
+                      { "resumes", resumes },
                       { "version", version.value_or("unknown") } },
                     now);
   if (!version) {
     mState.mMetrics.mUnknownStreams.Add();
     return NotRun(FailureCode::UpstreamUnreachable,
-                  "which version began stream " + mStreamId + " isn't known");
+                  "which version began stream " + resumes + " isn't known");
+  }
+  if (!resumes.empty()) {
+    mStreamId = resumes;
   }
   mState.mMetrics.mResumedStreams.Add();
   mAdmitted.mOrigin.mStreamVersion = *version;
--- a/src/cactusgw/gateway/stream_origins.cpp
+++ b/src/cactusgw/gateway/stream_origins.cpp
@@ -38,11 +38,21 @@
 void
 StreamOrigins::Merge(const VersionHistory& aHistory, Instant aNow)
 {
+  const bool hasRoom = mServices.contains(aHistory.mService) ||
+                       (mServices.size() < kMaxServices &&
+                        aHistory.mService.size() <= kMaxNameBytes);
+  if (!hasRoom) {
+    return;
+  }
   Service& service = Find(aHistory.mService, aHistory.mCompleteFrom);
   VersionHistory& history = service.mHistory;
   history.mCompleteFrom =
     std::min(history.mCompleteFrom, aHistory.mCompleteFrom);
   for (const auto& [version, seenAt] : aHistory.mSeenAt) {
+    if (history.mSeenAt.size() >= kMaxVersions ||
+        version.size() > kMaxNameBytes) {
+      break;
+    }
     Instant& known = history.mSeenAt.try_emplace(version, seenAt).first->second;
     known = std::max(known, seenAt);
   }
@@ -90,7 +100,8 @@
 StreamOrigins::Merge(const StreamOrigin& aOrigin, Instant aNow)
 {
   const auto known = mStreams.find(aOrigin.mRequest);
-  if (known != mStreams.end() || aNow - aOrigin.mBegunAt >= kLifetime) {
+  if (known != mStreams.end() || aNow - aOrigin.mBegunAt >= kLifetime ||
+      aOrigin.mVersion.size() > kMaxNameBytes) {
     return;
   }
   Add(aOrigin.mRequest, { {}, aOrigin.mVersion, aOrigin.mBegunAt, 0 });
--- a/src/cactusgw/gateway/stream_origins.hpp
+++ b/src/cactusgw/gateway/stream_origins.hpp
@@ -55,6 +55,11 @@
   static constexpr Milliseconds kLifetime{ 60'000 };
   /// Streams that are remembered; beyond that the oldest is forgotten.
   static constexpr std::size_t kMaxStreams = 50'000;
+  /// What is taken from other gateways at most: services, versions of one, and
+  /// bytes in a name.
+  static constexpr std::size_t kMaxServices = 256;
+  static constexpr std::size_t kMaxVersions = 32;
+  static constexpr std::size_t kMaxNameBytes = 256;
 
   /// @param aIsFirstStart whether no gateway ran before, so that there is no
   /// earlier stream
--- a/tests/gateway/stream_origins_test.cpp
+++ b/tests/gateway/stream_origins_test.cpp
@@ -153,6 +153,24 @@
   EXPECT_EQ(VersionOf(started, "a", 2100), std::nullopt);
 }
 
+TEST(StreamOriginsTest, TakesABoundedAmountFromOthers)
+{
+  StreamOrigins origins = StreamOrigins::Create(false);
+  const std::string longName(StreamOrigins::kMaxNameBytes + 1, 'n');
+  origins.Merge(StreamOrigin{ 1, longName, At(0) }, At(0));
+  EXPECT_EQ(origins.Size(), 0U);
+  for (std::size_t i = 0; i < StreamOrigins::kMaxServices + 10; ++i) {
+    VersionHistory history{ "s" + std::to_string(i), {}, At(0) };
+    for (std::size_t n = 0; n < StreamOrigins::kMaxVersions + 10; ++n) {
+      history.mSeenAt["v" + std::to_string(n)] = At(0);
+    }
+    origins.Merge(history, At(0));
+  }
+  EXPECT_EQ(origins.Histories().size(), StreamOrigins::kMaxServices);
+  EXPECT_EQ(origins.Histories().front().mSeenAt.size(),
+            StreamOrigins::kMaxVersions);
+}
+
 TEST(StreamOriginsTest, ForgetsOldStreamsAndBoundsTheirNumber)
 {
   StreamOrigins origins = StreamOrigins::Create(false);
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -11,6 +11,8 @@
 
 constexpr const char* kOld = "v1";
 constexpr const char* kNew = "v2";
+/// A resumption that names no request.
+constexpr const char* kNoName = "-";
 
 std::string
 Event(int aId)
@@ -70,7 +72,9 @@
     HttpRequest request = MakeRequest(http::verb::post, "/resumable/x");
     request.set("Request-Id", aId);
     if (!aResumes.empty()) {
-      request.set("Resumes", aResumes);
+      if (aResumes != kNoName) {
+        request.set("Resumes", aResumes);
+      }
       request.set("Last-Event-Id", "1");
     }
     ClientResponse response;
@@ -139,6 +143,17 @@
   EXPECT_EQ(Resumed(0) + Resumed(1), 0U);
 }
 
+// Guards against a stream without a name that is taken for another one.
+TEST_F(StreamVersionTest, AResumptionThatNamesNoStreamIsUnknown)
+{
+  StartWith({ kOld });
+  EXPECT_EQ(Stream("r-2", kNoName).mBody, Event(2));
+  mUpstreamVersion = kNew;
+  AddUpstream("u1", "engine", &BreakOrEnd);
+  Register("u1");
+  EXPECT_EQ(Stream("r-3", kNoName).mStatus, 503U);
+}
+
 // Guards against joined streams after all gateways were killed right after the
 // last upstream of a version had left without a successor.
 TEST_F(StreamVersionTest, AVersionThatLeftBeforeARestartOfAllIsNotForgotten)
