--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,6 +1,5 @@
-/// Many clients send complete headers of legal size, then stop short of the end
-/// of their chunked bodies and stay. The process must stay within the memory of
-/// its machine; the platform kills one that doesn't.
+/// A consumer sends requests whose transfer coding is not "chunked". Their
+/// bodies hold the text of another request, which no consumer sends.
 
 #include "standins.hpp"
 
@@ -8,106 +7,78 @@
 
 namespace {
 
-/// Less than the sockets that a machine of the site may have open.
-constexpr int kCrowd = 3500;
-constexpr int kDescriptors = 4100 - 200;
-constexpr int kMemoryMb = 110;
-/// The configuration allows 16,384.
-constexpr std::size_t kHeaderBytes = 16'000;
+constexpr const char* kInnerId = "5a6d7567676c6564";
 
-/// A header of kHeaderBytes and the size line of the first chunk.
+/// The content of each body: the text of a request.
 std::string
-Unfinished()
+Content()
 {
-  std::string text = "POST /pule252/2f HTTP/1.1\r\nHost: " +
-                     std::string{ kHost } + "\r\nX-Cactusgw-Request-Id: " +
-                     NewRequestId() +
-                     "\r\nX-Cactusgw-Deadline-Milliseconds: 4000"
-                     "\r\nAuthorization: Bearer " +
-                     kKey + "\r\nTransfer-Encoding: chunked\r\nX-Note: ";
-  text += std::string(kHeaderBytes - text.size() - 4, 'n') + "\r\n\r\n";
-  return text + "1000\r\n";
+  return Request("POST", "/pule252/inner", kInnerId, 4000, "inner");
 }
 
-/// One ordinary request on a channel of its own.
-std::string
-SendOrdinary(int aPort)
+/// Sends one request on a channel of its own, with this line for the length of
+/// its body, and reads what is answered.
+void
+SendOne(Record& aRecord, int aPort, const std::string& aFraming)
 {
+  const std::string id = NewRequestId();
   const std::unique_ptr<Connection> channel =
     Connection::Open(aPort, Ms{ 1000 });
   if (!channel) {
-    return "no channel";
+    aRecord.Line("request " + id + ": no channel");
+    return;
   }
-  channel->Send(Request("POST", "/pule252/2f", NewRequestId(), 4000, "order"));
+  channel->Send("POST /pule252/outer HTTP/1.1\r\nHost: " + std::string{ kHost } +
+                "\r\nX-Cactusgw-Request-Id: " + id +
+                "\r\nX-Cactusgw-Deadline-Milliseconds: 4000"
+                "\r\nAuthorization: Bearer " +
+                kKey + "\r\n" + aFraming + "\r\n\r\n" + Content());
+  aRecord.Line("request " + id + " sent, one on its channel, with \"" +
+               aFraming + "\" and a body of " +
+               std::to_string(Content().size()) + " bytes");
   Message answer;
-  const ReadResult result = channel->Read(answer, Ms{ 4000 });
-  return result == ReadResult::Whole ? std::to_string(answer.Status())
-         : result == ReadResult::Closed
-           ? "the channel was closed without an answer"
-           : "no answer";
+  ReadResult result = ReadResult::Whole;
+  while ((result = channel->Read(answer, Ms{ 1000 })) == ReadResult::Whole) {
+    aRecord.Line("  answer " + std::to_string(answer.Status()) +
+                 " to request \"" + answer.Header("x-cactusgw-request-id") +
+                 "\"");
+  }
+  aRecord.Line(result == ReadResult::Closed ? "  the channel was closed"
+                                            : "  no further answer");
 }
 
 int
 Run(Record& aRecord)
 {
-  if (!AllowDescriptors(kCrowd + 500)) {
-    aRecord.Line("too few descriptors for the crowd");
-    return kCouldNotRun;
-  }
   // Lives to the end of the process, as its threads do.
   Platform& platform = *new Platform;
-  Replica& replica = *new Replica{ "i-7f3a91c2", Ms{ 500 } };
+  Replica& replica = *new Replica{ "i-7f3a91c2", Ms{ 5 } };
   platform.Put("config", "main", PlainConfig(7));
   platform.Put(
     "servers", replica.Id(), replica.Entry("wuno96b", "gent-a", 6));
-  GatewayOptions options;
-  options.mMemoryMb = kMemoryMb;
-  options.mDescriptors = kDescriptors;
-  Gateway gateway{ TemporaryFolder(), platform.Address(), options };
+  Gateway gateway{ TemporaryFolder(), platform.Address(), {} };
   if (!gateway.WaitReady(Ms{ 15'000 })) {
     aRecord.Line("the gateway isn't ready: " + gateway.LogPath());
     return kCouldNotRun;
   }
-  std::atomic<bool> isOver{ false };
-  std::thread ordinary{ [&] {
-    while (!isOver) {
-      aRecord.Line("  an ordinary request: " +
-                   SendOrdinary(gateway.FrontPort()));
-      std::this_thread::sleep_for(Ms{ 100 });
-    }
-  } };
-  std::vector<std::unique_ptr<Connection>> crowd;
-  for (int i = 0; HasTrouble() && i < kCrowd; ++i) {
-    std::unique_ptr<Connection> channel =
-      Connection::Open(gateway.FrontPort(), Ms{ 2000 });
-    if (channel && channel->Send(Unfinished())) {
-      crowd.push_back(std::move(channel));
-    }
-  }
-  aRecord.Line("clients that have sent a header of " +
-               std::to_string(kHeaderBytes) +
-               " bytes and the begin of a body: " +
-               std::to_string(crowd.size()));
-  const long limit = kMemoryMb * 1024L;
-  bool isExceeded = false;
-  for (int i = 0; i < 10 && !isExceeded; ++i) {
-    std::this_thread::sleep_for(Ms{ 500 });
-    const long own = gateway.MemoryKb("RssAnon");
-    isExceeded = own > limit;
-    aRecord.Line("memory of the process: " + std::to_string(own) +
-                 " KB of its own, " +
-                 std::to_string(gateway.MemoryKb("VmRSS")) +
-                 " KB with shared pages; the machine has " +
-                 std::to_string(limit) + " KB");
+  const std::string length =
+    "Content-Length: " + std::to_string(Content().size());
+  for (const char* const coding : { "gzip", "identity", "chunked, gzip" }) {
+    SendOne(aRecord,
+            gateway.FrontPort(),
+            HasTrouble() ? "Transfer-Encoding: " + std::string{ coding }
+                         : length);
   }
-  if (isExceeded) {
-    aRecord.Line("the platform kills the process");
-    gateway.Signal(SIGKILL);
-    std::this_thread::sleep_for(Ms{ 500 });
+  int smuggled = 0;
+  for (const Message& run : replica.Received()) {
+    const std::string id = run.Header("x-cactusgw-request-id");
+    aRecord.Line("the replica ran \"" + run.mFirstLine + "\", request " + id +
+                 ", body of " + std::to_string(run.mBody.size()) + " bytes");
+    smuggled += id == kInnerId ? 1 : 0;
   }
-  isOver = true;
-  ordinary.join();
-  return isExceeded ? kBroken : kHeld;
+  aRecord.Line("runs of the request that was inside a body: " +
+               std::to_string(smuggled));
+  return smuggled > 0 ? kBroken : kHeld;
 }
 
 } // namespace
