Review: answers to HEAD have bodies

A 404 of the gateway to HEAD is followed by its body; the next answer on the channel, of an unsafe request that has run, can't be read (MIXED).

--- a/review/harness-2/standins.hpp
+++ b/review/harness-2/standins.hpp
@@ -789,7 +789,8 @@
          "\r\nX-Cactusgw-Deadline-Milliseconds: " +
          std::to_string(aDeadlineMs) + "\r\nAuthorization: Bearer " + kKey +
          "\r\n" + aMore +
-         (aMethod == "GET" ? std::string{}
+         (aMethod == "GET" || aMethod == "HEAD"
+            ? std::string{}
                            : "Content-Length: " +
                                std::to_string(aBody.size()) + "\r\n") +
          "\r\n" + aBody;
