--- a/review/7/case.cpp
+++ b/review/7/scenario.cpp
@@ -28,8 +28,8 @@
     aRecord.Line("request " + id + ": no channel");
     return;
   }
-  channel->Send("POST /pule252/outer HTTP/1.1\r\nHost: " + std::string{ kHost } +
-                "\r\nX-Cactusgw-Request-Id: " + id +
+  channel->Send("POST /pule252/outer HTTP/1.1\r\nHost: " +
+                std::string{ kHost } + "\r\nX-Cactusgw-Request-Id: " + id +
                 "\r\nX-Cactusgw-Deadline-Milliseconds: 4000"
                 "\r\nAuthorization: Bearer " +
                 kKey + "\r\n" + aFraming + "\r\n\r\n" + Content());
@@ -54,8 +54,7 @@
   Platform& platform = *new Platform;
   Replica& replica = *new Replica{ "i-7f3a91c2", Ms{ 5 } };
   platform.Put("config", "main", PlainConfig(7));
-  platform.Put(
-    "servers", replica.Id(), replica.Entry("wuno96b", "gent-a", 6));
+  platform.Put("servers", replica.Id(), replica.Entry("wuno96b", "gent-a", 6));
   Gateway gateway{ TemporaryFolder(), platform.Address(), {} };
   if (!gateway.WaitReady(Ms{ 15'000 })) {
     aRecord.Line("the gateway isn't ready: " + gateway.LogPath());
--- a/review/8/case.cpp
+++ b/review/8/scenario.cpp
@@ -1,6 +1,6 @@
-/// Two software versions of a service run side by side. The replica of the newer
-/// one leaves, and all gateways (one here) are killed and come back. Consumers
-/// take up their streams again, as the pages allow.
+/// Two software versions of a service run side by side. The replica of the
+/// newer one leaves, and all gateways (one here) are killed and come back.
+/// Consumers take up their streams again, as the pages allow.
 
 #include "standins.hpp"
 
@@ -41,8 +41,9 @@
     Message request;
     while (!mHasEnded &&
            aConnection.Read(request, Ms{ 60'000 }) == ReadResult::Whole) {
-      const std::string id = "X-Cactusgw-Request-Id: " +
-                             request.Header("x-cactusgw-request-id") + "\r\n";
+      const std::string id =
+        "X-Cactusgw-Request-Id: " + request.Header("x-cactusgw-request-id") +
+        "\r\n";
       if (mHasEnded) {
         return;
       }
@@ -103,9 +104,8 @@
 {
   const std::unique_ptr<Connection> channel =
     Connection::Open(aPort, Ms{ 1000 });
-  if (!channel ||
-      !channel->Send(
-        Request("POST", "/pufi791/2f", aId, 6000, "prompt", aMore))) {
+  if (!channel || !channel->Send(Request(
+                    "POST", "/pufi791/2f", aId, 6000, "prompt", aMore))) {
     return 0;
   }
   std::string bytes;
@@ -148,8 +148,8 @@
   const int status = Read(aPort, first, "", aReceived);
   std::string tries = std::to_string(status);
   constexpr int kTries = 6;
-  for (int i = 0; i < kTries && !aReceived.mIsComplete &&
-                  aReceived.mLastEvent > 0;
+  for (int i = 0;
+       i < kTries && !aReceived.mIsComplete && aReceived.mLastEvent > 0;
        ++i) {
     std::this_thread::sleep_for(Ms{ 500 });
     const std::string id = NewRequestId();
@@ -227,9 +227,9 @@
     joined += stream.mVersions.size() > 1 ? 1 : 0;
     taken += stream.mIsComplete ? 1 : 0;
   }
-  aRecord.Line("streams that hold events of two versions: " +
-               std::to_string(joined) + " of " + std::to_string(kStreams) +
-               "; complete: " + std::to_string(taken));
+  aRecord.Line(
+    "streams that hold events of two versions: " + std::to_string(joined) +
+    " of " + std::to_string(kStreams) + "; complete: " + std::to_string(taken));
   constexpr int kAllowed = 2;
   return joined > kAllowed ? kBroken : kHeld;
 }
--- a/review/harness-2/standins.hpp
+++ b/review/harness-2/standins.hpp
@@ -129,8 +129,7 @@
     address.sin_port = htons(static_cast<std::uint16_t>(aPort));
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     fcntl(socket, F_SETFL, O_NONBLOCK);
-    ::connect(
-      socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    ::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
     pollfd wait{ socket, POLLOUT, 0 };
     int error = 0;
     socklen_t size = sizeof(error);
@@ -152,10 +151,8 @@
   {
     std::size_t sent = 0;
     while (sent < aBytes.size()) {
-      const ssize_t n = ::send(mSocket,
-                               aBytes.data() + sent,
-                               aBytes.size() - sent,
-                               MSG_NOSIGNAL);
+      const ssize_t n = ::send(
+        mSocket, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
       if (n <= 0) {
         return false;
       }
@@ -257,8 +254,7 @@
     if (::bind(
           mSocket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ||
         ::listen(mSocket, 512) ||
-        ::getsockname(
-          mSocket, reinterpret_cast<sockaddr*>(&address), &size)) {
+        ::getsockname(mSocket, reinterpret_cast<sockaddr*>(&address), &size)) {
       std::perror("listen");
       std::_Exit(kCouldNotRun);
     }
@@ -267,10 +263,7 @@
   }
 
   int Port() const { return mPort; }
-  std::string Address() const
-  {
-    return "127.0.0.1:" + std::to_string(mPort);
-  }
+  std::string Address() const { return "127.0.0.1:" + std::to_string(mPort); }
 
 private:
   void Accept()
@@ -278,10 +271,12 @@
     while (true) {
       const int socket = ::accept4(mSocket, nullptr, nullptr, SOCK_CLOEXEC);
       if (socket >= 0) {
-        std::thread{ [this, socket] {
-          Connection connection{ socket };
-          mHandler(connection);
-        } }.detach();
+        std::thread{
+          [this, socket] {
+            Connection connection{ socket };
+            mHandler(connection);
+          }
+        }.detach();
       }
     }
   }
@@ -435,8 +430,7 @@
     const std::string specification =
       at == std::string::npos
         ? "null"
-        : aBody.substr(at + key.size(),
-                       aBody.rfind('}') - at - key.size());
+        : aBody.substr(at + key.size(), aBody.rfind('}') - at - key.size());
     Store(aKind, aName, specification, aMethod == "DELETE");
     return Response("200 OK", "", Text(aName, mKinds[aKind][aName]));
   }
@@ -466,11 +460,10 @@
                      ? Response("404 Not Found", "", "{}")
                      : Response("200 OK", "", Text(name, it->second));
       } else {
-        response = Response("200 OK",
-                            "Content-Type: application/json\r\n",
-                            Query(target, "watch").empty()
-                              ? List(kind)
-                              : Watch(kind, target));
+        response = Response(
+          "200 OK",
+          "Content-Type: application/json\r\n",
+          Query(target, "watch").empty() ? List(kind) : Watch(kind, target));
       }
       if (!aConnection.Send(response)) {
         return;
@@ -513,8 +506,8 @@
                     int aSlots) const
   {
     return "{\"service\":\"" + aService + "\",\"address\":\"" + Address() +
-           "\",\"zone\":\"" + aZone + "\",\"version\":\"v1\",\"slots\":" +
-           std::to_string(aSlots) +
+           "\",\"zone\":\"" + aZone +
+           "\",\"version\":\"v1\",\"slots\":" + std::to_string(aSlots) +
            ",\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":4,"
            "\"born\":1700000000000}";
   }
@@ -525,19 +518,19 @@
     Message request;
     while (aConnection.Read(request, Ms{ 60'000 }) == ReadResult::Whole) {
       if (request.mFirstLine.find(" /health ") != std::string::npos) {
-        aConnection.Send(Response(
-          "200 OK", "X-Cactusgw-Replica-Id: " + mId + "\r\n", ""));
+        aConnection.Send(
+          Response("200 OK", "X-Cactusgw-Replica-Id: " + mId + "\r\n", ""));
         continue;
       }
       const std::string expected =
         request.Header("x-cactusgw-expected-replica");
-      const std::string id = "X-Cactusgw-Request-Id: " +
-                             request.Header("x-cactusgw-request-id") + "\r\n";
+      const std::string id =
+        "X-Cactusgw-Request-Id: " + request.Header("x-cactusgw-request-id") +
+        "\r\n";
       if (!expected.empty() && expected != mId) {
-        aConnection.Send(Response(
-          "421 Misdirected Request",
-          id + "X-Cactusgw-Replica-Id: " + mId + "\r\n",
-          ""));
+        aConnection.Send(Response("421 Misdirected Request",
+                                  id + "X-Cactusgw-Replica-Id: " + mId + "\r\n",
+                                  ""));
         continue;
       }
       ++mRuns;
@@ -548,10 +541,9 @@
       std::this_thread::sleep_for(mWork);
       const std::string body(800, 'x');
       if (!aConnection.Send(Response("200 OK",
-                                     id +
-                                       "X-Cactusgw-Response-Seal: "
-                                       "3e1b.07.5a2.600.0.c9f2a4d1\r\n"
-                                       "Content-Type: text/plain\r\n",
+                                     id + "X-Cactusgw-Response-Seal: "
+                                          "3e1b.07.5a2.600.0.c9f2a4d1\r\n"
+                                          "Content-Type: text/plain\r\n",
                                      body))) {
         return;
       }
@@ -625,8 +617,8 @@
     const pid_t pid = ::fork();
     if (pid == 0) {
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-      const int log = ::open(
-        mLog.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
+      const int log =
+        ::open(mLog.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
       ::dup2(log, STDOUT_FILENO);
       ::dup2(log, STDERR_FILENO);
       if (mOptions.mDescriptors > 0) {
@@ -667,8 +659,7 @@
       Connection::Open(mReady, aTime);
     Message response;
     return connection &&
-           connection->Send(
-             "GET /readyz HTTP/1.1\r\nHost: ready\r\n\r\n") &&
+           connection->Send("GET /readyz HTTP/1.1\r\nHost: ready\r\n\r\n") &&
            connection->Read(response, aTime) == ReadResult::Whole &&
            response.Status() == 200;
   }
@@ -812,8 +803,7 @@
          "\r\n" + aMore +
          (aMethod == "GET" || aMethod == "HEAD"
             ? std::string{}
-                           : "Content-Length: " +
-                               std::to_string(aBody.size()) + "\r\n") +
+            : "Content-Length: " + std::to_string(aBody.size()) + "\r\n") +
          "\r\n" + aBody;
 }
 
