--- a/review/harness-2/standins.hpp
+++ b/review/harness-2/standins.hpp
@@ -15,6 +15,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -597,6 +598,7 @@
     , mMetrics(FreePort())
     , mPeer(FreePort())
   {
+    mFolder = aFolder;
     mSettings = aFolder + "/" + mOptions.mVm + ".json";
     mPlatform = aPlatform;
     WriteSettings();
@@ -610,6 +612,10 @@
       ::kill(mPid, SIGKILL);
       ::waitpid(mPid, nullptr, 0);
     }
+    if (mWasReady) { // Otherwise the log is of use.
+      std::error_code ec;
+      std::filesystem::remove_all(mFolder, ec);
+    }
   }
 
   void Start()
@@ -670,6 +676,7 @@
     const Clock::time_point until = Clock::now() + aTime;
     while (Clock::now() < until && IsRunning()) {
       if (IsReady(Ms{ 500 })) {
+        mWasReady = true;
         return true;
       }
       std::this_thread::sleep_for(Ms{ 50 });
@@ -734,11 +741,13 @@
   int mReady;
   int mMetrics;
   int mPeer;
+  std::string mFolder;
   std::string mSettings;
   std::string mPlatform;
   std::string mLog;
   pid_t mPid = -1;
   int mStatus = 0;
+  bool mWasReady = false;
 };
 
 constexpr const char* kHost = "ficu95.example";
