Streams: a resumption's wait for a read ends when another gateway tells the begin

Callers saw: at a gateway that is cut off from the store, streams that could go on were refused. Their version was known within milliseconds from the gateway that began them, but the resumption waited some 2 s for a read of the records that couldn't succeed; the configuration had lapsed by then.

Cause: JoinedRead ended a wait only with a read. Now its callers say whether they still need the read, and are asked again when a message with begins of streams arrives. `stream-resumed` says source=heard then. A read that fails still shows nothing: no stream goes on that did not have a known begin.

AGatewayThatIsCutOffFromTheStoreResumesWhatOthersTell is a new test beside the one that asserted only that none joined, which stays: it asks for all streams of v1 during the cut (40 is impossible, as v2 isn't known there), and waits for the other gateway to read the store itself rather than 4 s, which left half a second of the configuration's age.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -225,6 +225,9 @@
     [this](std::string_view aIdentity, const wire::Envelope& aEnvelope) {
       mRelay->OnMessage(aIdentity, aEnvelope);
       mLoadExchange->OnMessage(aEnvelope);
+      if (aEnvelope.gateway_use().stream_origins_size() > 0) {
+        mStreamRecords.OnOriginsHeard();
+      }
     });
   return boost::outcome_v2::success();
 }
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -180,18 +180,20 @@
     versions = mayHaveBegun();
     if (versions.size() <= 1) {
       // What this gateway knows may be older than the stream.
-      const bool isRead = co_await mState.mReadStreamVersions();
-      source = isRead ? "records" : "unread";
+      const bool isRead =
+        co_await mState.mReadStreamVersions(std::string{ aResumes });
       versions = mayHaveBegun();
       version = mState.mStreamOrigins.VersionOf(aResumes);
+      source = version ? "heard" : (isRead ? "records" : "unread");
       if (!version && isRead && versions.size() == 1) {
         version = versions.front();
       }
     }
-    if (!version && versions.size() > 1 &&
-        co_await mState.mReadStreamOrigins()) {
-      source = "store";
+    if (!version && versions.size() > 1) {
+      const bool isRead =
+        co_await mState.mReadStreamOrigins(std::string{ aResumes });
       version = mState.mStreamOrigins.VersionOf(aResumes);
+      source = isRead ? "store" : (version ? "heard" : source);
     }
   }
   mState.mLog.Write(
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -192,10 +192,11 @@
   StreamOrigins mStreamOrigins;
   StreamVersions mStreamVersions;
   /// Reads the records of versions. Returns whether the read, which began after
-  /// the call, succeeded. Set by the owner of this state before the first call.
-  std::function<Task<bool>()> mReadStreamVersions;
+  /// the call, succeeded; false as soon as the begin of the stream that is
+  /// passed is known. Set by the owner of this state before the first call.
+  std::function<Task<bool>(std::string)> mReadStreamVersions;
   /// The same for the streams that the store holds.
-  std::function<Task<bool>()> mReadStreamOrigins;
+  std::function<Task<bool>(std::string)> mReadStreamOrigins;
   /// Set once this gateway is stopping.
   std::optional<StopSchedule> mStop;
   /// The calls in progress. Shared with them, as a call that is destroyed with
--- a/src/cactusgw/gateway/joined_read.cpp
+++ b/src/cactusgw/gateway/joined_read.cpp
@@ -24,6 +24,12 @@
 
 Task<bool>
 JoinedRead::Run()
+{
+  return Run([] { return true; });
+}
+
+Task<bool>
+JoinedRead::Run(std::function<bool()> aIsNeeded)
 {
   if (mFailedAt != Instant{} && SteadyNow() - mFailedAt < kFailureTime) {
     co_return false;
@@ -34,7 +40,7 @@
   if (!std::exchange(mIsReading, true)) {
     SpawnTask(mContext.get_executor(), "joined-read", ReadWhileWanted());
   }
-  while (mEnded < number) {
+  while (mEnded < number && aIsNeeded()) {
     beast::error_code ec;
     co_await mDone.async_wait(net::redirect_error(net::use_awaitable, ec));
   }
--- a/src/cactusgw/gateway/joined_read.hpp
+++ b/src/cactusgw/gateway/joined_read.hpp
@@ -27,9 +27,17 @@
              Milliseconds aPause,
              std::function<Task<bool>()> aRead);
 
-  /// Returns whether a read that began after this call has succeeded.
+  /// Returns whether a read that began after this call has succeeded. The wait
+  /// ends without one once the caller doesn't need the read any more.
+  /// @param aIsNeeded must stay valid until the end of the wait
+  Task<bool> Run(std::function<bool()> aIsNeeded);
+  /// The same for a caller that needs the read in any case.
   Task<bool> Run();
 
+  /// Lets callers that wait look whether they still need the read. To be called
+  /// when they may have learned otherwise what they read for.
+  void Wake() { mDone.cancel(); }
+
 private:
   /// Reads until no caller waits.
   Task<void> ReadWhileWanted();
--- a/src/cactusgw/gateway/stream_records.cpp
+++ b/src/cactusgw/gateway/stream_records.cpp
@@ -41,8 +41,24 @@
   , mVersionRead(aContext, kVersionReadPause, [this] { return ReadVersions(); })
   , mOriginRead(aContext, kOriginReadPause, [this] { return ReadOrigins(); })
 {
-  mState.mReadStreamVersions = [this] { return mVersionRead.Run(); };
-  mState.mReadStreamOrigins = [this] { return mOriginRead.Run(); };
+  const auto whileUnknown = [&aState](JoinedRead& aRead, std::string aStream) {
+    return aRead.Run([&aState, stream = std::move(aStream)] {
+      return !aState.mStreamOrigins.VersionOf(stream);
+    });
+  };
+  mState.mReadStreamVersions = [this, whileUnknown](std::string aStream) {
+    return whileUnknown(mVersionRead, std::move(aStream));
+  };
+  mState.mReadStreamOrigins = [this, whileUnknown](std::string aStream) {
+    return whileUnknown(mOriginRead, std::move(aStream));
+  };
+}
+
+void
+StreamRecords::OnOriginsHeard()
+{
+  mVersionRead.Wake();
+  mOriginRead.Wake();
 }
 
 void
--- a/src/cactusgw/gateway/stream_records.hpp
+++ b/src/cactusgw/gateway/stream_records.hpp
@@ -40,6 +40,10 @@
   /// Starts to write. To be called once.
   void Start(StreamWriterRole aRole);
 
+  /// Another gateway has told the begins of streams: resumptions of them don't
+  /// wait for reads any longer.
+  void OnOriginsHeard();
+
 private:
   /// Returns false if the records can't be read, or are older than what is
   /// known of the store.
--- a/tests/system/stream_versions_test.cpp
+++ b/tests/system/stream_versions_test.cpp
@@ -465,6 +465,24 @@
   EXPECT_EQ(Complete(), kStreams);
 }
 
+// Guards against streams that are refused, though the other gateway tells
+// their version, because their resumption waits for a read of the silent store.
+TEST_F(StreamVersionsTest, AGatewayThatIsCutOffFromTheStoreResumesWhatOthersTell)
+{
+  SetLinks(0, LinkFault::Silence, LinkFault::None);
+  mNewer.Register();
+  // The second gateway reads through the first one until then.
+  WaitForLine(*mGateways[1], "event=store-read-by gateway=gateway-1");
+  Begin(*mGateways[1]);
+  Resume(*mGateways[0], kRefusedMs);
+  EXPECT_EQ(Joined(), 0);
+  EXPECT_EQ(Complete(), Begun("v1"));
+  SetLinks(0, LinkFault::None, LinkFault::None);
+  Resume(*mGateways[0], kPatienceMs);
+  EXPECT_EQ(Joined(), 0);
+  EXPECT_EQ(Complete(), kStreams);
+}
+
 // The second gateway reads through the first one, and can't reach the store.
 TEST_F(StreamVersionsTest, AGatewayThatReadsThroughAnotherJoinsNoStreams)
 {
