Tunnels: a gateway states where it listens for them

Foundation of the second matter of the issue: gateways without links to upstreams reach them through another gateway. The setting tunnelListen and the registration name the address; a gateway of an earlier release states none, and ignores the field of others. The headers state what the parts agree on. Nothing uses them yet.

--- a/src/cactusgw/config/process_settings.cpp
+++ b/src/cactusgw/config/process_settings.cpp
@@ -190,6 +190,7 @@
     settings.mReadyListen = aReader.Address("readyListen");
     settings.mMetricsListen = aReader.Address("metricsListen");
     settings.mPeerListen = aReader.Address("peerListen");
+    settings.mTunnelListen = aReader.AddressOr("tunnelListen", "");
     settings.mPlatform = aReader.Address("platform");
     settings.mCapacity =
       aReader.NumberOr("capacity", kCapacityRange, settings.mCapacity);
--- a/src/cactusgw/config/process_settings.hpp
+++ b/src/cactusgw/config/process_settings.hpp
@@ -105,6 +105,9 @@
   std::string mMetricsListen;
   /// Where the other gateways send what they know.
   std::string mPeerListen;
+  /// Where other gateways ask for tunnels to upstreams that they can't reach;
+  /// empty if this gateway carries none.
+  std::string mTunnelListen;
   std::string mPlatform;
   /// What this VM can carry against others: its part of a processor.
   double mCapacity = 1;
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -754,7 +754,8 @@
   return { settings.mPlace.mVm,
            settings.mPeerListen,
            settings.mPlace.mDataCentre,
-           settings.mCapacity };
+           settings.mCapacity,
+           settings.mTunnelListen };
 }
 
 void
--- a/src/cactusgw/gateway/gateway_peer.hpp
+++ b/src/cactusgw/gateway/gateway_peer.hpp
@@ -21,6 +21,9 @@
   std::string mDataCentre;
   /// Relative capacity of the VM: its share of a processor.
   double mCapacity = 0;
+  /// Address on which it listens for tunnels, as `IP:port`; empty if it carries
+  /// none, as gateways of earlier releases.
+  std::string mTunnelAddress;
 
   bool operator==(const GatewayPeer&) const = default;
 };
