--- a/src/cactusgw/net/http_connection.cpp
+++ b/src/cactusgw/net/http_connection.cpp
@@ -57,8 +57,8 @@
 
 } // namespace
 
-HttpConnection::HttpConnection(const net::any_io_executor& aExecutor)
-  : mStream(aExecutor)
+HttpConnection::HttpConnection(TcpStream aStream)
+  : mStream(std::move(aStream))
   , mBuffer(kMaxUnparsedBytes)
 {
 }
@@ -70,23 +70,36 @@
   if (!endpoint) {
     co_return endpoint.error();
   }
-  std::unique_ptr<HttpConnection> connection{ new HttpConnection{
-    co_await net::this_coro::executor } };
+  TcpStream stream{ co_await net::this_coro::executor };
+  Prepare(stream, endpoint.value().protocol());
   beast::error_code ec;
-  net::ip::tcp::socket& socket = connection->mStream.socket();
+  stream.expires_after(aTime);
+  co_await stream.async_connect(endpoint.value(),
+                                net::redirect_error(net::use_awaitable, ec));
+  if (ec) {
+    co_return NotRun(FailureCode::UpstreamUnreachable, ec.message());
+  }
+  co_return Adopt(std::move(stream));
+}
+
+std::unique_ptr<HttpConnection>
+HttpConnection::Adopt(TcpStream aStream)
+{
+  SetDeadPeerTimeout(aStream.socket(), kDeadPeerTime);
+  return std::unique_ptr<HttpConnection>{ new HttpConnection{
+    std::move(aStream) } };
+}
+
+void
+HttpConnection::Prepare(TcpStream& aStream, const net::ip::tcp& aProtocol)
+{
+  beast::error_code ec;
+  net::ip::tcp::socket& socket = aStream.socket();
   // The window is set as the connection is established.
-  socket.open(endpoint.value().protocol(), ec);
+  socket.open(aProtocol, ec);
   socket.set_option(
     net::socket_base::receive_buffer_size{ kReceiveBufferBytes }, ec);
   socket.set_option(net::socket_base::send_buffer_size{ kSendBufferBytes }, ec);
-  connection->mStream.expires_after(aTime);
-  co_await connection->mStream.async_connect(
-    endpoint.value(), net::redirect_error(net::use_awaitable, ec));
-  if (ec) {
-    co_return NotRun(FailureCode::UpstreamUnreachable, ec.message());
-  }
-  SetDeadPeerTimeout(connection->mStream.socket(), kDeadPeerTime);
-  co_return std::move(connection);
 }
 
 Task<Result<void>>
--- a/src/cactusgw/net/http_connection.hpp
+++ b/src/cactusgw/net/http_connection.hpp
@@ -31,6 +31,12 @@
     std::string_view aAddress,
     Milliseconds aTime);
 
+  /// Takes over a connected stream that has no unread bytes.
+  static std::unique_ptr<HttpConnection> Adopt(TcpStream aStream);
+  /// Opens the socket of a stream with the buffer sizes of a connection, before
+  /// it is connected.
+  static void Prepare(TcpStream& aStream, const net::ip::tcp& aProtocol);
+
   /// Sends a request and reads the response header.
   Task<Result<void>> Exchange(HttpRequest& aRequest, Instant aDeadline);
   /// The body must stay until the call has returned.
@@ -63,7 +69,7 @@
   void Close();
 
 private:
-  explicit HttpConnection(const net::any_io_executor& aExecutor);
+  explicit HttpConnection(TcpStream aStream);
   template<typename Request>
   Task<Result<void>> SendAndReadHeader(Request& aRequest, Instant aDeadline);
   void ResetParser();
--- a/src/cactusgw/tunnel/tunnel_client.hpp
+++ b/src/cactusgw/tunnel/tunnel_client.hpp
@@ -69,10 +69,8 @@
 };
 
 /// Opens a tunnel. What the connection carries then is the upstream's HTTP.
-Task<TunnelResult<std::unique_ptr<HttpConnection>>> OpenTunnel(
-  Carrier aCarrier,
-  TunnelRequest aRequest,
-  Milliseconds aTime);
+Task<TunnelResult<std::unique_ptr<HttpConnection>>>
+OpenTunnel(Carrier aCarrier, TunnelRequest aRequest, Milliseconds aTime);
 
 /// Asks the carrier how a tunnel ended that it carried. The end of a connection
 /// alone doesn't tell an upstream that crashed from a carrier that did.
--- a/tests/soak/channel.cpp
+++ b/tests/soak/channel.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -293,10 +294,34 @@
 }
 
 void
-Listener::Accept() const
+Listener::SetHeld(bool aIsHeld)
+{
+  // The thread that accepts takes one more, and the backlog the others.
+  constexpr int kFillers = 3;
+  if (aIsHeld == mIsHeld) {
+    return;
+  }
+  listen(mFd, aIsHeld ? 0 : kBacklog);
+  mIsHeld = aIsHeld;
+  mFillers.clear();
+  for (int i = 0; aIsHeld && i < kFillers; ++i) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    fcntl(fd, F_SETFL, O_NONBLOCK);
+    const sockaddr_in address = Loopback(mPort);
+    connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    mFillers.push_back(std::make_unique<Channel>(fd));
+    SleepMs(1);
+  }
+}
+
+void
+Listener::Accept()
 {
   while (true) {
     const int fd = accept4(mFd, nullptr, nullptr, SOCK_CLOEXEC);
+    while (mIsHeld) {
+      SleepMs(1);
+    }
     if (fd < 0) {
       SleepMs(1);
       continue;
--- a/tests/soak/channel.hpp
+++ b/tests/soak/channel.hpp
@@ -89,13 +89,19 @@
   using Handler = std::function<void(Channel&)>;
   explicit Listener(Handler aHandler);
   int Port() const { return mPort; }
+  /// While held, the system drops the first packet of each new connection, as
+  /// if the port could not be reached.
+  void SetHeld(bool aIsHeld);
 
 private:
-  void Accept() const;
+  void Accept();
 
   Handler mHandler;
   int mPort = 0;
   int mFd = -1;
+  std::atomic<bool> mIsHeld = false;
+  /// Connections that fill the backlog while held.
+  std::vector<std::unique_ptr<Channel>> mFillers;
 };
 
 } // namespace cactusgw::soak
--- a/tests/soak/gateway_process.cpp
+++ b/tests/soak/gateway_process.cpp
@@ -20,6 +20,7 @@
   , mReady(FreePort())
   , mMetrics(FreePort())
   , mPeer(FreePort())
+  , mTunnel(FreePort())
 {
 }
 
@@ -51,8 +52,8 @@
          R"(","dataCentre":"zone-a","regions":{"zone-a":"north"},"listen":")" +
          AddressOf(mFront) + R"(","readyListen":")" + AddressOf(mReady) +
          R"(","metricsListen":")" + AddressOf(mMetrics) +
-         R"(","peerListen":")" + AddressOf(mPeer) + R"(","platform":")" +
-         AddressOf(mStorePort) +
+         R"(","peerListen":")" + AddressOf(mPeer) + R"(","tunnelListen":")" +
+         AddressOf(mTunnel) + R"(","platform":")" + AddressOf(mStorePort) +
          R"(","capacity":0.25,"linkMbps":1000.0,)"
          R"("bounds":{"keyFreshnessMs":5000,"homeFreshnessMs":2500,)"
          R"("retryRatio":0.2,"retryExtra":54,"retryWindowS":10,)"
--- a/tests/soak/gateway_process.hpp
+++ b/tests/soak/gateway_process.hpp
@@ -57,6 +57,7 @@
   int mReady;
   int mMetrics;
   int mPeer;
+  int mTunnel;
   std::atomic<pid_t> mPid = 0;
 };
 
--- a/tests/soak/link_proxy.cpp
+++ b/tests/soak/link_proxy.cpp
@@ -21,6 +21,13 @@
 {
 }
 
+void
+LinkProxy::SetFault(LinkFault aFault)
+{
+  mFault = aFault;
+  mListener.SetHeld(aFault == LinkFault::HangNew || aFault == LinkFault::Cut);
+}
+
 void
 LinkProxy::Serve(Channel& aChannel) const
 {
@@ -74,7 +81,7 @@
 LinkProxy::Pass(bool aIsForward, int aGeneration) const
 {
   const LinkFault fault = mFault;
-  if (fault == LinkFault::Silence ||
+  if (fault == LinkFault::Silence || fault == LinkFault::Cut ||
       fault == (aIsForward ? LinkFault::CutForward : LinkFault::CutBack)) {
     SleepMs(kTickMs);
     return false;
--- a/tests/soak/link_proxy.hpp
+++ b/tests/soak/link_proxy.hpp
@@ -23,6 +23,10 @@
   Drip,
   /// New connections are reset.
   Reset,
+  /// New connections are never established.
+  HangNew,
+  /// Nothing passes, and new connections are never established.
+  Cut,
 };
 
 class LinkProxy
@@ -30,7 +34,7 @@
 public:
   explicit LinkProxy(int aTarget);
   int Port() const { return mListener.Port(); }
-  void SetFault(LinkFault aFault) { mFault = aFault; }
+  void SetFault(LinkFault aFault);
   /// Resets the connections that are open.
   void ResetAll() { ++mGeneration; }
 
