--- a/src/cactusgw/gateway/gateway_peer.hpp
+++ b/src/cactusgw/gateway/gateway_peer.hpp
@@ -23,7 +23,7 @@
   double mCapacity = 0;
   /// Address on which it listens for tunnels, as `IP:port`; empty if it carries
   /// none, as gateways of earlier releases.
-  std::string mTunnelAddress;
+  std::string mTunnelAddress = {};
 
   bool operator==(const GatewayPeer&) const = default;
 };
--- a/src/cactusgw/gateway/store_relay.cpp
+++ b/src/cactusgw/gateway/store_relay.cpp
@@ -79,7 +79,8 @@
   return { aSettings.mPlace.mVm,
            aSettings.mPeerListen,
            aSettings.mPlace.mDataCentre,
-           aSettings.mCapacity };
+           aSettings.mCapacity,
+           aSettings.mTunnelListen };
 }
 
 /// The data centres of the region that the gateway runs in.
