Tunnels: what a gateway knows of its own links

Evidence of direct connections and of tunnels in one place, with time passed in: a link is broken if a carrier reaches an upstream that this gateway does not. Not used yet.

--- /dev/null
+++ b/src/cactusgw/tunnel/link_monitor.cpp
@@ -0,0 +1,175 @@
+#include "cactusgw/tunnel/link_monitor.hpp"
+
+#include <algorithm>
+
+namespace cactusgw {
+
+namespace {
+
+/// Fewer could be single upstreams that fail in some way of their own.
+constexpr std::size_t kMinUpstreams = 2;
+
+} // namespace
+
+std::size_t
+LinkMonitor::Needed() const
+{
+  return std::clamp<std::size_t>(mUpstreamCount, 1, kMinUpstreams);
+}
+
+bool
+LinkMonitor::IsRecent(const std::optional<Instant>& aAt, Instant aNow)
+{
+  return aAt && aNow - *aAt < kEvidenceTime;
+}
+
+bool
+LinkMonitor::IsCutOff(const Evidence& aEvidence, Instant aNow)
+{
+  return IsRecent(aEvidence.mFailedAt, aNow) &&
+         IsRecent(aEvidence.mTunnelledAt, aNow);
+}
+
+void
+LinkMonitor::OnConnected(std::string_view aUpstream, Instant /*aNow*/)
+{
+  const auto it = mEvidence.find(aUpstream);
+  if (it != mEvidence.end()) {
+    mEvidence.erase(it);
+  }
+  if (!mBrokenSince) {
+    return;
+  }
+  mReached.emplace(aUpstream);
+  if (mReached.size() >= Needed()) {
+    mBrokenSince.reset();
+    mReached.clear();
+    mEvidence.clear();
+  }
+}
+
+void
+LinkMonitor::OnConnectFailed(std::string_view aUpstream, Instant aNow)
+{
+  mEvidence[std::string{ aUpstream }].mFailedAt = aNow;
+  mReached.clear();
+  Update(aNow);
+}
+
+void
+LinkMonitor::OnTunnelOpened(std::string_view aUpstream, Instant aNow)
+{
+  Evidence& evidence = mEvidence[std::string{ aUpstream }];
+  evidence.mTunnelledAt = aNow;
+  evidence.mDownAt.reset();
+  Update(aNow);
+}
+
+void
+LinkMonitor::OnCarrierFailed(std::string_view aUpstream, Instant aNow)
+{
+  Evidence& evidence = mEvidence[std::string{ aUpstream }];
+  evidence.mDownAt = aNow;
+  evidence.mTunnelledAt.reset();
+}
+
+void
+LinkMonitor::Forget(std::string_view aUpstream)
+{
+  const auto it = mEvidence.find(aUpstream);
+  if (it != mEvidence.end()) {
+    mEvidence.erase(it);
+  }
+}
+
+void
+LinkMonitor::Update(Instant aNow)
+{
+  std::erase_if(mEvidence, [&](const auto& aItem) {
+    const Evidence& evidence = aItem.second;
+    return !IsRecent(evidence.mFailedAt, aNow) &&
+           !IsRecent(evidence.mTunnelledAt, aNow) &&
+           !IsRecent(evidence.mDownAt, aNow);
+  });
+  const std::size_t cutOff = static_cast<std::size_t>(
+    std::count_if(mEvidence.begin(), mEvidence.end(), [&](const auto& aItem) {
+      return IsCutOff(aItem.second, aNow);
+    }));
+  if (!mBrokenSince && cutOff >= Needed()) {
+    mBrokenSince = aNow;
+    mReached.clear();
+    mProbedAt = aNow;
+  }
+}
+
+void
+LinkMonitor::OnSent(std::string_view aUpstream, Instant aNow)
+{
+  if (mWaiting.empty()) {
+    mHeardAt = aNow;
+  }
+  ++mWaiting[std::string{ aUpstream }];
+}
+
+void
+LinkMonitor::OnBytes(Instant aNow)
+{
+  mHeardAt = aNow;
+}
+
+void
+LinkMonitor::OnEnded(std::string_view aUpstream)
+{
+  const auto it = mWaiting.find(aUpstream);
+  if (it != mWaiting.end() && --it->second == 0) {
+    mWaiting.erase(it);
+  }
+}
+
+bool
+LinkMonitor::PrefersTunnel(std::string_view aUpstream, Instant aNow) const
+{
+  const auto it = mEvidence.find(aUpstream);
+  return mBrokenSince || (it != mEvidence.end() && IsCutOff(it->second, aNow));
+}
+
+bool
+LinkMonitor::MayTunnel(std::string_view aUpstream, Instant aNow) const
+{
+  const auto it = mEvidence.find(aUpstream);
+  return it == mEvidence.end() || !it->second.mDownAt ||
+         aNow - *it->second.mDownAt >= kDownTime;
+}
+
+bool
+LinkMonitor::IsSilent(Instant aNow) const
+{
+  const Milliseconds time =
+    mWaiting.size() >= Needed() ? kSilenceTime : 2 * kSilenceTime;
+  return !mWaiting.empty() && aNow - mHeardAt >= time;
+}
+
+bool
+LinkMonitor::MayUseOpenConnections() const
+{
+  return !mBrokenSince || mHeardAt > *mBrokenSince;
+}
+
+bool
+LinkMonitor::AreOpenLinksDead(Instant aNow) const
+{
+  return mBrokenSince && !mWaiting.empty() &&
+         aNow - std::max(mHeardAt, *mBrokenSince) >= kSilenceTime;
+}
+
+bool
+LinkMonitor::TakeProbe(Instant aNow)
+{
+  if ((!mBrokenSince && !IsSilent(aNow)) || aNow - mProbedAt < kProbeInterval) {
+    return false;
+  }
+  mProbedAt = aNow;
+  return true;
+}
+
+} // namespace cactusgw
