Tunnels: a gateway without links serves through others

What clients saw: while a VM was partitioned from all upstreams, nearly all requests there got 503 after 0.5 to 1.5 s, though the gateways beside it served nearly all.

Cause: a gateway had one way to an upstream, its own link.

Change: a gateway has connections to upstreams made by another gateway, and keeps all decisions. It asks for a tunnel beside a direct attempt once its links are suspected, and at once while they are known to be broken, that is when other gateways reach upstreams that it doesn't. Requests that wait on dead connections and may be repeated are taken back; what nobody can carry is refused at once (links-lost); a gateway without any way is not ready. The end of a tunnel is evidence of a crash only if its carrier says that the upstream closed it.

--- a/src/cactusgw/core/verdict.cpp
+++ b/src/cactusgw/core/verdict.cpp
@@ -54,6 +54,8 @@
       return "outside-home-regions";
     case FailureCode::UpstreamUnreachable:
       return "upstream-unreachable";
+    case FailureCode::LinksLost:
+      return "links-lost";
     case FailureCode::UpstreamRefused:
       return "upstream-refused";
     case FailureCode::UpstreamBroke:
--- a/src/cactusgw/core/verdict.hpp
+++ b/src/cactusgw/core/verdict.hpp
@@ -53,6 +53,8 @@
   HistoryCompacted,
   Conflict,
   UpstreamUnreachable,
+  /// This gateway has lost its links to upstreams, and no other one lends its.
+  LinksLost,
   /// The request may not be served in the region of the upstream, or in none.
   OutsideHomeRegions,
   UpstreamRefused,
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -110,6 +110,7 @@
                    mStore,
                    std::move(aStreamVersions),
                    std::move(aStreamOrigins))
+  , mTunnels(aContext, mState)
 {
   mState.mMigrator = &mMigrator;
   mStore.SetRestoreHandler(
@@ -229,7 +230,7 @@
         mStreamRecords.OnOriginsHeard();
       }
     });
-  return boost::outcome_v2::success();
+  return mTunnels.Listen();
 }
 
 HttpServerLimits
@@ -286,7 +287,7 @@
   return !mIsStopping && mState.mTable && mHasUpstreamList &&
          mHasDrainedDataCentres &&
          (mHasRollouts || !mState.mRollouts.IsEnabled()) &&
-         mState.mFreshness.IsFresh(BootNow());
+         mState.mFreshness.IsFresh(BootNow()) && mTunnels.HasWay(SteadyNow());
 }
 
 bool
@@ -298,6 +299,7 @@
   }
   mStore.Tick(now, mRelay->IsStoreReachable());
   RegisterIfLost(now);
+  mTunnels.Tick(now);
   UpdateRollouts(now);
   mState.UpdateStreamVersionsIfDue(now);
   mState.UpdateOutliers(now);
@@ -831,10 +833,12 @@
       mPeers->SetPeer(*change.mValue);
       mRelay->SetPeer(*change.mValue);
       mLoadExchange->SetPeer(*change.mValue);
+      mTunnels.SetPeer(*change.mValue);
     } else {
       mPeers->RemovePeer(change.mName);
       mRelay->RemovePeer(change.mName);
       mLoadExchange->RemovePeer(change.mName);
+      mTunnels.RemovePeer(change.mName);
     }
   }
   mRelay->OnPeersListed(SteadyNow());
@@ -916,6 +920,7 @@
   mState.mStop = schedule;
   net::steady_timer timer{ mContext };
   mServer->Drain();
+  mTunnels.Drain();
   mRelay->Stop();
   // A registration in progress could reach the store after its withdrawal, so
   // that it withdraws itself.
@@ -929,7 +934,8 @@
   do {
     timer.expires_after(kOpenRequestPollInterval);
     co_await timer.async_wait(net::use_awaitable);
-  } while (mServer->OpenRequests() > 0 && SteadyNow() < schedule.AnswerAt());
+  } while ((mServer->OpenRequests() > 0 || mTunnels.Carried() > 0) &&
+           SteadyNow() < schedule.AnswerAt());
   GiveUpOpenCalls();
   // A process that was held up until now still answers.
   const Instant end =
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -15,6 +15,7 @@
 #include "cactusgw/gateway/stream_records.hpp"
 #include "cactusgw/interfaces/registry_source.hpp"
 #include "cactusgw/net/http_server.hpp"
+#include "cactusgw/tunnel/gateway_tunnels.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -171,6 +172,7 @@
   StreamRecords mStreamRecords;
   std::unique_ptr<StoreRelay> mRelay;
   std::unique_ptr<LoadExchange> mLoadExchange;
+  GatewayTunnels mTunnels;
   std::unique_ptr<HttpServer> mServer;
   std::unique_ptr<HttpServer> mReadyServer;
   std::unique_ptr<HttpServer> mMetricsServer;
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -15,10 +15,6 @@
 
 namespace {
 
-/// Timeout for a new connection. The one-way latency between regions is 20 ms.
-/// TCP retransmits a lost SYN only after a second; trying another upstream is
-/// faster.
-constexpr Milliseconds kConnectTimeout{ 500 };
 /// Interval at which an attempt that is due for a retry looks for an upstream
 /// and for a share of the retry budget.
 constexpr Milliseconds kRetryCheckInterval{ 50 };
@@ -34,6 +30,8 @@
 /// Time after its first event from which a stream counts as begun: a request
 /// that crashes its upstream may still send some events.
 constexpr Milliseconds kBegunTime{ 300 };
+/// Time for the question how a tunnel ended, which its carrier knows by then.
+constexpr Milliseconds kTunnelEndTime{ 200 };
 /// Responses to other requests that are skipped on a connection before it
 /// counts as broken.
 constexpr int kMaxMismatchedResponses = 2;
@@ -409,6 +407,7 @@
   mIsServed = false;
   mIsHeldBack = false;
   mMakesWay = false;
+  mHasLostLink = false;
   mPendingPromptTokens = mContinuation ? 0 : mAdmitted.mTokenNeed.mPrompt;
   UpstreamLoad load{ 1, mAdmitted.mTokenNeed.mTotal, mPendingPromptTokens, 0 };
   mState.mLoads.Add(mUpstream, load);
@@ -421,12 +420,19 @@
   }
   if (result) {
     result = co_await SendAndRelay(upstream);
+    if (std::exchange(mIsOnDirectLink, false)) {
+      mState.mConnector->Links().OnEnded(mUpstream);
+    }
+    if (!result && mHasLostLink) {
+      result = MayHaveRun(FailureCode::UpstreamSilent,
+                          "the links to upstreams failed");
+    }
     if (!result && mMakesWay) {
       result = MayHaveRun(FailureCode::UpstreamSilent,
                           "no whole response in time for a retry");
     }
     // A connection that this gateway closed says nothing about the upstream.
-    if (!result && !mIsGivenUp) {
+    if (!result && !mIsGivenUp && co_await HasUpstreamClosed(result.error())) {
       ReportCrash(upstream, result.error());
     }
     // An upstream may still crash on a request that its client has left.
@@ -471,8 +477,12 @@
     mIsHeldBack = true;
     co_return allowed.error();
   }
+  const TunnelUse* const tunnel = mConnection->Tunnel();
   Result<SendClearance> clearance = mState.Gate(BootNow()).Clear(
-    mAdmitted.mOrigin, mConnection->Target(), Purpose());
+    mAdmitted.mOrigin,
+    mConnection->Target(),
+    Purpose(),
+    tunnel == nullptr ? std::string_view{} : tunnel->mCarrier.mDataCentre);
   if (!clearance) {
     mIsHeldBack = true;
     co_return clearance.error();
@@ -492,6 +502,10 @@
                                         mAdmitted.mTokenNeed,
                                         now);
   mSentAt = now;
+  if (tunnel == nullptr) {
+    mState.mConnector->Links().OnSent(mUpstream, now);
+    mIsOnDirectLink = true;
+  }
   ++mAttempts;
   mState.mLog.Write(
     "sent",
@@ -514,6 +528,7 @@
       { "parts", JoinParts(mAdmitted.mOrigin.mSharedParts) },
       { "fingerprint", ToString(mAdmitted.mOrigin.mFingerprint) },
       { "crashes", KnownCrashes() },
+      { "carrier", tunnel == nullptr ? "none" : tunnel->mCarrier.mName },
       { "heldTokens", static_cast<std::int64_t>(heldTokens) },
       { "afterMs", Elapsed().count() } },
     now);
@@ -663,14 +678,24 @@
 Task<Result<void>>
 GatewayCall::Connect(const UpstreamRecord& aUpstream)
 {
-  mConnection =
-    mState.mPool.Acquire(TargetOf(aUpstream), mRequestId, SteadyNow());
+  const SendGate gate = mState.Gate(BootNow());
+  const AllowedRegions regions = gate.RegionsFor(mAdmitted.mOrigin);
+  mConnection = mState.mPool.Acquire(
+    TargetOf(aUpstream),
+    mRequestId,
+    SteadyNow(),
+    [&](const UpstreamConnection& aIdle) {
+      const TunnelUse* const tunnel = aIdle.Tunnel();
+      return mState.mConnector->MayReuse(aIdle) &&
+             (tunnel == nullptr ||
+              gate.MayCarry(regions, tunnel->mCarrier.mDataCentre));
+    });
   if (mConnection) {
     co_return boost::outcome_v2::success();
   }
   mState.mMetrics.mConnects.Add();
   Result<std::unique_ptr<UpstreamConnection>> connected =
-    co_await UpstreamConnection::Connect(TargetOf(aUpstream), kConnectTimeout);
+    co_await mState.mConnector->Connect(TargetOf(aUpstream), regions);
   if (!connected) {
     co_return connected.error();
   }
@@ -772,9 +797,38 @@
   }
 }
 
+Task<bool>
+GatewayCall::HasUpstreamClosed(const Failure& aFailure)
+{
+  const TunnelUse* const tunnel = mConnection->Tunnel();
+  if (tunnel == nullptr || aFailure.mCode != FailureCode::UpstreamClosed) {
+    co_return true;
+  }
+  const TunnelEnd end = co_await AskForTunnelEnd(
+    tunnel->mCarrier, tunnel->mRequest, kTunnelEndTime);
+  mHasLostLink = end != TunnelEnd::ClosedByUpstream;
+  co_return !mHasLostLink;
+}
+
+void
+GatewayCall::OnLinksDead()
+{
+  const bool mayRepeat =
+    IsRetryable(mAdmitted.mRoute->mKind) &&
+    mPossibleRuns + 1 < mAdmitted.mRoute->mMaxAttempts &&
+    (!mExchange.HasBegun() || !mProgress.mLastEventId.empty());
+  if (mIsOnDirectLink && mConnection && mayRepeat && !mHasLostLink) {
+    mHasLostLink = true;
+    mConnection->Close();
+  }
+}
+
 void
 GatewayCall::ReadSurvival()
 {
+  if (mIsOnDirectLink) {
+    mState.mConnector->Links().OnBytes(SteadyNow());
+  }
   if (IsMisdirected(mConnection->Response())) {
     return;
   }
@@ -918,6 +972,9 @@
 GatewayCall::OnEventsRelayed()
 {
   const Instant now = SteadyNow();
+  if (mIsOnDirectLink) {
+    mState.mConnector->Links().OnBytes(now);
+  }
   if (!mFirstEventAt && !mContinuation) {
     const UpstreamTarget& upstream = mConnection->Target();
     mState.mPromptCaches.OnRead(
@@ -985,7 +1042,9 @@
     mMayHaveRun = true;
     ++mPossibleRuns;
   }
-  if (!mIsHeldBack && !mIsGivenUp) {
+  const bool isOfOwnLinks =
+    mHasLostLink || aFailure.mCode == FailureCode::LinksLost;
+  if (!mIsHeldBack && !mIsGivenUp && !isOfOwnLinks) {
     mState.mHealth.OnFailure(mUpstream, 1, now);
     // A request that has crashed several upstreams says nothing about one.
     const bool isAttributed =
@@ -1027,11 +1086,12 @@
                   mPossibleRuns < mAdmitted.mRoute->mMaxAttempts);
   // The configuration is as old for each other upstream.
   const bool isConfigTooOld = aFailure.mCode == FailureCode::StoreUnavailable;
+  const bool hasNoWay = aFailure.mCode == FailureCode::LinksLost;
   const bool isLate = SteadyNow() >= mAdmitted.mDeadline;
   const bool canContinue =
     !mExchange.HasBegun() || !mProgress.mLastEventId.empty();
-  if (!isAllowed || isConfigTooOld || isLate || mIsGivenUp || !canContinue ||
-      mAttempts >= kMaxAttempts) {
+  if (!isAllowed || isConfigTooOld || hasNoWay || isLate || mIsGivenUp ||
+      !canContinue || mAttempts >= kMaxAttempts) {
     return false;
   }
   // Nothing was sent, so the retry does not count towards the budget.
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -38,6 +38,10 @@
   /// begun goes on.
   void GiveUp();
 
+  /// Takes back the current attempt, if it can be repeated: nothing arrives on
+  /// direct connections to upstreams.
+  void OnLinksDead();
+
 private:
   Task<void> Forward();
   /// Returns the upstream that the generation of the last attempt was migrated
@@ -90,6 +94,8 @@
   /// Records this request as a suspect when its upstream seems to have crashed
   /// before it visibly began to respond.
   void ReportCrash(const KnownUpstream& aUpstream, const Failure& aFailure);
+  /// Whether the upstream itself, and not a carrier, closed the connection.
+  Task<bool> HasUpstreamClosed(const Failure& aFailure);
   void OnServed();
   /// Clears the crashes that this request is a suspect of.
   void ClearSuspicion();
@@ -174,6 +180,11 @@
   /// Whether the current attempt was given up for a retry, which the retry
   /// budget already counts.
   bool mMakesWay = false;
+  /// Whether the current attempt waits on a direct connection.
+  bool mIsOnDirectLink = false;
+  /// Whether the current attempt failed by the links of this gateway or of its
+  /// carrier, which says nothing about the upstream.
+  bool mHasLostLink = false;
   /// Upstream at which a place is held for the retry; empty if none.
   std::string mRetryUpstream;
   /// Refers to the call, so that it is the last member and ends first.
--- a/src/cactusgw/gateway/gateway_metrics.cpp
+++ b/src/cactusgw/gateway/gateway_metrics.cpp
@@ -146,6 +146,18 @@
       { "cactusgw_draining_responses_total",
         "Responses by which an upstream stated that it is draining.",
         "" }))
+  , mTunnelsOpened(mRegistry.AddCounter(
+      { "cactusgw_tunnels_opened_total",
+        "Connections to upstreams that another gateway carries.",
+        "" }))
+  , mTunnelsFailed(mRegistry.AddCounter(
+      { "cactusgw_tunnels_failed_total",
+        "Requests to another gateway to carry a connection that failed.",
+        "" }))
+  , mLinksBroken(
+      mRegistry.AddGauge({ "cactusgw_links_broken",
+                           "1 while this gateway reaches no upstream directly.",
+                           "" }))
   , mConfigVersion(mRegistry.AddGauge(
       { "cactusgw_config_version", "Configuration in force.", "" }))
   , mConfigAge(mRegistry.AddGauge({ "cactusgw_config_age_seconds",
--- a/src/cactusgw/gateway/gateway_metrics.hpp
+++ b/src/cactusgw/gateway/gateway_metrics.hpp
@@ -58,6 +58,9 @@
   Counter& mPausedRequests;
   Gauge& mPausedUpstreams;
   Counter& mDrainingResponses;
+  Counter& mTunnelsOpened;
+  Counter& mTunnelsFailed;
+  Gauge& mLinksBroken;
   Gauge& mConfigVersion;
   Gauge& mConfigAge;
   Gauge& mMemoryCapacity;
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -33,6 +33,7 @@
 #include "cactusgw/gateway/wait_queue.hpp"
 #include "cactusgw/rollout/rollout_control.hpp"
 #include "cactusgw/telemetry/recorder.hpp"
+#include "cactusgw/tunnel/upstream_connector.hpp"
 
 #include <functional>
 #include <map>
@@ -185,6 +186,8 @@
   ColdStartLimiter mColdStartLimiter;
   UpstreamPauses mPauses;
   UpstreamConnectionPool mPool;
+  /// Set by the owner of this state before the first call.
+  std::shared_ptr<UpstreamConnector> mConnector;
   WaitQueue mWaitQueue;
   /// Set by the owner of this state before the first call.
   GenerationMigrator* mMigrator = nullptr;
--- a/src/cactusgw/gateway/send_gate.cpp
+++ b/src/cactusgw/gateway/send_gate.cpp
@@ -169,7 +169,8 @@
 Result<SendClearance>
 SendGate::Clear(const RequestOrigin& aOrigin,
                 const UpstreamTarget& aTarget,
-                SendPurpose aPurpose) const
+                SendPurpose aPurpose,
+                std::string_view aCarrierDataCentre) const
 {
   const KnownUpstream* const known = mFacts.mDirectory.Find(aTarget.mId);
   if (known == nullptr || TargetOf(known->mRecord) != aTarget) {
@@ -212,9 +213,25 @@
       "upstream " + aTarget.mId + " in region " + RegionOf(record.mDataCentre) +
         " is outside the allowed regions: " + regions.value().Text());
   }
+  if (!aCarrierDataCentre.empty() &&
+      !MayCarry(regions.value(), aCarrierDataCentre)) {
+    return NotRun(
+      FailureCode::OutsideHomeRegions,
+      "the carrier in data centre " + std::string{ aCarrierDataCentre } +
+        " is outside the allowed regions: " + regions.value().Text());
+  }
   return SendClearance{ aTarget };
 }
 
+bool
+SendGate::MayCarry(const AllowedRegions& aRegions,
+                   std::string_view aDataCentre) const
+{
+  const auto region = mFacts.mRegions.find(aDataCentre);
+  return !aRegions.IsRestricted() ||
+         (region != mFacts.mRegions.end() && aRegions.Allows(region->second));
+}
+
 bool
 SendGate::IsPausedFor(const UpstreamRecord& aUpstream,
                       SendPurpose aPurpose) const
--- a/src/cactusgw/gateway/send_gate.hpp
+++ b/src/cactusgw/gateway/send_gate.hpp
@@ -125,9 +125,16 @@
   /// Clears one send. Errors, all NotRun: Quarantined; UpstreamUnreachable when
   /// the upstream has left, restarted or moved, is paused, or accepts no new
   /// work; StoreUnavailable; OutsideHomeRegions.
+  /// @param aCarrierDataCentre where the gateway is that passes the request on;
+  ///        empty without one
   Result<SendClearance> Clear(const RequestOrigin& aOrigin,
                               const UpstreamTarget& aTarget,
-                              SendPurpose aPurpose) const;
+                              SendPurpose aPurpose,
+                              std::string_view aCarrierDataCentre = {}) const;
+  /// Whether these regions allow that a gateway in this data centre passes a
+  /// request on.
+  bool MayCarry(const AllowedRegions& aRegions,
+                std::string_view aDataCentre) const;
 
 private:
   Result<void> HeldBack(const RequestOrigin& aOrigin) const;
--- a/src/cactusgw/gateway/upstream_connection.cpp
+++ b/src/cactusgw/gateway/upstream_connection.cpp
@@ -2,16 +2,13 @@
 
 namespace cactusgw {
 
-Task<Result<std::unique_ptr<UpstreamConnection>>>
-UpstreamConnection::Connect(UpstreamTarget aTarget, Milliseconds aTime)
+std::unique_ptr<UpstreamConnection>
+UpstreamConnection::Adopt(UpstreamTarget aTarget,
+                          std::unique_ptr<HttpConnection> aConnection,
+                          std::optional<TunnelUse> aTunnel)
 {
-  Result<std::unique_ptr<HttpConnection>> connected =
-    co_await HttpConnection::Connect(aTarget.mAddress, aTime);
-  if (!connected) {
-    co_return connected.error();
-  }
-  co_return std::unique_ptr<UpstreamConnection>{ new UpstreamConnection{
-    std::move(aTarget), std::move(connected.value()) } };
+  return std::unique_ptr<UpstreamConnection>{ new UpstreamConnection{
+    std::move(aTarget), std::move(aConnection), std::move(aTunnel) } };
 }
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/upstream_connection.hpp
+++ b/src/cactusgw/gateway/upstream_connection.hpp
@@ -7,6 +7,7 @@
 #include "cactusgw/core/send_clearance.hpp"
 #include "cactusgw/gateway/response_attribution.hpp"
 #include "cactusgw/net/http_connection.hpp"
+#include "cactusgw/tunnel/tunnel_client.hpp"
 
 #include <memory>
 #include <optional>
@@ -19,12 +20,15 @@
 class UpstreamConnection
 {
 public:
-  /// Errors: NotRun when the connection could not be established in time.
-  static Task<Result<std::unique_ptr<UpstreamConnection>>> Connect(
+  /// @param aTunnel the tunnel that the connection goes through, if any
+  static std::unique_ptr<UpstreamConnection> Adopt(
     UpstreamTarget aTarget,
-    Milliseconds aTime);
+    std::unique_ptr<HttpConnection> aConnection,
+    std::optional<TunnelUse> aTunnel);
 
   const UpstreamTarget& Target() const { return mTarget; }
+  /// Null if the connection is direct.
+  const TunnelUse* Tunnel() const { return mTunnel ? &*mTunnel : nullptr; }
 
   /// Sends a request and reads the response header. Errors: also NotRun when
   /// the clearance is for another upstream.
@@ -59,13 +63,16 @@
 
 private:
   UpstreamConnection(UpstreamTarget aTarget,
-                     std::unique_ptr<HttpConnection> aConnection)
+                     std::unique_ptr<HttpConnection> aConnection,
+                     std::optional<TunnelUse> aTunnel)
     : mTarget(std::move(aTarget))
+    , mTunnel(std::move(aTunnel))
     , mConnection(std::move(aConnection))
   {
   }
 
   UpstreamTarget mTarget;
+  std::optional<TunnelUse> mTunnel;
   std::unique_ptr<HttpConnection> mConnection;
   ResponseAttribution mAttribution;
 };
--- a/src/cactusgw/gateway/upstream_connection_pool.cpp
+++ b/src/cactusgw/gateway/upstream_connection_pool.cpp
@@ -7,7 +7,8 @@
 std::unique_ptr<UpstreamConnection>
 UpstreamConnectionPool::Acquire(const UpstreamTarget& aTarget,
                                 std::string_view aRequestId,
-                                Instant aNow)
+                                Instant aNow,
+                                const ReuseFilter& aMayReuse)
 {
   const auto it = mIdle.find(aTarget.mId);
   if (it == mIdle.end()) {
@@ -20,7 +21,7 @@
     idle.pop_back();
     if (aNow < newest.mExpiresAt && newest.mConnection->Target() == aTarget &&
         !newest.mConnection->Attribution().HasRefused(aRequestId) &&
-        newest.mConnection->IsIdle()) {
+        aMayReuse(*newest.mConnection) && newest.mConnection->IsIdle()) {
       return std::move(newest.mConnection);
     }
   }
@@ -53,15 +54,37 @@
   mIdle.erase(aUpstream);
 }
 
+template<typename Predicate>
 void
-UpstreamConnectionPool::CloseExpired(Instant aNow)
+UpstreamConnectionPool::CloseIf(Predicate aPredicate)
 {
   for (auto it = mIdle.begin(); it != mIdle.end();) {
-    std::erase_if(it->second, [&](const IdleConnection& aIdle) {
-      return aNow >= aIdle.mExpiresAt;
-    });
+    std::erase_if(it->second, aPredicate);
     it = it->second.empty() ? mIdle.erase(it) : std::next(it);
   }
 }
 
+void
+UpstreamConnectionPool::CloseExpired(Instant aNow)
+{
+  CloseIf(
+    [&](const IdleConnection& aIdle) { return aNow >= aIdle.mExpiresAt; });
+}
+
+void
+UpstreamConnectionPool::CloseDirect()
+{
+  CloseIf([](const IdleConnection& aIdle) {
+    return aIdle.mConnection->Tunnel() == nullptr;
+  });
+}
+
+void
+UpstreamConnectionPool::CloseTunnels()
+{
+  CloseIf([](const IdleConnection& aIdle) {
+    return aIdle.mConnection->Tunnel() != nullptr;
+  });
+}
+
 } // namespace cactusgw
--- a/src/cactusgw/gateway/upstream_connection_pool.hpp
+++ b/src/cactusgw/gateway/upstream_connection_pool.hpp
@@ -6,6 +6,7 @@
 
 #include "cactusgw/gateway/upstream_connection.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -14,6 +15,9 @@
 
 namespace cactusgw {
 
+/// Whether a request may use an idle connection.
+using ReuseFilter = std::function<bool(const UpstreamConnection&)>;
+
 /// Not thread-safe. Time is passed in.
 class UpstreamConnectionPool
 {
@@ -32,12 +36,16 @@
   /// connection has not carried a refusal of the request.
   std::unique_ptr<UpstreamConnection> Acquire(const UpstreamTarget& aTarget,
                                               std::string_view aRequestId,
-                                              Instant aNow);
+                                              Instant aNow,
+                                              const ReuseFilter& aMayReuse);
   /// Returns a connection to the pool; closes it if it can't be reused or if
   /// the pool holds kMaxIdle connections to the upstream.
   void Release(std::unique_ptr<UpstreamConnection> aConnection, Instant aNow);
   /// Closes all connections to an upstream that was removed or is draining.
   void Forget(const std::string& aUpstream);
+  /// Closes the connections that are direct, or those through other gateways.
+  void CloseDirect();
+  void CloseTunnels();
   /// Closes connections whose idle timeout has expired.
   void CloseExpired(Instant aNow);
 
@@ -48,6 +56,9 @@
     Instant mExpiresAt;
   };
 
+  template<typename Predicate>
+  void CloseIf(Predicate aPredicate);
+
   UpstreamConnectionPool() = default;
 
   std::map<std::string, std::vector<IdleConnection>> mIdle;
--- a/src/cactusgw/net/problem.cpp
+++ b/src/cactusgw/net/problem.cpp
@@ -62,6 +62,7 @@
     case FailureCode::StoreUnavailable:
     case FailureCode::HistoryCompacted:
     case FailureCode::UpstreamUnreachable:
+    case FailureCode::LinksLost:
     case FailureCode::OutsideHomeRegions:
     case FailureCode::UpstreamRefused:
       return http::status::service_unavailable;
--- a/src/cactusgw/tunnel/link_monitor.cpp
+++ b/src/cactusgw/tunnel/link_monitor.cpp
@@ -31,13 +31,16 @@
 }
 
 void
-LinkMonitor::OnConnected(std::string_view aUpstream, Instant /*aNow*/)
+LinkMonitor::OnConnected(std::string_view aUpstream, Instant aNow)
 {
   const auto it = mEvidence.find(aUpstream);
   if (it != mEvidence.end()) {
     mEvidence.erase(it);
   }
+  mConnectedAt = aNow;
   if (!mBrokenSince) {
+    // Whoever owes responses is slow.
+    mHeardAt = aNow;
     return;
   }
   mReached.emplace(aUpstream);
@@ -133,6 +136,24 @@
   return mBrokenSince || (it != mEvidence.end() && IsCutOff(it->second, aNow));
 }
 
+bool
+LinkMonitor::HasHeardLately(Instant aNow) const
+{
+  return aNow - std::max(mHeardAt, mConnectedAt) < kSilenceTime;
+}
+
+bool
+LinkMonitor::AreSuspected(Instant aNow) const
+{
+  const auto failed =
+    std::count_if(mEvidence.begin(), mEvidence.end(), [&](const auto& aItem) {
+      const std::optional<Instant>& at = aItem.second.mFailedAt;
+      return IsRecent(at, aNow) && *at > mConnectedAt;
+    });
+  return mBrokenSince || !HasHeardLately(aNow) ||
+         static_cast<std::size_t>(failed) >= Needed();
+}
+
 bool
 LinkMonitor::MayTunnel(std::string_view aUpstream, Instant aNow) const
 {
--- a/src/cactusgw/tunnel/link_monitor.hpp
+++ b/src/cactusgw/tunnel/link_monitor.hpp
@@ -59,6 +59,12 @@
   std::optional<Instant> BrokenSince() const { return mBrokenSince; }
   /// Whether a new connection to this upstream should be a tunnel at once.
   bool PrefersTunnel(std::string_view aUpstream, Instant aNow) const;
+  /// Whether bytes or a new connection arrived directly within kSilenceTime.
+  bool HasHeardLately(Instant aNow) const;
+  /// Whether this gateway's links may be why an upstream can't be reached:
+  /// nothing was heard lately, or several upstreams couldn't be reached since
+  /// the last one that could.
+  bool AreSuspected(Instant aNow) const;
   /// Whether it is worth asking carriers for the upstream.
   bool MayTunnel(std::string_view aUpstream, Instant aNow) const;
   /// Whether responses are owed and nothing arrived on any direct connection
@@ -99,6 +105,7 @@
   std::map<std::string, std::size_t, std::less<>> mWaiting;
   /// When the oldest silence began that may still go on.
   Instant mHeardAt;
+  Instant mConnectedAt;
   Instant mProbedAt;
 };
 
--- a/src/cactusgw/tunnel/tunnel_client.hpp
+++ b/src/cactusgw/tunnel/tunnel_client.hpp
@@ -68,6 +68,15 @@
   UpstreamTarget mUpstream;
 };
 
+/// The tunnel that a connection goes through.
+struct TunnelUse
+{
+  Carrier mCarrier;
+  TunnelRequest mRequest;
+  /// Held while the tunnel is open.
+  std::shared_ptr<void> mLease;
+};
+
 /// Opens a tunnel. What the connection carries then is the upstream's HTTP.
 Task<TunnelResult<std::unique_ptr<HttpConnection>>>
 OpenTunnel(Carrier aCarrier, TunnelRequest aRequest, Milliseconds aTime);
--- /dev/null
+++ b/src/cactusgw/tunnel/upstream_connector.cpp
@@ -0,0 +1,308 @@
+#include "cactusgw/tunnel/upstream_connector.hpp"
+
+#include "cactusgw/net/spawn.hpp"
+#include "cactusgw/net/steady_now.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusgw {
+
+namespace {
+
+/// Timeout for a direct connection. The one-way latency between regions is
+/// 20 ms. TCP retransmits a lost SYN only after a second; another way is
+/// faster.
+constexpr Milliseconds kConnectTime{ 500 };
+/// Includes the carrier's own kConnectTime and the way to it.
+constexpr Milliseconds kTunnelTime{ 600 };
+/// Time after which a carrier is asked beside the direct attempt: more than two
+/// round trips between regions.
+constexpr Milliseconds kDirectHeadStart{ 100 };
+/// The same between two carriers: a request to one and its connection to the
+/// upstream are two round trips each.
+constexpr Milliseconds kCarrierHeadStart{ 160 };
+constexpr std::size_t kMaxCarriers = 3;
+/// Time for all attempts together, after which another upstream is tried. Those
+/// that still run show only whether links are broken.
+constexpr Milliseconds kMaxTime{ 700 };
+/// Upstreams that are probed at once while responses are owed and nothing
+/// arrives. Links are broken if two of them can't be reached.
+constexpr std::size_t kProbedUpstreams = 3;
+/// Time without any way to upstreams after which a gateway has none: several
+/// probes.
+constexpr Milliseconds kNoWayTime{ 1500 };
+
+} // namespace
+
+ConnectorTransport
+ConnectorTransport::Tcp()
+{
+  return { [](std::string aAddress, Milliseconds aTime)
+             -> Task<Result<std::unique_ptr<HttpConnection>>> {
+            co_return co_await HttpConnection::Connect(aAddress, aTime);
+          },
+           &OpenTunnel };
+}
+
+/// Attempts to establish the same connection, of which the first one wins.
+struct UpstreamConnector::Race
+{
+  explicit Race(const net::any_io_executor& aExecutor)
+    : mWake(aExecutor)
+  {
+  }
+
+  bool IsWon() const { return mWinner != nullptr; }
+  void Win(std::unique_ptr<UpstreamConnection> aConnection)
+  {
+    // A connection that comes too late is closed.
+    if (!mIsOver && !IsWon()) {
+      mWinner = std::move(aConnection);
+    }
+  }
+  void OnEnd()
+  {
+    ++mEnded;
+    mWake.cancel();
+  }
+
+  net::steady_timer mWake;
+  std::unique_ptr<UpstreamConnection> mWinner;
+  std::size_t mStarted = 0;
+  std::size_t mEnded = 0;
+  std::string mDetail;
+  /// Carriers that could not reach the upstream.
+  std::size_t mUnreachable = 0;
+  bool mIsOver = false;
+};
+
+UpstreamConnector::UpstreamConnector(PlaceSettings aSelf,
+                                     ConnectorEvents aEvents,
+                                     ConnectorTransport aTransport)
+  : mSelf(aSelf)
+  , mEvents(std::move(aEvents))
+  , mTransport(std::move(aTransport))
+  , mLinks(LinkMonitor::Create())
+  , mCarriers(CarrierChoice::Create(std::move(aSelf)))
+  , mTokenPrefix(std::to_string(SteadyNow().time_since_epoch().count()) + "-")
+{
+}
+
+std::shared_ptr<UpstreamConnector>
+UpstreamConnector::Create(PlaceSettings aSelf,
+                          ConnectorEvents aEvents,
+                          ConnectorTransport aTransport)
+{
+  return std::shared_ptr<UpstreamConnector>{ new UpstreamConnector{
+    std::move(aSelf), std::move(aEvents), std::move(aTransport) } };
+}
+
+Task<UpstreamConnector::Connected>
+UpstreamConnector::Connect(UpstreamTarget aTarget, AllowedRegions aRegions)
+{
+  const Ways ways = mLinks.PrefersTunnel(aTarget.mId, SteadyNow())
+                      ? Ways::TunnelOnly
+                      : Ways::DirectFirst;
+  return Run(shared_from_this(), std::move(aTarget), std::move(aRegions), ways);
+}
+
+Task<UpstreamConnector::Connected>
+UpstreamConnector::Run(std::shared_ptr<UpstreamConnector> aSelf,
+                       UpstreamTarget aTarget,
+                       AllowedRegions aRegions,
+                       Ways aWays)
+{
+  const net::any_io_executor executor = co_await net::this_coro::executor;
+  const std::shared_ptr<Race> race = std::make_shared<Race>(executor);
+  const Instant end = SteadyNow() + kMaxTime;
+  bool isDirectDue = aWays == Ways::DirectFirst;
+  std::vector<Carrier> carriers;
+  std::size_t nextCarrier = 0;
+  if (!isDirectDue) {
+    carriers = aSelf->mCarriers.Order(aRegions, SteadyNow());
+  }
+  while (!race->IsWon()) {
+    Milliseconds headStart = kCarrierHeadStart;
+    const std::size_t last = std::min(carriers.size(), kMaxCarriers);
+    if (std::exchange(isDirectDue, false)) {
+      headStart = aSelf->mLinks.HasHeardLately(SteadyNow()) ? kConnectTime
+                                                            : kDirectHeadStart;
+      ++race->mStarted;
+      SpawnTask(
+        executor, "connect-directly", TryDirectly(aSelf, race, aTarget));
+    } else if (nextCarrier < last) {
+      ++race->mStarted;
+      SpawnTask(executor,
+                "connect-carrier",
+                TryCarrier(aSelf, race, aTarget, carriers[nextCarrier++]));
+    } else if (race->mEnded == race->mStarted || SteadyNow() >= end) {
+      break;
+    } else {
+      headStart = kMaxTime;
+    }
+    const Instant until = std::min(end, SteadyNow() + headStart);
+    const std::size_t ended = race->mEnded;
+    while (!race->IsWon() && race->mEnded == ended && SteadyNow() < until) {
+      beast::error_code ec;
+      race->mWake.expires_at(until);
+      co_await race->mWake.async_wait(
+        net::redirect_error(net::use_awaitable, ec));
+    }
+    const Instant now = SteadyNow();
+    if (!race->IsWon() && carriers.empty() && aSelf->mLinks.AreSuspected(now) &&
+        aSelf->mLinks.MayTunnel(aTarget.mId, now)) {
+      carriers = aSelf->mCarriers.Order(aRegions, now);
+    }
+  }
+  race->mIsOver = true;
+  if (race->IsWon()) {
+    co_return std::move(race->mWinner);
+  }
+  const Instant now = SteadyNow();
+  if (aSelf->mLinks.AreBroken() && race->mUnreachable == 0) {
+    co_return NotRun(FailureCode::LinksLost,
+                     "no links to upstreams, and no other gateway has some",
+                     LinkMonitor::kProbeInterval);
+  }
+  if (race->mUnreachable > 0) {
+    aSelf->mLinks.OnCarrierFailed(aTarget.mId, now);
+  }
+  co_return NotRun(FailureCode::UpstreamUnreachable, race->mDetail);
+}
+
+Task<void>
+UpstreamConnector::TryDirectly(std::shared_ptr<UpstreamConnector> aSelf,
+                               std::shared_ptr<Race> aRace,
+                               UpstreamTarget aTarget)
+{
+  Result<std::unique_ptr<HttpConnection>> connected =
+    co_await aSelf->mTransport.mConnect(aTarget.mAddress, kConnectTime);
+  if (connected) {
+    aSelf->mLinks.OnConnected(aTarget.mId, SteadyNow());
+    aRace->Win(
+      UpstreamConnection::Adopt(aTarget, std::move(connected.value()), {}));
+  } else {
+    aSelf->mLinks.OnConnectFailed(aTarget.mId, SteadyNow());
+    aRace->mDetail = connected.error().mDetail;
+  }
+  aSelf->Report();
+  aRace->OnEnd();
+}
+
+Task<void>
+UpstreamConnector::TryCarrier(std::shared_ptr<UpstreamConnector> aSelf,
+                              std::shared_ptr<Race> aRace,
+                              UpstreamTarget aTarget,
+                              Carrier aCarrier)
+{
+  TunnelUse use;
+  use.mCarrier = aCarrier;
+  use.mRequest = { aSelf->mSelf.mVm,
+                   aSelf->mTokenPrefix + std::to_string(++aSelf->mTokens),
+                   aTarget };
+  TunnelResult<std::unique_ptr<HttpConnection>> opened =
+    co_await aSelf->mTransport.mOpenTunnel(aCarrier, use.mRequest, kTunnelTime);
+  if (opened) {
+    const Instant now = SteadyNow();
+    aSelf->mTunnelledAt = now;
+    aSelf->mLinks.OnTunnelOpened(aTarget.mId, now);
+    aSelf->mCarriers.OnOpened(aCarrier.mName);
+    // Counts the tunnel of its carrier until its connection is closed.
+    use.mLease = std::shared_ptr<void>{
+      nullptr,
+      [weak = std::weak_ptr<UpstreamConnector>{ aSelf },
+       name = aCarrier.mName](void*) {
+        if (const std::shared_ptr<UpstreamConnector> self = weak.lock()) {
+          self->mCarriers.OnClosed(name);
+        }
+      }
+    };
+    if (!aSelf->mIsStopped && !aRace->mIsOver) {
+      aSelf->mEvents.mOnTunnelOpened(use);
+    }
+    aRace->Win(UpstreamConnection::Adopt(
+      aTarget, std::move(opened.value()), std::move(use)));
+  } else {
+    aSelf->OnTunnelFailed(use, opened.error(), *aRace);
+  }
+  aSelf->Report();
+  aRace->OnEnd();
+}
+
+void
+UpstreamConnector::OnTunnelFailed(const TunnelUse& aUse,
+                                  TunnelFailure aFailure,
+                                  Race& aRace)
+{
+  if (aFailure == TunnelFailure::CarrierRefused ||
+      aFailure == TunnelFailure::CarrierUnreachable) {
+    mCarriers.OnFailed(aUse.mCarrier.mName, SteadyNow());
+  } else {
+    ++aRace.mUnreachable;
+  }
+  if (!mIsStopped) {
+    mEvents.mOnTunnelFailed(aUse, aFailure);
+  }
+}
+
+Task<void>
+UpstreamConnector::Probe(std::shared_ptr<UpstreamConnector> aSelf,
+                         UpstreamTarget aTarget)
+{
+  // What it shows is recorded by the attempts.
+  static_cast<void>(co_await Run(std::move(aSelf),
+                                 std::move(aTarget),
+                                 AllowedRegions::Everywhere(),
+                                 Ways::DirectFirst));
+}
+
+void
+UpstreamConnector::Report()
+{
+  if (mIsStopped || mLinks.AreBroken() == mIsReportedLost) {
+    return;
+  }
+  mIsReportedLost = mLinks.AreBroken();
+  if (mIsReportedLost) {
+    mEvents.mOnLinksLost();
+  } else {
+    mEvents.mOnLinksBack();
+  }
+}
+
+bool
+UpstreamConnector::MayReuse(const UpstreamConnection& aConnection) const
+{
+  // A connection through a carrier stays of use while it is open.
+  return aConnection.Tunnel() != nullptr || mLinks.MayUseOpenConnections();
+}
+
+bool
+UpstreamConnector::HasWay(Instant aNow) const
+{
+  const std::optional<Instant> broken = mLinks.BrokenSince();
+  return !broken ||
+         aNow - std::max(*broken, mTunnelledAt.value_or(*broken)) < kNoWayTime;
+}
+
+void
+UpstreamConnector::Tick(const net::any_io_executor& aExecutor, Instant aNow)
+{
+  if (mIsStopped || !mLinks.TakeProbe(aNow)) {
+    return;
+  }
+  const std::size_t count = mLinks.AreBroken() ? 1 : kProbedUpstreams;
+  for (UpstreamTarget& target : mEvents.mNextUpstreams(count)) {
+    SpawnTask(aExecutor,
+              "probe-upstream",
+              Probe(shared_from_this(), std::move(target)));
+  }
+}
+
+} // namespace cactusgw
--- /dev/null
+++ b/src/cactusgw/tunnel/upstream_connector.hpp
@@ -0,0 +1,122 @@
+#ifndef CACTUSGW_TUNNEL_UPSTREAM_CONNECTOR_HPP
+#define CACTUSGW_TUNNEL_UPSTREAM_CONNECTOR_HPP
+
+/// Connects to upstreams: directly, through a carrier when the direct way is
+/// slow or fails, and through carriers at once while this gateway's own links
+/// are broken. Nothing is sent before a connection is established, so that an
+/// attempt that loses against another one costs a connection only.
+
+#include "cactusgw/core/allowed_regions.hpp"
+#include "cactusgw/gateway/upstream_connection.hpp"
+#include "cactusgw/tunnel/carrier_choice.hpp"
+#include "cactusgw/tunnel/link_monitor.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactusgw {
+
+/// How connections are made; tests replace them.
+struct ConnectorTransport
+{
+  std::function<Task<Result<std::unique_ptr<HttpConnection>>>(std::string,
+                                                              Milliseconds)>
+    mConnect;
+  std::function<Task<TunnelResult<
+    std::unique_ptr<HttpConnection>>>(Carrier, TunnelRequest, Milliseconds)>
+    mOpenTunnel;
+
+  static ConnectorTransport Tcp();
+};
+
+/// What the connector tells its owner, which must outlive the calls. All must
+/// be set.
+struct ConnectorEvents
+{
+  std::function<void()> mOnLinksLost;
+  std::function<void()> mOnLinksBack;
+  std::function<void(const TunnelUse&)> mOnTunnelOpened;
+  std::function<void(const TunnelUse&, TunnelFailure)> mOnTunnelFailed;
+  /// Upstreams to probe, at most this many; others at each call.
+  std::function<std::vector<UpstreamTarget>(std::size_t)> mNextUpstreams;
+};
+
+/// Not thread-safe. Its tasks share its ownership.
+class UpstreamConnector : public std::enable_shared_from_this<UpstreamConnector>
+{
+public:
+  using Connected = Result<std::unique_ptr<UpstreamConnection>>;
+
+  static std::shared_ptr<UpstreamConnector> Create(
+    PlaceSettings aSelf,
+    ConnectorEvents aEvents,
+    ConnectorTransport aTransport);
+
+  /// Errors, all NotRun: UpstreamUnreachable; LinksLost when neither this
+  /// gateway nor a carrier that the regions allow has links.
+  Task<Connected> Connect(UpstreamTarget aTarget, AllowedRegions aRegions);
+
+  /// Whether a connection that is open may carry a new request.
+  bool MayReuse(const UpstreamConnection& aConnection) const;
+  /// Whether this gateway has reached upstreams in some way lately.
+  bool HasWay(Instant aNow) const;
+  /// Starts probes that are due. Called regularly.
+  void Tick(const net::any_io_executor& aExecutor, Instant aNow);
+  /// No events are told any more.
+  void Stop() { mIsStopped = true; }
+
+  LinkMonitor& Links() { return mLinks; }
+  const LinkMonitor& Links() const { return mLinks; }
+  CarrierChoice& Carriers() { return mCarriers; }
+
+private:
+  struct Race;
+  enum class Ways
+  {
+    DirectFirst,
+    TunnelOnly,
+  };
+
+  UpstreamConnector(PlaceSettings aSelf,
+                    ConnectorEvents aEvents,
+                    ConnectorTransport aTransport);
+  /// @param aSelf keeps this object while the task runs
+  static Task<Connected> Run(std::shared_ptr<UpstreamConnector> aSelf,
+                             UpstreamTarget aTarget,
+                             AllowedRegions aRegions,
+                             Ways aWays);
+  static Task<void> TryDirectly(std::shared_ptr<UpstreamConnector> aSelf,
+                                std::shared_ptr<Race> aRace,
+                                UpstreamTarget aTarget);
+  static Task<void> TryCarrier(std::shared_ptr<UpstreamConnector> aSelf,
+                               std::shared_ptr<Race> aRace,
+                               UpstreamTarget aTarget,
+                               Carrier aCarrier);
+  static Task<void> Probe(std::shared_ptr<UpstreamConnector> aSelf,
+                          UpstreamTarget aTarget);
+  void OnTunnelFailed(const TunnelUse& aUse,
+                      TunnelFailure aFailure,
+                      Race& aRace);
+  /// Tells the owner when links were lost or are back.
+  void Report();
+
+  PlaceSettings mSelf;
+  ConnectorEvents mEvents;
+  ConnectorTransport mTransport;
+  LinkMonitor mLinks;
+  CarrierChoice mCarriers;
+  std::uint64_t mTokens = 0;
+  std::string mTokenPrefix;
+  std::optional<Instant> mTunnelledAt;
+  bool mIsReportedLost = false;
+  bool mIsStopped = false;
+};
+
+} // namespace cactusgw
+
+#endif // CACTUSGW_TUNNEL_UPSTREAM_CONNECTOR_HPP
--- a/tests/soak/gateway_process.cpp
+++ b/tests/soak/gateway_process.cpp
@@ -48,8 +48,10 @@
 std::string
 GatewayProcess::SettingsText() const
 {
-  return R"({"vm":")" + mOptions.mName +
-         R"(","dataCentre":"zone-a","regions":{"zone-a":"north"},"listen":")" +
+  return R"({"vm":")" + mOptions.mName + R"(","dataCentre":")" +
+         mOptions.mDataCentre +
+         R"(","regions":{"zone-a":"north","zone-b":"east","zone-c":"south",)"
+         R"("zone-d":"west"},"listen":")" +
          AddressOf(mFront) + R"(","readyListen":")" + AddressOf(mReady) +
          R"(","metricsListen":")" + AddressOf(mMetrics) +
          R"(","peerListen":")" + AddressOf(mPeer) + R"(","tunnelListen":")" +
--- a/tests/soak/gateway_process.hpp
+++ b/tests/soak/gateway_process.hpp
@@ -18,6 +18,10 @@
   std::string mFolder;
   std::string mName;
   long mDescriptors = 4100;
+  /// One of zone-a to zone-d, each of a region of its own. The gateways of a
+  /// region read the store through one of them, and see upstreams at the
+  /// addresses that it sees.
+  std::string mDataCentre = "zone-a";
 };
 
 class GatewayProcess
--- a/tests/system/upstream_links_test.cpp
+++ b/tests/system/upstream_links_test.cpp
@@ -123,8 +123,12 @@
         rewrites.emplace_back(AddressOf(upstream->Port()),
                               AddressOf(upstream->Link(i).Port()));
       }
-      mGateways.push_back(std::make_unique<GatewayProcess>(GatewayOptions{
-        CACTUSGW_GATEWAY, mFolder, "gateway-" + std::to_string(i) }));
+      mGateways.push_back(std::make_unique<GatewayProcess>(
+        GatewayOptions{ CACTUSGW_GATEWAY,
+                        mFolder,
+                        "gateway-" + std::to_string(i),
+                        4100,
+                        std::string{ "zone-" } + static_cast<char>('a' + i) }));
       mGateways.back()->SetStorePort(mStore.Open(rewrites));
       mGateways.back()->Start();
     }
