Tunnels: links of a gateway are judged by evidence of the same moment

Callers saw: a gateway whose upstreams crashed and started again, or crashed some seconds after a tunnel had been faster than a direct connection, took its own links for lost and sent everything through others. An upstream that was down beside lost links kept them lost as long as it was down. A single request that waited in silence waited 300 ms more after links were known to be lost, and a request that was sent into lost links made idle dead connections usable.

Cause: a direct failure and a tunnel up to 3 s apart counted as one fact; a carrier's word that an upstream is down left the direct failure standing; each direct failure reset the recovery; a send counted as something heard.

Change: a tunnel counts against a direct failure only if it was opened not more than a direct attempt's time before; a carrier that can't reach the upstream explains the direct failure; only an upstream that is cut off resets the recovery; the silence counts from the first request that waits.

--- a/src/cactusgw/tunnel/link_monitor.cpp
+++ b/src/cactusgw/tunnel/link_monitor.cpp
@@ -27,7 +27,8 @@
 LinkMonitor::IsCutOff(const Evidence& aEvidence, Instant aNow)
 {
   return IsRecent(aEvidence.mFailedAt, aNow) &&
-         IsRecent(aEvidence.mTunnelledAt, aNow);
+         IsRecent(aEvidence.mTunnelledAt, aNow) &&
+         *aEvidence.mTunnelledAt >= *aEvidence.mFailedAt - kAttemptTime;
 }
 
 void
@@ -55,8 +56,7 @@
 LinkMonitor::OnConnectFailed(std::string_view aUpstream, Instant aNow)
 {
   mEvidence[std::string{ aUpstream }].mFailedAt = aNow;
-  mReached.clear();
-  Update(aNow);
+  Update(aUpstream, aNow);
 }
 
 void
@@ -65,7 +65,7 @@
   Evidence& evidence = mEvidence[std::string{ aUpstream }];
   evidence.mTunnelledAt = aNow;
   evidence.mDownAt.reset();
-  Update(aNow);
+  Update(aUpstream, aNow);
 }
 
 void
@@ -73,6 +73,8 @@
 {
   Evidence& evidence = mEvidence[std::string{ aUpstream }];
   evidence.mDownAt = aNow;
+  // Explains the direct failure, too.
+  evidence.mFailedAt.reset();
   evidence.mTunnelledAt.reset();
 }
 
@@ -86,8 +88,11 @@
 }
 
 void
-LinkMonitor::Update(Instant aNow)
+LinkMonitor::Update(std::string_view aUpstream, Instant aNow)
 {
+  if (IsCutOff(mEvidence.find(aUpstream)->second, aNow)) {
+    mReached.clear();
+  }
   std::erase_if(mEvidence, [&](const auto& aItem) {
     const Evidence& evidence = aItem.second;
     return !IsRecent(evidence.mFailedAt, aNow) &&
@@ -109,7 +114,7 @@
 LinkMonitor::OnSent(std::string_view aUpstream, Instant aNow)
 {
   if (mWaiting.empty()) {
-    mHeardAt = aNow;
+    mWaitingSince = aNow;
   }
   ++mWaiting[std::string{ aUpstream }];
 }
@@ -162,12 +167,18 @@
          aNow - *it->second.mDownAt >= kDownTime;
 }
 
+Instant::duration
+LinkMonitor::SilenceUntil(Instant aNow) const
+{
+  return aNow - std::max(mHeardAt, mWaitingSince);
+}
+
 bool
 LinkMonitor::IsSilent(Instant aNow) const
 {
   const Milliseconds time =
     mWaiting.size() >= Needed() ? kSilenceTime : 2 * kSilenceTime;
-  return !mWaiting.empty() && aNow - mHeardAt >= time;
+  return !mWaiting.empty() && SilenceUntil(aNow) >= time;
 }
 
 bool
@@ -180,7 +191,7 @@
 LinkMonitor::AreOpenLinksDead(Instant aNow) const
 {
   return mBrokenSince && !mWaiting.empty() &&
-         aNow - std::max(mHeardAt, *mBrokenSince) >= kSilenceTime;
+         SilenceUntil(aNow) >= kSilenceTime;
 }
 
 bool
--- a/src/cactusgw/tunnel/link_monitor.hpp
+++ b/src/cactusgw/tunnel/link_monitor.hpp
@@ -25,6 +25,9 @@
   /// Failures and tunnels count as evidence for this long: several attempts to
   /// connect fit into it.
   static constexpr Milliseconds kEvidenceTime{ 3000 };
+  /// A tunnel that was opened longer before a direct attempt failed, more than
+  /// its timeout, says nothing about that moment.
+  static constexpr Milliseconds kAttemptTime{ 500 };
   /// Interval between direct attempts while links are broken.
   static constexpr Milliseconds kProbeInterval{ 500 };
   /// An upstream that a carrier can't reach either is left alone this long.
@@ -75,7 +78,7 @@
   /// may live on while new ones fail: then something arrives on them.
   bool MayUseOpenConnections() const;
   /// Whether requests in progress on direct connections wait in vain: links are
-  /// broken, and silent since.
+  /// broken, and silent for kSilenceTime.
   bool AreOpenLinksDead(Instant aNow) const;
   /// Whether direct attempts are due although no request needs one. Counts as
   /// made.
@@ -94,7 +97,10 @@
   static bool IsRecent(const std::optional<Instant>& aAt, Instant aNow);
   /// Whether this gateway failed to reach the upstream and a carrier did.
   static bool IsCutOff(const Evidence& aEvidence, Instant aNow);
-  void Update(Instant aNow);
+  /// Takes new evidence about an upstream into account.
+  void Update(std::string_view aUpstream, Instant aNow);
+  /// How long nothing has arrived that is owed.
+  Instant::duration SilenceUntil(Instant aNow) const;
 
   std::size_t mUpstreamCount = 0;
   std::map<std::string, Evidence, std::less<>> mEvidence;
@@ -103,7 +109,9 @@
   std::set<std::string, std::less<>> mReached;
   /// Requests in progress on direct connections, by upstream.
   std::map<std::string, std::size_t, std::less<>> mWaiting;
-  /// When the oldest silence began that may still go on.
+  /// Since when some request has been in progress.
+  Instant mWaitingSince;
+  /// When something last arrived directly.
   Instant mHeardAt;
   Instant mConnectedAt;
   Instant mProbedAt;
