Tunnels: silence starts few probes

A gateway with few requests that wait for slow upstreams would open up to three connections each half second to see whether its links are whole. Now it opens two, and none within a second of a direct connection, which shows as much.

--- a/src/cactusgw/tunnel/link_monitor.cpp
+++ b/src/cactusgw/tunnel/link_monitor.cpp
@@ -197,7 +197,8 @@
 bool
 LinkMonitor::TakeProbe(Instant aNow)
 {
-  if ((!mBrokenSince && !IsSilent(aNow)) || aNow - mProbedAt < kProbeInterval) {
+  const bool isSuspicious = IsSilent(aNow) && aNow - mConnectedAt >= kCalmTime;
+  if ((!mBrokenSince && !isSuspicious) || aNow - mProbedAt < kProbeInterval) {
     return false;
   }
   mProbedAt = aNow;
--- a/src/cactusgw/tunnel/link_monitor.hpp
+++ b/src/cactusgw/tunnel/link_monitor.hpp
@@ -30,6 +30,10 @@
   static constexpr Milliseconds kAttemptTime{ 500 };
   /// Interval between direct attempts while links are broken.
   static constexpr Milliseconds kProbeInterval{ 500 };
+  /// Time after a direct connection in which silence starts no probes: many
+  /// gateways with few requests each would open more connections for probes
+  /// than for requests.
+  static constexpr Milliseconds kCalmTime{ 1000 };
   /// An upstream that a carrier can't reach either is left alone this long.
   static constexpr Milliseconds kDownTime{ 1000 };
   /// Silence on all direct connections, while several upstreams owe a response,
--- a/src/cactusgw/tunnel/upstream_connector.cpp
+++ b/src/cactusgw/tunnel/upstream_connector.cpp
@@ -32,8 +32,8 @@
 /// that still run show only whether links are broken.
 constexpr Milliseconds kMaxTime{ 700 };
 /// Upstreams that are probed at once while responses are owed and nothing
-/// arrives. Links are broken if two of them can't be reached.
-constexpr std::size_t kProbedUpstreams = 3;
+/// arrives. Links are broken if both can't be reached.
+constexpr std::size_t kProbedUpstreams = 2;
 /// Time without any way to upstreams after which a gateway has none: several
 /// probes.
 constexpr Milliseconds kNoWayTime{ 1500 };
