Tunnels: a carrier is found when most of a data centre is cut off

Callers saw: each gateway whose own data centre was mostly cut off refused the first request after each second without failures, and at low rates all: it asked three carriers of its own data centre, which were cut off as well, and gave up. An upstream that only one carrier had reached was given up without a direct attempt when that carrier left.

Cause: the order of carriers was made once for each connection, and refusals were forgotten after a second, so that the same three were asked again.

Change: carriers are ordered anew for each that is asked, and a data centre of which two failed, also for this connection, comes last; failures are remembered for 10 s as an order, though a carrier is avoided for 1 s only; carriers that failed are asked in turn; up to five are asked, three if they say that the upstream is down. A single upstream without carriers is tried directly. A direct attempt takes 300 ms at most, so that lost links are noticed in less than a second after a single request.

--- a/src/cactusgw/tunnel/carrier_choice.cpp
+++ b/src/cactusgw/tunnel/carrier_choice.cpp
@@ -8,6 +8,13 @@
 
 namespace cactusgw {
 
+namespace {
+
+/// Doubt about a carrier that failed.
+constexpr int kFailed = 2;
+
+} // namespace
+
 void
 CarrierChoice::SetPeer(const Carrier& aCarrier, double aCapacity)
 {
@@ -33,12 +40,6 @@
   }
 }
 
-bool
-CarrierChoice::IsAvoided(const Peer& aPeer, Instant aNow)
-{
-  return aPeer.mFailedAt && aNow - *aPeer.mFailedAt < kAvoidTime;
-}
-
 std::string_view
 CarrierChoice::RegionOf(std::string_view aDataCentre) const
 {
@@ -46,30 +47,66 @@
   return it == mRegions.end() ? std::string_view{} : it->second;
 }
 
+int
+CarrierChoice::DistanceTo(std::string_view aDataCentre,
+                          const Failures& aFailures) const
+{
+  const auto failures = aFailures.find(aDataCentre);
+  if (failures != aFailures.end() && failures->second >= kMaxRefusals) {
+    return 3;
+  }
+  if (RegionOf(aDataCentre) != RegionOf(mSelf.mDataCentre)) {
+    return 2;
+  }
+  return aDataCentre == mSelf.mDataCentre ? 0 : 1;
+}
+
+int
+CarrierChoice::DoubtOf(const Peer& aPeer, bool aOthersFail, Instant aNow)
+{
+  if (IsWithin(aPeer.mFailedAt, kDoubtTime, aNow) ||
+      (aPeer.mFailedAt && aOthersFail)) {
+    return kFailed;
+  }
+  // While carriers fail, those that don't are worth more than unknown ones.
+  return aOthersFail && !IsWithin(aPeer.mOpenedAt, kDoubtTime, aNow) ? 1 : 0;
+}
+
 std::vector<Carrier>
-CarrierChoice::Order(const AllowedRegions& aRegions, Instant aNow) const
+CarrierChoice::Order(const AllowedRegions& aRegions,
+                     Instant aNow,
+                     std::span<const Carrier> aTried) const
 {
-  std::map<std::string_view, std::size_t> refusals;
+  const auto isTried = [&](const Peer& aPeer) {
+    return std::find(aTried.begin(), aTried.end(), aPeer.mCarrier) !=
+           aTried.end();
+  };
+  Failures failures;
   for (const auto& [name, peer] : mPeers) {
-    refusals[peer.mCarrier.mDataCentre] += IsAvoided(peer, aNow) ? 1 : 0;
+    const bool hasFailed =
+      isTried(peer) || IsWithin(peer.mFailedAt, kDoubtTime, aNow);
+    failures[peer.mCarrier.mDataCentre] += hasFailed ? 1 : 0;
   }
-  // Distance, then the gateway's own order.
-  using Place = std::tuple<int, std::uint64_t, const Peer*>;
+  // Distance and doubt. Those that failed follow in the order of their
+  // failures, so that all are asked in turn, the others in the gateway's own
+  // order.
+  using Place = std::tuple<int, int, Instant, std::uint64_t, const Peer*>;
   std::vector<Place> places;
   for (const auto& [name, peer] : mPeers) {
     const std::string& dataCentre = peer.mCarrier.mDataCentre;
     const std::string_view region = RegionOf(dataCentre);
     const bool isAllowed =
       !aRegions.IsRestricted() || (!region.empty() && aRegions.Allows(region));
-    if (!isAllowed || IsAvoided(peer, aNow)) {
-      continue;
-    }
-    int distance = 2;
-    if (region == RegionOf(mSelf.mDataCentre)) {
-      const bool isNear = dataCentre == mSelf.mDataCentre;
-      distance = isNear && refusals[dataCentre] < kMaxRefusals ? 0 : 1;
+    if (isAllowed && !isTried(peer) &&
+        !IsWithin(peer.mFailedAt, kAvoidTime, aNow)) {
+      const int doubt =
+        DoubtOf(peer, failures[dataCentre] >= kMaxRefusals, aNow);
+      places.emplace_back(DistanceTo(dataCentre, failures),
+                          doubt,
+                          doubt == kFailed ? *peer.mFailedAt : Instant{},
+                          peer.mRank,
+                          &peer);
     }
-    places.emplace_back(distance, peer.mRank, &peer);
   }
   std::sort(places.begin(), places.end());
   if (!places.empty()) {
@@ -80,7 +117,8 @@
     const auto first = places.begin();
     const auto end =
       std::find_if(first, places.end(), [&](const Place& aPlace) {
-        return std::get<int>(aPlace) != std::get<int>(*first);
+        return std::get<0>(aPlace) != std::get<0>(*first) ||
+               std::get<1>(aPlace) != std::get<1>(*first);
       });
     const auto spreadEnd =
       first + std::min<std::ptrdiff_t>(kSpread, std::distance(first, end));
@@ -97,11 +135,12 @@
 }
 
 void
-CarrierChoice::OnOpened(std::string_view aName)
+CarrierChoice::OnOpened(std::string_view aName, Instant aNow)
 {
   const auto it = mPeers.find(aName);
   if (it != mPeers.end()) {
     ++it->second.mTunnels;
+    it->second.mOpenedAt = aNow;
     it->second.mFailedAt.reset();
   }
 }
--- a/src/cactusgw/tunnel/upstream_connector.cpp
+++ b/src/cactusgw/tunnel/upstream_connector.cpp
@@ -15,11 +15,11 @@
 
 namespace {
 
-/// Timeout for a direct connection. The one-way latency between regions is
-/// 20 ms. TCP retransmits a lost SYN only after a second; another way is
-/// faster.
-constexpr Milliseconds kConnectTime{ 500 };
-/// Includes the carrier's own kConnectTime and the way to it.
+/// Timeout for a direct connection, so short that lost links are noticed in
+/// less than a second. The one-way latency between regions is 20 ms. TCP
+/// retransmits a lost SYN only after a second; another way is faster.
+constexpr Milliseconds kConnectTime{ 300 };
+/// Includes the carrier's own time to connect and the way to it.
 constexpr Milliseconds kTunnelTime{ 600 };
 /// Time after which a carrier is asked beside the direct attempt: more than two
 /// round trips between regions.
@@ -27,10 +27,14 @@
 /// The same between two carriers: a request to one and its connection to the
 /// upstream are two round trips each.
 constexpr Milliseconds kCarrierHeadStart{ 160 };
-constexpr std::size_t kMaxCarriers = 3;
 /// Time for all attempts together, after which another upstream is tried. Those
 /// that still run show only whether links are broken.
 constexpr Milliseconds kMaxTime{ 700 };
+/// Carriers asked for one connection: as many near ones as show that their data
+/// centre fails, and as many elsewhere as say that the upstream is down.
+constexpr std::size_t kMaxCarriers = 5;
+/// Carriers that can't reach an upstream, after which it counts as down.
+constexpr std::size_t kMaxUnreachable = 3;
 /// Upstreams that are probed at once while responses are owed and nothing
 /// arrives. Links are broken if both can't be reached.
 constexpr std::size_t kProbedUpstreams = 2;
@@ -122,29 +126,34 @@
   const std::shared_ptr<Race> race = std::make_shared<Race>(executor);
   const Instant end = SteadyNow() + kMaxTime;
   bool isDirectDue = aWays == Ways::DirectFirst;
-  std::vector<Carrier> carriers;
-  std::size_t nextCarrier = 0;
-  if (!isDirectDue) {
-    carriers = aSelf->mCarriers.Order(aRegions, SteadyNow());
-  }
-  while (!race->IsWon()) {
+  bool isDirectTried = false;
+  std::vector<Carrier> tried;
+  while (!race->IsWon() && SteadyNow() < end) {
     Milliseconds headStart = kCarrierHeadStart;
-    const std::size_t last = std::min(carriers.size(), kMaxCarriers);
+    const std::optional<Carrier> carrier =
+      isDirectDue ? std::nullopt
+                  : aSelf->NextCarrier(*race, aTarget, aRegions, tried, aWays);
     if (std::exchange(isDirectDue, false)) {
+      isDirectTried = true;
       headStart = aSelf->mLinks.HasHeardLately(SteadyNow()) ? kConnectTime
                                                             : kDirectHeadStart;
       ++race->mStarted;
       SpawnTask(
         executor, "connect-directly", TryDirectly(aSelf, race, aTarget));
-    } else if (nextCarrier < last) {
+    } else if (carrier) {
       ++race->mStarted;
+      tried.push_back(*carrier);
       SpawnTask(executor,
                 "connect-carrier",
-                TryCarrier(aSelf, race, aTarget, carriers[nextCarrier++]));
-    } else if (race->mEnded == race->mStarted || SteadyNow() >= end) {
+                TryCarrier(aSelf, race, aTarget, *carrier));
+    } else if (race->mEnded < race->mStarted) {
+      headStart = kMaxTime;
+    } else if (isDirectTried || aSelf->mLinks.AreBroken()) {
       break;
     } else {
-      headStart = kMaxTime;
+      // Only the link to this upstream seemed to be cut.
+      isDirectDue = true;
+      continue;
     }
     const Instant until = std::min(end, SteadyNow() + headStart);
     const std::size_t ended = race->mEnded;
@@ -154,11 +163,6 @@
       co_await race->mWake.async_wait(
         net::redirect_error(net::use_awaitable, ec));
     }
-    const Instant now = SteadyNow();
-    if (!race->IsWon() && carriers.empty() && aSelf->mLinks.AreSuspected(now) &&
-        aSelf->mLinks.MayTunnel(aTarget.mId, now)) {
-      carriers = aSelf->mCarriers.Order(aRegions, now);
-    }
   }
   race->mIsOver = true;
   if (race->IsWon()) {
@@ -176,6 +180,25 @@
   co_return NotRun(FailureCode::UpstreamUnreachable, race->mDetail);
 }
 
+std::optional<Carrier>
+UpstreamConnector::NextCarrier(const Race& aRace,
+                               const UpstreamTarget& aTarget,
+                               const AllowedRegions& aRegions,
+                               std::span<const Carrier> aTried,
+                               Ways aWays) const
+{
+  const Instant now = SteadyNow();
+  const bool isLeftAlone =
+    aWays == Ways::DirectFirst && aTried.empty() &&
+    !(mLinks.AreSuspected(now) && mLinks.MayTunnel(aTarget.mId, now));
+  if (isLeftAlone || aTried.size() >= kMaxCarriers ||
+      aRace.mUnreachable >= kMaxUnreachable) {
+    return std::nullopt;
+  }
+  const std::vector<Carrier> order = mCarriers.Order(aRegions, now, aTried);
+  return order.empty() ? std::nullopt : std::optional{ order.front() };
+}
+
 Task<void>
 UpstreamConnector::TryDirectly(std::shared_ptr<UpstreamConnector> aSelf,
                                std::shared_ptr<Race> aRace,
@@ -212,7 +235,7 @@
     const Instant now = SteadyNow();
     aSelf->mTunnelledAt = now;
     aSelf->mLinks.OnTunnelOpened(aTarget.mId, now);
-    aSelf->mCarriers.OnOpened(aCarrier.mName);
+    aSelf->mCarriers.OnOpened(aCarrier.mName, now);
     // Counts the tunnel of its carrier until its connection is closed.
     use.mLease = std::shared_ptr<void>{
       nullptr,
--- a/src/cactusgw/tunnel/upstream_connector.hpp
+++ b/src/cactusgw/tunnel/upstream_connector.hpp
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -90,6 +91,12 @@
                              UpstreamTarget aTarget,
                              AllowedRegions aRegions,
                              Ways aWays);
+  /// The carrier to ask next for a connection, if any.
+  std::optional<Carrier> NextCarrier(const Race& aRace,
+                                     const UpstreamTarget& aTarget,
+                                     const AllowedRegions& aRegions,
+                                     std::span<const Carrier> aTried,
+                                     Ways aWays) const;
   static Task<void> TryDirectly(std::shared_ptr<UpstreamConnector> aSelf,
                                 std::shared_ptr<Race> aRace,
                                 UpstreamTarget aTarget);
