Tunnels: what the first tests of a carrier found

What callers saw: nothing yet, as tunnels have not been released. With the first version, a request through a carrier could end with half a response that looks whole, and a carrier could take more upon itself than it may.

- A write to an upstream that reset its connection takes the error, and the read beside it sees an orderly end, which the asker got (AResetDuringAnUpload...: eof instead of ECONNRESET).
- A carrier that stopped or ended closed its tunnels in an orderly way (ACarrierThatStops...: eof).
Connections to askers are now reset unless the upstream ended first; SO_LINGER makes the system do so for a killed process.
- Tunnels that were being opened were not counted (CountsTunnels...: three where two are allowed), connections without a header had no bound (BoundsConnections...: hangs), and a request with a body opened a tunnel (EndsHostileConnections: hangs).
- The asker's connection had the system's own send buffer: an asker that stopped reading took 4,200,868 bytes where 1 MiB is allowed (AnAskerThatStops...).
- A tunnel whose upstream had ended stayed as long as the asker did (AnEndedTunnel...: hangs).
- Completions that were queued when the server was destroyed called the functions of its owner (MayBeDestroyedAtAnyMoment).
- A carrier that had lost its links said that the upstream had closed (ACarrierWithoutLinks...).

Also changed, without a test that failed before: the rest of a request is read although the upstream takes no more, so that its response isn't lost to a reset; an error of the carrier's own side of a connection isn't the upstream's end; a carrier without descriptors refuses, rather than to call the upstream unreachable; accept failures pause and are logged, as are strangers; a tunnel that ends by an exception is no longer counted as open.

--- a/src/cactusgw/tunnel/tunnel_server.cpp
+++ b/src/cactusgw/tunnel/tunnel_server.cpp
@@ -3,19 +3,19 @@
 #include "cactusgw/net/address.hpp"
 #include "cactusgw/net/spawn.hpp"
 #include "cactusgw/net/steady_now.hpp"
+#include "cactusgw/telemetry/counted_warning.hpp"
+#include "cactusgw/tunnel/carried_tunnel.hpp"
+#include "cactusgw/tunnel/tunnel_ends.hpp"
 #include "cactusgw/tunnel/tunnel_protocol.hpp"
 
-#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <array>
-#include <deque>
 #include <set>
 #include <utility>
 
@@ -26,96 +26,29 @@
 namespace {
 
 constexpr std::uint32_t kMaxHeaderBytes = 2 * 1024;
-/// From the first byte of a connection to the end of its header. Gateways send
-/// it at once.
-constexpr Milliseconds kHeaderTime{ 1000 };
-/// As for a gateway's own connections to upstreams.
-constexpr Milliseconds kConnectTime{ 500 };
 constexpr Milliseconds kReplyTime{ 1000 };
-/// Time that sent data may stay unacknowledged, as for a gateway's own
-/// connections.
-constexpr Milliseconds kDeadPeerTime{ 10'000 };
-/// Bytes of one direction of a tunnel that this process holds.
-constexpr std::size_t kCopyBytes = std::size_t{ 16 } * 1024;
-/// The same of the system. What is sent faster than the other side reads stays
-/// at its sender.
-constexpr int kSocketBytes = 64 * 1024;
-/// Two descriptors each: a quarter of what the smallest VMs have, 4,100.
-constexpr std::size_t kMaxTunnels = 512;
-/// Ended tunnels that can be asked for. The question comes at once.
-constexpr std::size_t kMaxEnds = 1024;
-constexpr Milliseconds kEndTime{ 10'000 };
+/// Without descriptors or memory, the next accept fails at once too.
+constexpr Milliseconds kAcceptPause{ 50 };
 
 using EmptyParser = http::request_parser<http::empty_body>;
 
-/// An open tunnel, or one that is being opened.
-struct Tunnel
+/// Counts while it exists.
+class Counted
 {
-  explicit Tunnel(tcp::socket aSocket)
-    : mAsker(std::move(aSocket))
-    , mUpstream(mAsker.get_executor())
-  {
-  }
-
-  void Close()
-  {
-    mAsker.close();
-    mUpstream.close();
-  }
-  /// Closes both sides with a reset, so that a response that is cut doesn't
-  /// look as if it had ended.
-  void Reset()
+public:
+  explicit Counted(std::size_t& aCount)
+    : mCount(aCount)
   {
-    for (TcpStream* const stream : { &mAsker, &mUpstream }) {
-      beast::error_code ec;
-      stream->socket().set_option(net::socket_base::linger{ true, 0 }, ec);
-      stream->close();
-    }
+    ++mCount;
   }
+  ~Counted() { --mCount; }
+  Counted(const Counted&) = delete;
+  Counted& operator=(const Counted&) = delete;
 
-  TcpStream mAsker;
-  TcpStream mUpstream;
-  TunnelEnd mEnd = TunnelEnd::Unknown;
-};
-
-struct EndedTunnel
-{
-  std::string mFrom;
-  std::string mToken;
-  TunnelEnd mEnd = TunnelEnd::Unknown;
-  Instant mAt;
+private:
+  std::size_t& mCount;
 };
 
-void
-SetSocketBytes(tcp::socket& aSocket)
-{
-  beast::error_code ec;
-  aSocket.set_option(net::socket_base::receive_buffer_size{ kSocketBytes }, ec);
-  aSocket.set_option(net::socket_base::send_buffer_size{ kSocketBytes }, ec);
-}
-
-/// Copies until one side ends. Returns whether it was the reading side.
-Task<beast::error_code>
-Copy(TcpStream& aFrom, TcpStream& aTo, bool& aHasReadEnded)
-{
-  std::array<char, kCopyBytes> buf;
-  beast::error_code ec;
-  while (true) {
-    const std::size_t n = co_await aFrom.async_read_some(
-      net::buffer(buf), net::redirect_error(net::use_awaitable, ec));
-    if (ec) {
-      aHasReadEnded = true;
-      co_return ec;
-    }
-    co_await net::async_write(aTo,
-                              net::buffer(buf.data(), n),
-                              net::redirect_error(net::use_awaitable, ec));
-    if (ec) {
-      co_return ec;
-    }
-  }
-}
-
 } // namespace
 
 class TunnelServer::Impl : public std::enable_shared_from_this<Impl>
@@ -123,11 +56,13 @@
 public:
   Impl(net::io_context& aContext,
        TunnelAccess aAccess,
-       std::shared_ptr<ByteBudget> aMemory)
+       std::shared_ptr<ByteBudget> aMemory,
+       TunnelLimits aLimits)
     : mContext(aContext)
     , mAcceptor(aContext)
     , mAccess(std::move(aAccess))
     , mMemory(std::move(aMemory))
+    , mLimits(aLimits)
   {
   }
 
@@ -140,8 +75,8 @@
     beast::error_code ec;
     mAcceptor.open(endpoint.value().protocol(), ec);
     mAcceptor.set_option(net::socket_base::reuse_address(true), ec);
-    mAcceptor.set_option(net::socket_base::receive_buffer_size{ kSocketBytes },
-                         ec);
+    mAcceptor.set_option(
+      net::socket_base::receive_buffer_size{ CarriedTunnel::kSocketBytes }, ec);
     mAcceptor.bind(endpoint.value(), ec);
     if (!ec) {
       mAcceptor.listen(net::socket_base::max_listen_connections, ec);
@@ -166,7 +101,7 @@
     mIsDraining = true;
     beast::error_code ec;
     mAcceptor.close(ec);
-    for (Tunnel* const tunnel : mTunnels) {
+    for (CarriedTunnel* const tunnel : mTunnels) {
       tunnel->Close();
     }
   }
@@ -175,209 +110,173 @@
   /// @param aSelf keeps this object while the task runs
   static Task<void> AcceptLoop(std::shared_ptr<Impl> aSelf)
   {
+    net::steady_timer pause{ aSelf->mContext };
     while (!aSelf->mIsStopped) {
       beast::error_code ec;
       tcp::socket socket = co_await aSelf->mAcceptor.async_accept(
         net::redirect_error(net::use_awaitable, ec));
-      if (!ec) {
+      if (aSelf->mIsStopped) {
+        co_return;
+      }
+      if (ec) {
+        aSelf->mWarnings.Report("event=tunnel-accept-failed error=\"" +
+                                  ec.message() + "\"",
+                                SteadyNow());
+        pause.expires_after(kAcceptPause);
+        co_await pause.async_wait(net::redirect_error(net::use_awaitable, ec));
+      } else if (aSelf->mUnidentified >= aSelf->mLimits.mUnidentified) {
+        aSelf->mWarnings.Report("event=tunnel-refused reason=many-connections",
+                                SteadyNow());
+      } else {
         SpawnTask(aSelf->mContext.get_executor(),
                   "tunnel",
-                  Serve(aSelf, std::move(socket)));
+                  Serve(aSelf,
+                        std::make_unique<CarriedTunnel>(std::move(socket)),
+                        std::make_unique<Counted>(aSelf->mUnidentified)));
       }
     }
   }
 
-  static Task<void> Serve(std::shared_ptr<Impl> aSelf, tcp::socket aSocket)
+  static Task<void> Serve(std::shared_ptr<Impl> aSelf,
+                          std::unique_ptr<CarriedTunnel> aTunnel,
+                          std::unique_ptr<Counted> aUnidentified)
   {
-    Tunnel tunnel{ std::move(aSocket) };
-    aSelf->mTunnels.insert(&tunnel);
-    co_await aSelf->Handle(tunnel);
-    aSelf->mTunnels.erase(&tunnel);
+    if (aSelf->mIsStopped) {
+      co_return;
+    }
+    const auto forget = [&aSelf](CarriedTunnel* aEnded) {
+      aSelf->mTunnels.erase(aEnded);
+    };
+    const std::unique_ptr<CarriedTunnel, decltype(forget)> entry{ aTunnel.get(),
+                                                                  forget };
+    aSelf->mTunnels.insert(aTunnel.get());
+    co_await aSelf->Handle(*aTunnel, std::move(aUnidentified));
   }
 
-  Task<void> Handle(Tunnel& aTunnel)
+  Task<void> Handle(CarriedTunnel& aTunnel,
+                    std::unique_ptr<Counted> aUnidentified)
   {
     beast::flat_buffer buf{ kMaxHeaderBytes };
     EmptyParser parser;
     parser.header_limit(kMaxHeaderBytes);
     beast::error_code ec;
-    const tcp::endpoint from = aTunnel.mAsker.socket().remote_endpoint(ec);
-    aTunnel.mAsker.expires_after(kHeaderTime);
+    const tcp::endpoint from = aTunnel.Asker().socket().remote_endpoint(ec);
+    aTunnel.Asker().expires_after(mLimits.mHeaderTime);
     co_await http::async_read_header(
-      aTunnel.mAsker, buf, parser, net::redirect_error(net::use_awaitable, ec));
+      aTunnel.Asker(),
+      buf,
+      parser,
+      net::redirect_error(net::use_awaitable, ec));
+    // What the functions of mAccess refer to may be gone after Stop().
+    if (mIsStopped) {
+      co_return;
+    }
     if (ec) {
+      // The asker has left, or doesn't speak the protocol.
       co_return;
     }
     const TunnelHeader& header = parser.get();
     const std::optional<TunnelCall> call = CallOf(header);
     const std::optional<TunnelRequest> request = ReadTunnelRequest(header);
-    if (!call || !request || buf.size() > 0) {
+    const bool isWhole = parser.is_done() && buf.size() == 0;
+    aUnidentified.reset();
+    if (!call || !request || !isWhole) {
       co_await Reply(aTunnel, http::status::bad_request, "");
     } else if (!mAccess.mIsPeer(request->mFrom, from.address())) {
+      mWarnings.Report("event=tunnel-refused reason=stranger address=" +
+                         from.address().to_string(),
+                       SteadyNow());
       co_await Reply(aTunnel, http::status::forbidden, "");
     } else if (*call == TunnelCall::AskForEnd) {
-      co_await Reply(
-        aTunnel,
-        http::status::ok,
-        TextOf(EndOf(request->mFrom, request->mToken, SteadyNow())));
+      // A connection that a network reset says nothing of the upstream.
+      const TunnelEnd end = mAccess.mHasLinks()
+                              ? mEnds.EndOf(*request, SteadyNow())
+                              : TunnelEnd::Unknown;
+      co_await Reply(aTunnel, http::status::ok, TextOf(end));
     } else {
       co_await Open(aTunnel, *request);
     }
   }
 
-  Task<void> Open(Tunnel& aTunnel, const TunnelRequest& aRequest)
+  Task<void> Open(CarriedTunnel& aTunnel, const TunnelRequest& aRequest)
   {
     const std::optional<std::string> address = mAccess.mFindUpstream(
       aRequest.mUpstream.mId, aRequest.mUpstream.mStartedMs);
     ByteReservation memory{ mMemory };
     std::optional<TunnelFailure> failure;
-    if (mIsDraining || mOpen >= kMaxTunnels || !mAccess.mHasLinks() ||
-        !memory.TryGrowTo(2 * kCopyBytes)) {
+    if (mIsDraining || mOpen >= mLimits.mTunnels || !mAccess.mHasLinks() ||
+        !memory.TryGrowTo(2 * CarriedTunnel::kCopyBytes)) {
       failure = TunnelFailure::CarrierRefused;
     } else if (!address) {
       failure = TunnelFailure::UpstreamUnknown;
-    } else if (!co_await Connect(aTunnel.mUpstream, *address)) {
-      failure = TunnelFailure::UpstreamUnreachable;
     }
     if (failure) {
       co_await Reply(aTunnel, StatusOf(*failure), "");
       co_return;
     }
-    ++mOpen;
-    co_await Carry(aTunnel, aRequest);
-    --mOpen;
-  }
-
-  static Task<bool> Connect(TcpStream& aStream, const std::string& aAddress)
-  {
-    const Result<tcp::endpoint> endpoint = ParseEndpoint(aAddress);
-    if (!endpoint) {
-      co_return false;
+    const Counted open{ mOpen };
+    failure = co_await aTunnel.Connect(*address);
+    if (mIsStopped) {
+      co_return;
+    }
+    if (failure) {
+      // Links that were lost meanwhile say nothing of the upstream.
+      const bool hasLinks = mAccess.mHasLinks();
+      co_await Reply(
+        aTunnel,
+        StatusOf(hasLinks ? *failure : TunnelFailure::CarrierRefused),
+        "");
+    } else if (co_await Accept(aTunnel)) {
+      co_await aTunnel.Carry(mLimits.mLastBytesTime, [&](TunnelEnd aEnd) {
+        mEnds.Remember(aRequest, aEnd, SteadyNow());
+      });
     }
-    beast::error_code ec;
-    aStream.socket().open(endpoint.value().protocol(), ec);
-    SetSocketBytes(aStream.socket());
-    aStream.expires_after(kConnectTime);
-    co_await aStream.async_connect(endpoint.value(),
-                                   net::redirect_error(net::use_awaitable, ec));
-    co_return !ec;
   }
 
-  Task<void> Carry(Tunnel& aTunnel, const TunnelRequest& aRequest)
+  static Task<bool> Accept(CarriedTunnel& aTunnel)
   {
-    using namespace net::experimental::awaitable_operators;
     http::response<http::empty_body> accepted{
       http::status::switching_protocols, 11
     };
     accepted.set(http::field::connection, "Upgrade");
     beast::error_code ec;
-    aTunnel.mAsker.expires_after(kReplyTime);
+    aTunnel.Asker().expires_after(kReplyTime);
     co_await http::async_write(
-      aTunnel.mAsker, accepted, net::redirect_error(net::use_awaitable, ec));
-    if (ec) {
-      co_return;
-    }
-    for (TcpStream* const stream : { &aTunnel.mAsker, &aTunnel.mUpstream }) {
-      SetDeadPeerTimeout(stream->socket(), kDeadPeerTime);
-      stream->expires_never();
-    }
-    co_await (CopyRequests(aTunnel) && CopyResponses(aTunnel, aRequest));
-    if (mIsStopped) {
-      aTunnel.mEnd = TunnelEnd::ClosedByCarrier;
-    }
-    Remember(aTunnel, aRequest);
-  }
-
-  /// An asker that closes its connection has cancelled its request.
-  static Task<void> CopyRequests(Tunnel& aTunnel)
-  {
-    bool hasReadEnded = false;
-    const beast::error_code ec =
-      co_await Copy(aTunnel.mAsker, aTunnel.mUpstream, hasReadEnded);
-    if (hasReadEnded && ec == net::error::eof) {
-      aTunnel.Close();
-      co_return;
-    }
-    // The upstream may have responded before it closed its connection. The
-    // other direction sees that end, too, after what it sent.
-    if (hasReadEnded) {
-      aTunnel.Reset();
-    }
-  }
-
-  Task<void> CopyResponses(Tunnel& aTunnel, const TunnelRequest& aRequest)
-  {
-    bool hasReadEnded = false;
-    beast::error_code ec =
-      co_await Copy(aTunnel.mUpstream, aTunnel.mAsker, hasReadEnded);
-    if (!hasReadEnded || ec == net::error::operation_aborted) {
-      aTunnel.Close();
-      co_return;
-    }
-    aTunnel.mEnd = ec == net::error::timed_out ? TunnelEnd::ClosedByCarrier
-                                               : TunnelEnd::ClosedByUpstream;
-    // The asker may ask as soon as it sees the end.
-    Remember(aTunnel, aRequest);
-    if (ec == net::error::eof) {
-      // The asker closes its side once it has read all of the response.
-      aTunnel.mAsker.socket().shutdown(tcp::socket::shutdown_send, ec);
-    } else {
-      aTunnel.Reset();
-    }
+      aTunnel.Asker(), accepted, net::redirect_error(net::use_awaitable, ec));
+    co_return !ec;
   }
 
-  Task<void> Reply(Tunnel& aTunnel,
-                   http::status aStatus,
-                   std::string_view aText)
+  static Task<void> Reply(CarriedTunnel& aTunnel,
+                          http::status aStatus,
+                          std::string_view aText)
   {
     HttpResponse response{ aStatus, 11 };
     response.keep_alive(false);
     response.body() = aText;
     response.prepare_payload();
     beast::error_code ec;
-    aTunnel.mAsker.expires_after(kReplyTime);
+    aTunnel.Asker().expires_after(kReplyTime);
     co_await http::async_write(
-      aTunnel.mAsker, response, net::redirect_error(net::use_awaitable, ec));
+      aTunnel.Asker(), response, net::redirect_error(net::use_awaitable, ec));
     // A failure concerns the asker, which has left.
-    aTunnel.mAsker.socket().shutdown(tcp::socket::shutdown_send, ec);
-  }
-
-  void Remember(const Tunnel& aTunnel, const TunnelRequest& aRequest)
-  {
-    const Instant now = SteadyNow();
-    while (!mEnds.empty() &&
-           (mEnds.size() >= kMaxEnds || now - mEnds.front().mAt > kEndTime)) {
-      mEnds.pop_front();
-    }
-    if (EndOf(aRequest.mFrom, aRequest.mToken, now) == TunnelEnd::Unknown) {
-      mEnds.push_back({ aRequest.mFrom, aRequest.mToken, aTunnel.mEnd, now });
-    }
-  }
-
-  TunnelEnd EndOf(std::string_view aFrom,
-                  std::string_view aToken,
-                  Instant aNow) const
-  {
-    for (const EndedTunnel& ended : mEnds) {
-      if (ended.mFrom == aFrom && ended.mToken == aToken &&
-          aNow - ended.mAt <= kEndTime) {
-        return ended.mEnd;
-      }
-    }
-    return TunnelEnd::Unknown;
+    aTunnel.Asker().socket().shutdown(tcp::socket::shutdown_send, ec);
   }
 
   net::io_context& mContext;
   tcp::acceptor mAcceptor;
   TunnelAccess mAccess;
   std::shared_ptr<ByteBudget> mMemory;
+  TunnelLimits mLimits;
+  CountedWarning mWarnings{ "tunnel" };
+  TunnelEnds mEnds = TunnelEnds::Create();
   bool mIsDraining = false;
   bool mIsStopped = false;
+  /// Tunnels that are open or being opened.
   std::size_t mOpen = 0;
+  /// Connections whose header is not read yet.
+  std::size_t mUnidentified = 0;
   /// Connections that are being served, also without an open tunnel.
-  std::set<Tunnel*> mTunnels;
-  /// In the order of their ends.
-  std::deque<EndedTunnel> mEnds;
+  std::set<CarriedTunnel*> mTunnels;
 };
 
 TunnelServer::TunnelServer(std::shared_ptr<Impl> aImpl)
@@ -394,11 +293,12 @@
 TunnelServer::Listen(net::io_context& aContext,
                      std::string_view aAddress,
                      TunnelAccess aAccess,
-                     std::shared_ptr<ByteBudget> aMemory)
+                     std::shared_ptr<ByteBudget> aMemory,
+                     TunnelLimits aLimits)
 {
   std::unique_ptr<TunnelServer> server{ new TunnelServer{
     std::make_shared<Impl>(
-      aContext, std::move(aAccess), std::move(aMemory)) } };
+      aContext, std::move(aAccess), std::move(aMemory), aLimits) } };
   const Result<void> listening = server->mImpl->Listen(aAddress);
   if (!listening) {
     return listening.error();
--- a/src/cactusgw/tunnel/tunnel_server.hpp
+++ b/src/cactusgw/tunnel/tunnel_server.hpp
@@ -35,6 +35,22 @@
   std::function<bool()> mHasLinks;
 };
 
+/// How much a carrier takes upon itself.
+struct TunnelLimits
+{
+  /// Open tunnels, and those that are being opened. Two descriptors each: a
+  /// quarter of what the smallest VMs have, 4,100.
+  std::size_t mTunnels = 512;
+  /// Connections whose header is not read yet. Gateways send it at once, so
+  /// that one at a time is usual, and a burst of this size is served.
+  std::size_t mUnidentified = 128;
+  /// From the first byte of a connection to the end of its header.
+  Milliseconds mHeaderTime{ 1000 };
+  /// From the end of an upstream's response to the close by the asking gateway,
+  /// whose client may read slowly meanwhile. What is sent then still arrives.
+  Milliseconds mLastBytesTime{ 30'000 };
+};
+
 /// Not thread-safe; lives on one io_context.
 class TunnelServer
 {
@@ -45,7 +61,8 @@
     boost::asio::io_context& aContext,
     std::string_view aAddress,
     TunnelAccess aAccess,
-    std::shared_ptr<ByteBudget> aMemory);
+    std::shared_ptr<ByteBudget> aMemory,
+    TunnelLimits aLimits = {});
   ~TunnelServer();
 
   /// Opens no more tunnels. Those that are open go on.
