Tests: upstreams that fall over when they turn too many requests away

Callers saw a service go away nearly as a whole: its upstreams say in each response that they are brittle, and fall again as soon as they are back, since all gateways send to them together.

A stand-in with slots, places to wait and the number of requests that it may turn away within a second, and real gateways before it.

--- a/src/cactusgw/gateway/header_names.hpp
+++ b/src/cactusgw/gateway/header_names.hpp
@@ -27,6 +27,9 @@
   /// Requests per second, a decimal number, that the upstream takes from all
   /// gateways together.
   std::string mRateLimit;
+  /// Requests, a whole number, that an upstream may turn away within a second
+  /// without falling over. In every response while upstreams are brittle.
+  std::string mBrittle;
   /// Set to kStatedDraining in every response of an upstream that is draining.
   std::string mDraining;
   /// Set by the upstream; a successful response without it isn't accepted as
--- a/tests/platform/soak_documents.cpp
+++ b/tests/platform/soak_documents.cpp
@@ -60,14 +60,15 @@
              std::string_view aState,
              std::int64_t aBorn,
              std::int64_t aSequence,
-             std::string_view aVersion)
+             std::string_view aVersion,
+             int aSlots)
 {
   return R"({"service":")" + std::string{ aService } + R"(","address":")" +
          std::string{ aAddress } + R"(","zone":"zone-a","version":")" +
-         std::string{ aVersion } + R"(","slots":32,"state":")" +
-         std::string{ aState } + R"(","coldRemainingMs":0,"born":)" +
-         std::to_string(aBorn) + R"(,"sequence":)" + std::to_string(aSequence) +
-         "}";
+         std::string{ aVersion } + R"(","slots":)" + std::to_string(aSlots) +
+         R"(,"state":")" + std::string{ aState } +
+         R"(","coldRemainingMs":0,"born":)" + std::to_string(aBorn) +
+         R"(,"sequence":)" + std::to_string(aSequence) + "}";
 }
 
 std::string
@@ -107,6 +108,12 @@
          ": 1\r\nRetry-After: 0.2\r\nContent-Length: 0\r\n\r\n";
 }
 
+std::string
+BrittleHeader(int aBearable)
+{
+  return Names().mBrittle + ": " + std::to_string(aBearable) + "\r\n";
+}
+
 std::string
 SealOf(std::string_view aId)
 {
--- a/tests/platform/soak_documents.hpp
+++ b/tests/platform/soak_documents.hpp
@@ -32,7 +32,8 @@
                          std::string_view aState,
                          std::int64_t aBorn,
                          std::int64_t aSequence,
-                         std::string_view aVersion = "v1");
+                         std::string_view aVersion = "v1",
+                         int aSlots = 32);
 /// The body of a complete list.
 std::string ListText(std::string_view aItems, std::uint64_t aRevision);
 std::string WatchText(std::string_view aEvents, std::uint64_t aRevision);
@@ -44,6 +45,9 @@
 /// A whole answer of an upstream that hasn't run the request.
 std::string RefusalText(std::string_view aId, int aStatus);
 
+/// The line of the header by which an upstream says that it is brittle.
+std::string BrittleHeader(int aBearable);
+
 std::string SealOf(std::string_view aId);
 const std::string& RequestIdName();
 const std::string& SealName();
