Brittle: gateways together send no more than brittle upstreams have slots for

Cause: gateways choose by loads that are 25 to 100 ms old, and count on places to wait that brittle upstreams no longer give. Each gateway alone fills an upstream that is back, which turns away the rest and falls again.

Now the slots of such an upstream are dealt whole among the gateways, so that the bound needs no message; slots that others leave are lent by turns, few at a time; a gateway that is turned away waits for the second over which the upstream counts. It begins and ends with the statement.

The statement is not told to other gateways yet: one that had no response from the service is not bound until its first.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -851,9 +851,8 @@
 {
   const std::uint32_t known =
     static_cast<std::uint32_t>(mPeers->PeerCount()) + 1;
-  mState.SetGatewayCount(known);
   const std::string& vm = mState.mSettings.mPlace.mVm;
-  mState.mGatewayRank = mPeers->CountBefore(vm);
+  mState.SetGateways(known, mPeers->CountBefore(vm));
   mState.mRequestCrashes.SetPlace(
     { mState.mGatewayRank, known, StableHash(vm) });
 }
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace cactusgw {
@@ -752,6 +753,7 @@
     if (owner == ResponseOwner::CurrentRequest) {
       ReadSurvival();
       ReadStatedLimit();
+      ReadBrittle();
       ReadDraining();
       ReadPause();
       Result<void> checked =
@@ -797,6 +799,46 @@
   }
 }
 
+void
+GatewayCall::ReadBrittle()
+{
+  const HttpConnection& response = mConnection->Response();
+  const std::string_view text = response.Header(mState.mNames.mBrittle);
+  const std::optional<std::uint64_t> bearable = ParseNumber(text);
+  // A value that is not a number states nothing and withdraws nothing.
+  if (IsMisdirected(response) || (!text.empty() && !bearable)) {
+    return;
+  }
+  const Instant now = SteadyNow();
+  const std::string& service = mAdmitted.mService->mName;
+  std::optional<std::uint32_t> stated;
+  if (bearable) {
+    stated = static_cast<std::uint32_t>(std::min<std::uint64_t>(
+      *bearable, std::numeric_limits<std::uint32_t>::max()));
+  }
+  if (mState.mBrittle.OnResponse(service, stated, mSentAt, now)) {
+    mState.mLog.Write("brittle-stated",
+                      { { "request", mRequestId },
+                        { "upstream", mUpstream },
+                        { "service", service },
+                        { "bearable", bearable ? text : "none" } },
+                      now);
+  }
+  const bool isTurnedAway =
+    response.Status() ==
+      static_cast<unsigned>(http::status::service_unavailable) &&
+    !response.Header(mState.mNames.mNotRun).empty();
+  if (isTurnedAway && mState.mBrittle.IsBrittle(service)) {
+    const UpstreamTarget& upstream = mConnection->Target();
+    mState.mBrittle.OnTurnedAway({ upstream.mId, upstream.mStartedMs }, now);
+    mState.mLog.Write("brittle-refusal",
+                      { { "request", mRequestId },
+                        { "upstream", upstream.mId },
+                        { "startedMs", upstream.mStartedMs } },
+                      now);
+  }
+}
+
 Task<bool>
 GatewayCall::HasUpstreamClosed(const Failure& aFailure)
 {
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -74,6 +74,7 @@
   /// Refutes a supposed crash of the upstream that has responded.
   void ReadSurvival();
   /// Reports an upstream that states in its response that it is draining.
+  void ReadBrittle();
   void ReadDraining();
   /// Also when the upstream is not registered any more.
   bool IsUpstreamDraining() const;
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -62,6 +62,7 @@
   , mRequestCrashes(RequestCrashes::Create())
   , mStatedLimits(StatedLimits::Create())
   , mLimitPacer(LimitPacer::Create())
+  , mBrittle(BrittleUpstreams::Create({ kMinGateways, 0 }, SteadyNow()))
   , mRollouts(RolloutControl::Create(
       StableHash(mSettings.mPlace.mVm + " " + std::to_string(WallClockMs()))))
   , mPromptCaches(PromptCacheIndex::Create())
@@ -204,6 +205,7 @@
       (aFilter.mStreamVersion.empty() ||
        aFilter.mStreamVersion == record.mVersion);
     if (isAllowed && isVersionAllowed && !isLimited && !isPaused && hasRate &&
+        HasSlot(aService, record, load, aNow) &&
         !Contains(aFilter.mExcluded, record.mId)) {
       const bool isEjected = IsEjected(aService, record.mId, aNow);
       (isEjected ? ejected : candidates)
@@ -454,9 +456,28 @@
            mGatewayCount };
 }
 
+bool
+GatewayState::HasSlot(const GatewayService& aService,
+                      const UpstreamRecord& aUpstream,
+                      const UpstreamLoad& aLoad,
+                      Instant aNow) const
+{
+  if (!mBrittle.IsBrittle(aService.mName)) {
+    return true;
+  }
+  const auto own = mLoads.Own().find(aUpstream.mId);
+  const SlotUse use{ SlotCount(aUpstream, aService),
+                     own == mLoads.Own().end() ? 0 : own->second.mRequests,
+                     aLoad.mRequests };
+  return mBrittle.MayTake(
+    aService.mName, StartOf(aUpstream), use, { aNow, WallClockMs() });
+}
+
 void
-GatewayState::SetGatewayCount(std::uint32_t aCount)
+GatewayState::SetGateways(std::uint32_t aCount, std::uint32_t aRank)
 {
+  mGatewayRank = aRank;
+  mBrittle.SetPlace({ std::max<std::uint32_t>(1, aCount), aRank }, SteadyNow());
   mGatewayCount = std::max(kMinGateways, aCount);
   mKnownGateways = std::max<std::uint32_t>(1, aCount);
   mRollouts.SetSettings(SettingsOfRollouts());
@@ -550,6 +571,7 @@
       mLimitPacer.Forget(upstream);
     }
   }
+  mBrittle.Expire(aNow);
   mPauses.Expire(aNow);
   mMetrics.mPausedUpstreams.Set(static_cast<double>(mPauses.Size()));
   mMetrics.mLimitedUpstreams.Set(
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -3,6 +3,7 @@
 
 /// State shared by all calls of a gateway.
 
+#include "cactusgw/brittle/brittle_upstreams.hpp"
 #include "cactusgw/config/process_settings.hpp"
 #include "cactusgw/core/byte_budget.hpp"
 #include "cactusgw/core/crash_evidence.hpp"
@@ -125,7 +126,8 @@
   void OnSelected(const std::string& aUpstream, Instant aNow);
 
   /// Divides the bounds that all gateways keep together.
-  void SetGatewayCount(std::uint32_t aCount);
+  /// @param aRank position of this gateway among all
+  void SetGateways(std::uint32_t aCount, std::uint32_t aRank);
 
   /// Applies the limits that upstreams state, and drops those that are old or
   /// whose upstreams are gone. Drops pauses that have ended.
@@ -181,6 +183,7 @@
   RequestCrashes mRequestCrashes;
   StatedLimits mStatedLimits;
   LimitPacer mLimitPacer;
+  BrittleUpstreams mBrittle;
   RolloutControl mRollouts;
   PromptCacheIndex mPromptCaches;
   ColdStartLimiter mColdStartLimiter;
@@ -236,6 +239,11 @@
   /// Whether it is this gateway's turn to probe an ejected upstream.
   bool MayProbe(const std::string& aUpstream, Instant aNow) const;
   bool IsCold(const KnownUpstream& aUpstream, Instant aNow) const;
+  /// Whether a brittle upstream has a slot for this gateway.
+  bool HasSlot(const GatewayService& aService,
+               const UpstreamRecord& aUpstream,
+               const UpstreamLoad& aLoad,
+               Instant aNow) const;
   std::uint32_t ColdStartShare(const GatewayService& aService) const;
   RolloutSettings SettingsOfRollouts() const;
 
--- a/src/cactusgw/gateway/upstream_choice.cpp
+++ b/src/cactusgw/gateway/upstream_choice.cpp
@@ -37,22 +37,13 @@
   return aWeights.mOtherRegion;
 }
 
-std::uint32_t
-SlotCount(const Candidate& aCandidate, const GatewayService& aService)
-{
-  const std::uint32_t declared =
-    aService.mEngine ? aService.mEngine->mSlots : 0;
-  const std::uint32_t own = aCandidate.mUpstream->mRecord.mSlots;
-  return std::max<std::uint32_t>(1, own != 0 ? own : declared);
-}
-
 double
 Score(const Candidate& aCandidate,
       const GatewayService& aService,
       const TokenNeed& aNeed,
       const DistanceWeights& aDistances)
 {
-  const double slots = SlotCount(aCandidate, aService);
+  const double slots = SlotCount(aCandidate.mUpstream->mRecord, aService);
   double load = (aCandidate.mLoad.mRequests + 1) / slots;
   if (aService.mEngine && aService.mEngine->mMemoryTokens > 0) {
     const double memory = static_cast<double>(aService.mEngine->mMemoryTokens);
@@ -74,12 +65,22 @@
 
 } // namespace
 
+std::uint32_t
+SlotCount(const UpstreamRecord& aUpstream, const GatewayService& aService)
+{
+  const std::uint32_t declared =
+    aService.mEngine ? aService.mEngine->mSlots : 0;
+  return std::max<std::uint32_t>(
+    1, aUpstream.mSlots != 0 ? aUpstream.mSlots : declared);
+}
+
 bool
 Fits(const Candidate& aCandidate,
      const GatewayService& aService,
      const TokenNeed& aNeed)
 {
-  const std::uint32_t slots = SlotCount(aCandidate, aService);
+  const std::uint32_t slots =
+    SlotCount(aCandidate.mUpstream->mRecord, aService);
   if (!aService.mEngine) {
     return aCandidate.mLoad.mRequests < slots * kPlainRequestsPerSlot;
   }
--- a/src/cactusgw/gateway/upstream_choice.hpp
+++ b/src/cactusgw/gateway/upstream_choice.hpp
@@ -46,6 +46,10 @@
   std::uint64_t mTotal = 0;
 };
 
+/// Requests that the upstream runs at a time; at least one.
+std::uint32_t SlotCount(const UpstreamRecord& aUpstream,
+                        const GatewayService& aService);
+
 /// Whether the upstream has a free slot and enough free memory for the request.
 bool Fits(const Candidate& aCandidate,
           const GatewayService& aService,
