Brittle: an upstream that falls as it turned requests away is no evidence

A connection closed by an upstream that turned requests of this gateway away within the last second is no evidence any more (brittle-fall in the log). One that turned nobody away counts as before, also while its service is brittle. A gateway that was not turned away itself doesn't know of the others' refusals and still suspects its requests.

BrittleFallTest.AnUpstreamThatTurnedAwayIsNoEvidence fails without the change (suspects where 0 are expected) and passes with it; with it 46 of 46 tests of BrittleFallTest, the quarantine, the stated limits and the pauses pass.

--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -957,9 +957,18 @@
   if (aFailure.mCode != FailureCode::UpstreamClosed || mayEnd || hasBegun) {
     return;
   }
+  const UpstreamStart upstream = StartOf(aUpstream.mRecord);
+  if (mState.mBrittle.HasTurnedAway(upstream, now)) {
+    // It fell over for the requests that it turned away.
+    mState.mLog.Write("brittle-fall",
+                      { { "request", mRequestId },
+                        { "upstream", upstream.mId },
+                        { "startedMs", upstream.mStartedMs } },
+                      now);
+    return;
+  }
   mState.mMetrics.mCrashSuspects.Add();
   ++mAdmitted.mOrigin.mOwnCrashes;
-  const UpstreamStart upstream = StartOf(aUpstream.mRecord);
   mState.mCrashes.OnCrash(upstream, mAdmitted.mOrigin.mSharedParts, now);
   mState.mRequestCrashes.OnCrash(
     mAdmitted.mOrigin.mFingerprint, upstream, mSentAt, now);
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -23,6 +23,7 @@
   names.mWorkspace = "Workspace";
   names.mNotRun = "Not-Run";
   names.mRateLimit = "Rate-Limit";
+  names.mBrittle = "Brittle";
   names.mDraining = "Draining";
   names.mSeal = "Seal";
   names.mTokenCounts = "Tokens";
