--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -73,8 +73,10 @@
   void ReadPause();
   /// Refutes a supposed crash of the upstream that has responded.
   void ReadSurvival();
-  /// Reports an upstream that states in its response that it is draining.
+  /// Evaluates whether the upstream states that it is brittle, and whether it
+  /// turned the request away.
   void ReadBrittle();
+  /// Reports an upstream that states in its response that it is draining.
   void ReadDraining();
   /// Also when the upstream is not registered any more.
   bool IsUpstreamDraining() const;
--- a/tests/system/stream_versions_test.cpp
+++ b/tests/system/stream_versions_test.cpp
@@ -467,7 +467,8 @@
 
 // Guards against streams that are refused, though the other gateway tells
 // their version, because their resumption waits for a read of the silent store.
-TEST_F(StreamVersionsTest, AGatewayThatIsCutOffFromTheStoreResumesWhatOthersTell)
+TEST_F(StreamVersionsTest,
+       AGatewayThatIsCutOffFromTheStoreResumesWhatOthersTell)
 {
   SetLinks(0, LinkFault::Silence, LinkFault::None);
   mNewer.Register();
