--- a/tests/tunnel/tunnel_test.cpp
+++ b/tests/tunnel/tunnel_test.cpp
@@ -343,7 +343,7 @@
   RawTunnel tunnel = OpenRaw(Request("1"));
   const std::string response =
     "HTTP/1.1 413 Large\r\nConnection: close\r\n\r\n" +
-    std::string(48 * 1024, 'x');
+    std::string(std::size_t{ 48 } * 1024, 'x');
   tunnel.mUpstream.send(net::buffer(response));
   tunnel.mUpstream.shutdown(Tcp::socket::shutdown_send);
   // The upstream reads no more of a request that goes on.
