Messages: an attempt to connect to a peer that hangs is given up

What callers saw: nothing directly. Gateways that were partitioned from a peer hear from it late after the partition has healed.

Cause: ZeroMQ's heartbeats end a silent connection within 8 s, but a connect then had only the system's own timeout, whose SYNs follow at growing intervals, up to a minute.

Change: a connect timeout of 1.5 s, which includes one retransmission.

--- a/src/cactusgw/messaging/message_socket.cpp
+++ b/src/cactusgw/messaging/message_socket.cpp
@@ -17,6 +17,10 @@
 constexpr int kHeartbeatIntervalMs = 2000;
 constexpr int kHeartbeatTimeoutMs = 6000;
 constexpr int kReconnectMaxMs = 2000;
+/// An attempt to connect after which ZeroMQ makes a new one; includes one
+/// retransmission. The system's own intervals grow with the time that a peer
+/// can't be reached, up to a minute.
+constexpr int kConnectTimeoutMs = 1500;
 
 std::string
 ZmqAddress(std::string_view aAddress)
@@ -45,6 +49,7 @@
   mSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatIntervalMs);
   mSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
   mSocket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
+  mSocket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
 }
 
 Result<std::unique_ptr<MessageSocket>>
