Crashes: what a gateway sees on its own broken links is no evidence

Cause: each connection that closed counted as a crash of its upstream. What accepts connections in front of a broken link and resets them also passed as a link that works, so that no carrier was asked and the next attempt was reset too: three crashes with two causes in a few milliseconds.

Change: before an upstream is suspected, three upstreams are probed, and a probe's connection must stay open for 50 ms. If a carrier reaches upstreams that the probes don't, links are lost and there is no claim (event crash-unsuspected); the attempt then counts against no upstream either. Many closes share the probes. An accepted connection of a request refutes no evidence of lost links any more. What was claimed in the second before links are found lost is withdrawn: the facts are cleared and spread to the other gateways. A suspected crash delays its retry by the check, 500 ms at most. Prompt parts that were claimed before links are found lost aren't withdrawn; they need a new field between gateways.

--- a/src/cactusgw/core/request_crashes.cpp
+++ b/src/cactusgw/core/request_crashes.cpp
@@ -84,6 +84,35 @@
     }
   }
   Put(aRequest, crash);
+  if (mOwnCrashes.size() == kMaxOwnCrashes) {
+    mOwnCrashes.pop_front();
+  }
+  mOwnCrashes.push_back({ aRequest, crash.mUpstream, aNow });
+}
+
+std::size_t
+RequestCrashes::WithdrawOwn(Instant aSince)
+{
+  std::size_t withdrawn = 0;
+  const auto first =
+    std::partition(mOwnCrashes.begin(),
+                   mOwnCrashes.end(),
+                   [&](const OwnCrash& aOwn) { return aOwn.mAt < aSince; });
+  for (auto own = first; own != mOwnCrashes.end(); ++own) {
+    const auto it = mRequests.find(own->mRequest.mValue);
+    if (it == mRequests.end()) {
+      continue;
+    }
+    const auto known = FindUpstream(it->second.mCrashes, own->mUpstream);
+    if (known != it->second.mCrashes.end() && !known->mIsCleared) {
+      RequestCrash cleared = *known;
+      cleared.mIsCleared = true;
+      Put(own->mRequest, cleared);
+      ++withdrawn;
+    }
+  }
+  mOwnCrashes.erase(first, mOwnCrashes.end());
+  return withdrawn;
 }
 
 bool
--- a/src/cactusgw/core/request_crashes.hpp
+++ b/src/cactusgw/core/request_crashes.hpp
@@ -18,6 +18,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -91,6 +92,7 @@
   /// Bounds of the state. Requests with few crashes are dropped first.
   static constexpr std::size_t kMaxRequests = 4096;
   static constexpr std::size_t kMaxCrashesOfRequest = 8;
+  static constexpr std::size_t kMaxOwnCrashes = 1024;
 
   static RequestCrashes Create() { return RequestCrashes{}; }
 
@@ -102,6 +104,10 @@
                const UpstreamStart& aUpstream,
                Instant aSentAt,
                Instant aNow);
+  /// Clears, also at other gateways, what this gateway reported since then: it
+  /// was no crash. What others report of the same start later counts.
+  /// @return number of crashes
+  std::size_t WithdrawOwn(Instant aSince);
   /// Records that an upstream served the request.
   /// @return whether that cleared a crash
   bool OnServed(RequestFingerprint aRequest);
@@ -163,6 +169,12 @@
     std::uint64_t mVersion = 0;
   };
   using Requests = std::unordered_map<std::uint64_t, Entry>;
+  struct OwnCrash
+  {
+    RequestFingerprint mRequest;
+    std::uint64_t mUpstream = 0;
+    Instant mAt;
+  };
 
   RequestCrashes() = default;
 
@@ -187,6 +199,8 @@
   std::unordered_map<std::uint64_t, Instant> mCrashedUpstreams;
   /// Requests by the version of their last change.
   std::map<std::uint64_t, std::uint64_t> mByVersion;
+  /// The last crashes that this gateway reported itself, in their order.
+  std::deque<OwnCrash> mOwnCrashes;
   std::set<RequestFingerprint> mStored;
   std::set<RequestFingerprint> mQuarantined;
   std::uint64_t mVersion = 0;
--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -433,8 +433,10 @@
                           "no whole response in time for a retry");
     }
     // A connection that this gateway closed says nothing about the upstream.
-    if (!result && !mIsGivenUp && co_await HasUpstreamClosed(result.error())) {
-      ReportCrash(upstream, result.error());
+    const Instant endedAt = SteadyNow();
+    if (!result && !mIsGivenUp && IsCrashSuspect(result.error(), endedAt) &&
+        co_await HasUpstreamClosed()) {
+      ReportCrash(upstream, endedAt);
     }
     // An upstream may still crash on a request that its client has left.
     if (mTrial && !mHasClientDisconnected) {
@@ -840,16 +842,25 @@
 }
 
 Task<bool>
-GatewayCall::HasUpstreamClosed(const Failure& aFailure)
+GatewayCall::HasUpstreamClosed()
 {
   const TunnelUse* const tunnel = mConnection->Tunnel();
-  if (tunnel == nullptr || aFailure.mCode != FailureCode::UpstreamClosed) {
-    co_return true;
+  if (tunnel != nullptr) {
+    const TunnelEnd end = co_await AskForTunnelEnd(
+      tunnel->mCarrier, tunnel->mRequest, kTunnelEndTime);
+    mHasLostLink = end != TunnelEnd::ClosedByUpstream;
+    co_return !mHasLostLink;
+  }
+  const bool areSound = co_await mState.mConnector->AreLinksSound();
+  if (!areSound) {
+    mHasLostLink = true;
+    mState.mLog.Write("crash-unsuspected",
+                      { { "request", mRequestId },
+                        { "upstream", mUpstream },
+                        { "reason", "links-lost" } },
+                      SteadyNow());
   }
-  const TunnelEnd end = co_await AskForTunnelEnd(
-    tunnel->mCarrier, tunnel->mRequest, kTunnelEndTime);
-  mHasLostLink = end != TunnelEnd::ClosedByUpstream;
-  co_return !mHasLostLink;
+  co_return areSound;
 }
 
 void
@@ -946,32 +957,37 @@
   return allowed;
 }
 
-void
-GatewayCall::ReportCrash(const KnownUpstream& aUpstream,
-                         const Failure& aFailure)
+bool
+GatewayCall::IsCrashSuspect(const Failure& aFailure, Instant aNow)
 {
   const KnownUpstream* const known = mState.mDirectory.Find(mUpstream);
   const bool mayEnd = known == nullptr || known->mRecord.mIsDraining;
-  const Instant now = SteadyNow();
-  const bool hasBegun = mFirstEventAt && now - *mFirstEventAt >= kBegunTime;
+  const bool hasBegun = mFirstEventAt && aNow - *mFirstEventAt >= kBegunTime;
   if (aFailure.mCode != FailureCode::UpstreamClosed || mayEnd || hasBegun) {
-    return;
+    return false;
   }
-  const UpstreamStart upstream = StartOf(aUpstream.mRecord);
-  if (mState.mBrittle.HasTurnedAway(upstream, now)) {
+  const UpstreamStart upstream{ mUpstream, mStartedMs };
+  if (mState.mBrittle.HasTurnedAway(upstream, aNow)) {
     // It fell over for the requests that it turned away.
     mState.mLog.Write("brittle-fall",
                       { { "request", mRequestId },
                         { "upstream", upstream.mId },
                         { "startedMs", upstream.mStartedMs } },
-                      now);
-    return;
+                      aNow);
+    return false;
   }
+  return true;
+}
+
+void
+GatewayCall::ReportCrash(const KnownUpstream& aUpstream, Instant aNow)
+{
   mState.mMetrics.mCrashSuspects.Add();
   ++mAdmitted.mOrigin.mOwnCrashes;
-  mState.mCrashes.OnCrash(upstream, mAdmitted.mOrigin.mSharedParts, now);
+  const UpstreamStart upstream = StartOf(aUpstream.mRecord);
+  mState.mCrashes.OnCrash(upstream, mAdmitted.mOrigin.mSharedParts, aNow);
   mState.mRequestCrashes.OnCrash(
-    mAdmitted.mOrigin.mFingerprint, upstream, mSentAt, now);
+    mAdmitted.mOrigin.mFingerprint, upstream, mSentAt, aNow);
   const CrashCount count =
     mState.mRequestCrashes.CountOf(mAdmitted.mOrigin.mFingerprint);
   mState.mLog.Write(
@@ -981,10 +997,10 @@
       { "upstream", upstream.mId },
       { "startedMs", upstream.mStartedMs },
       { "sentAgoMs",
-        std::chrono::duration_cast<Milliseconds>(now - mSentAt).count() },
+        std::chrono::duration_cast<Milliseconds>(aNow - mSentAt).count() },
       { "crashes", static_cast<std::int64_t>(count.mCrashes) },
       { "causes", static_cast<std::int64_t>(count.mCauses) } },
-    now);
+    aNow);
 }
 
 std::int64_t
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -94,11 +94,13 @@
   /// Whether the next send must not happen, as upstreams may crash on this
   /// request. Errors: NotRun with Quarantined.
   Result<void> CheckQuarantine();
-  /// Records this request as a suspect when its upstream seems to have crashed
-  /// before it visibly began to respond.
-  void ReportCrash(const KnownUpstream& aUpstream, const Failure& aFailure);
-  /// Whether the upstream itself, and not a carrier, closed the connection.
-  Task<bool> HasUpstreamClosed(const Failure& aFailure);
+  /// Whether the upstream may have crashed before it visibly began to respond.
+  bool IsCrashSuspect(const Failure& aFailure, Instant aNow);
+  /// Whether the upstream itself closed the connection, and not a carrier or
+  /// what broke the links of this gateway.
+  Task<bool> HasUpstreamClosed();
+  /// Records this request as a suspect of a crash.
+  void ReportCrash(const KnownUpstream& aUpstream, Instant aNow);
   void OnServed();
   /// Clears the crashes that this request is a suspect of.
   void ClearSuspicion();
--- a/src/cactusgw/tunnel/gateway_tunnels.cpp
+++ b/src/cactusgw/tunnel/gateway_tunnels.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+/// What a gateway reported before its links were found lost, and for this long,
+/// is no evidence: links may fail one by one, and several attempts to connect
+/// pass before that shows.
+constexpr Milliseconds kDoubtfulTime{ 1000 };
+
 std::string_view
 TextOf(TunnelFailure aFailure)
 {
@@ -129,10 +134,13 @@
 void
 GatewayTunnels::OnLinksLost()
 {
+  const std::size_t withdrawn =
+    mState.mRequestCrashes.WithdrawOwn(SteadyNow() - kDoubtfulTime);
   mState.mMetrics.mLinksBroken.Set(1);
   mState.mLog.WriteAlways(
     "links-lost",
-    { { "upstreams", static_cast<std::int64_t>(mState.mDirectory.Size()) } });
+    { { "upstreams", static_cast<std::int64_t>(mState.mDirectory.Size()) },
+      { "crashesWithdrawn", static_cast<std::int64_t>(withdrawn) } });
 }
 
 void
--- a/src/cactusgw/tunnel/link_monitor.cpp
+++ b/src/cactusgw/tunnel/link_monitor.cpp
@@ -52,6 +52,14 @@
   }
 }
 
+void
+LinkMonitor::OnAccepted(Instant aNow)
+{
+  // Whoever owes responses is slow.
+  mConnectedAt = aNow;
+  mHeardAt = aNow;
+}
+
 void
 LinkMonitor::OnConnectFailed(std::string_view aUpstream, Instant aNow)
 {
--- a/src/cactusgw/tunnel/link_monitor.hpp
+++ b/src/cactusgw/tunnel/link_monitor.hpp
@@ -47,6 +47,9 @@
   void SetUpstreamCount(std::size_t aCount) { mUpstreamCount = aCount; }
 
   void OnConnected(std::string_view aUpstream, Instant aNow);
+  /// A direct connection was established, and may still be closed at once: it
+  /// refutes no evidence.
+  void OnAccepted(Instant aNow);
   /// A direct connection was not established.
   void OnConnectFailed(std::string_view aUpstream, Instant aNow);
   void OnTunnelOpened(std::string_view aUpstream, Instant aNow);
@@ -117,6 +120,7 @@
   Instant mWaitingSince;
   /// When something last arrived directly.
   Instant mHeardAt;
+  /// When a direct connection was last established.
   Instant mConnectedAt;
   Instant mProbedAt;
 };
--- a/src/cactusgw/tunnel/upstream_connector.cpp
+++ b/src/cactusgw/tunnel/upstream_connector.cpp
@@ -41,6 +41,15 @@
 /// Time without any way to upstreams after which a gateway has none: several
 /// probes.
 constexpr Milliseconds kNoWayTime{ 1500 };
+/// A probe's connection must stay open for this long, a round trip between
+/// regions and some: what accepts it in front of a broken link closes it then.
+constexpr Milliseconds kProbeOpenTime{ 50 };
+/// Longest time in which a check of the links ends: that of a direct attempt
+/// and of a tunnel beside it.
+constexpr Milliseconds kCheckTime{ 500 };
+/// Minimum time between two checks, so that many connections that close
+/// together cause a few probes only.
+constexpr Milliseconds kCheckInterval{ 50 };
 
 } // namespace
 
@@ -125,7 +134,7 @@
   const net::any_io_executor executor = co_await net::this_coro::executor;
   const std::shared_ptr<Race> race = std::make_shared<Race>(executor);
   const Instant end = SteadyNow() + kMaxTime;
-  bool isDirectDue = aWays == Ways::DirectFirst;
+  bool isDirectDue = aWays != Ways::TunnelOnly;
   bool isDirectTried = false;
   std::vector<Carrier> tried;
   while (!race->IsWon() && SteadyNow() < end) {
@@ -135,11 +144,14 @@
                   : aSelf->NextCarrier(*race, aTarget, aRegions, tried, aWays);
     if (std::exchange(isDirectDue, false)) {
       isDirectTried = true;
-      headStart = aSelf->mLinks.HasHeardLately(SteadyNow()) ? kConnectTime
-                                                            : kDirectHeadStart;
+      headStart = aWays == Ways::ProbeFirst ? kDirectHeadStart + kProbeOpenTime
+                  : aSelf->mLinks.HasHeardLately(SteadyNow())
+                    ? kConnectTime
+                    : kDirectHeadStart;
       ++race->mStarted;
+      ++aSelf->mDirectAttempts;
       SpawnTask(
-        executor, "connect-directly", TryDirectly(aSelf, race, aTarget));
+        executor, "connect-directly", TryDirectly(aSelf, race, aTarget, aWays));
     } else if (carrier) {
       ++race->mStarted;
       tried.push_back(*carrier);
@@ -188,9 +200,11 @@
                                Ways aWays) const
 {
   const Instant now = SteadyNow();
+  const bool isWanted =
+    mLinks.MayTunnel(aTarget.mId, now) &&
+    (aWays == Ways::ProbeFirst || mLinks.AreSuspected(now));
   const bool isLeftAlone =
-    aWays == Ways::DirectFirst && aTried.empty() &&
-    !(mLinks.AreSuspected(now) && mLinks.MayTunnel(aTarget.mId, now));
+    aWays != Ways::TunnelOnly && aTried.empty() && !isWanted;
   if (isLeftAlone || aTried.size() >= kMaxCarriers ||
       aRace.mUnreachable >= kMaxUnreachable) {
     return std::nullopt;
@@ -202,12 +216,30 @@
 Task<void>
 UpstreamConnector::TryDirectly(std::shared_ptr<UpstreamConnector> aSelf,
                                std::shared_ptr<Race> aRace,
-                               UpstreamTarget aTarget)
+                               UpstreamTarget aTarget,
+                               Ways aWays)
 {
+  const Instant begun = SteadyNow();
+  const bool isProbe = aWays == Ways::ProbeFirst;
   Result<std::unique_ptr<HttpConnection>> connected =
     co_await aSelf->mTransport.mConnect(aTarget.mAddress, kConnectTime);
+  if (connected && isProbe) {
+    net::steady_timer timer{ co_await net::this_coro::executor };
+    timer.expires_after(kProbeOpenTime);
+    co_await timer.async_wait(net::use_awaitable);
+    if (!connected.value()->IsIdle()) {
+      connected = NotRun(FailureCode::UpstreamUnreachable,
+                         "the connection was closed at once");
+    }
+  }
+  --aSelf->mDirectAttempts;
   if (connected) {
-    aSelf->mLinks.OnConnected(aTarget.mId, SteadyNow());
+    if (isProbe) {
+      aSelf->mReachedSince = std::max(aSelf->mReachedSince, begun);
+      aSelf->mLinks.OnConnected(aTarget.mId, SteadyNow());
+    } else if (!aSelf->mLinks.AreBroken()) {
+      aSelf->mLinks.OnAccepted(SteadyNow());
+    }
     aRace->Win(
       UpstreamConnection::Adopt(aTarget, std::move(connected.value()), {}));
   } else {
@@ -279,15 +311,57 @@
                          UpstreamTarget aTarget)
 {
   // What it shows is recorded by the attempts.
-  static_cast<void>(co_await Run(std::move(aSelf),
-                                 std::move(aTarget),
-                                 AllowedRegions::Everywhere(),
-                                 Ways::DirectFirst));
+  static_cast<void>(co_await Run(
+    aSelf, std::move(aTarget), AllowedRegions::Everywhere(), Ways::ProbeFirst));
+  --aSelf->mProbes;
+  aSelf->Report();
+}
+
+Task<bool>
+UpstreamConnector::AreLinksSound()
+{
+  return Check(shared_from_this());
+}
+
+Task<bool>
+UpstreamConnector::Check(std::shared_ptr<UpstreamConnector> aSelf)
+{
+  const net::any_io_executor executor = co_await net::this_coro::executor;
+  const Instant begun = SteadyNow();
+  net::steady_timer timer{ executor };
+  const auto wait = [&](Instant aUntil) -> Task<void> {
+    beast::error_code ec;
+    timer.expires_at(aUntil);
+    aSelf->mChecks.insert(&timer);
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    aSelf->mChecks.erase(&timer);
+  };
+  const auto isDecided = [&] {
+    return aSelf->mLinks.AreBroken() || aSelf->mReachedSince >= begun ||
+           aSelf->mIsStopped;
+  };
+  while (!isDecided() && aSelf->mCheckedAt < begun) {
+    const Instant due = aSelf->mCheckedAt + kCheckInterval;
+    if (SteadyNow() < due) {
+      co_await wait(due);
+      continue;
+    }
+    aSelf->mCheckedAt = SteadyNow();
+    aSelf->StartProbes(executor, kProbedUpstreams);
+  }
+  while (!isDecided() && aSelf->mProbes + aSelf->mDirectAttempts > 0 &&
+         SteadyNow() < begun + kCheckTime) {
+    co_await wait(begun + kCheckTime);
+  }
+  co_return !aSelf->mLinks.AreBroken();
 }
 
 void
 UpstreamConnector::Report()
 {
+  for (net::steady_timer* const check : mChecks) {
+    check->cancel();
+  }
   if (mIsStopped || mLinks.AreBroken() == mIsReportedLost) {
     return;
   }
@@ -321,7 +395,15 @@
     return;
   }
   const std::size_t count = mLinks.AreBroken() ? 1 : kProbedUpstreams;
-  for (UpstreamTarget& target : mEvents.mNextUpstreams(count)) {
+  StartProbes(aExecutor, count);
+}
+
+void
+UpstreamConnector::StartProbes(const net::any_io_executor& aExecutor,
+                               std::size_t aCount)
+{
+  for (UpstreamTarget& target : mEvents.mNextUpstreams(aCount)) {
+    ++mProbes;
     SpawnTask(aExecutor,
               "probe-upstream",
               Probe(shared_from_this(), std::move(target)));
--- a/src/cactusgw/tunnel/upstream_connector.hpp
+++ b/src/cactusgw/tunnel/upstream_connector.hpp
@@ -11,10 +11,13 @@
 #include "cactusgw/tunnel/carrier_choice.hpp"
 #include "cactusgw/tunnel/link_monitor.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -62,6 +65,10 @@
   /// gateway nor a carrier that the regions allow has links.
   Task<Connected> Connect(UpstreamTarget aTarget, AllowedRegions aRegions);
 
+  /// Whether this gateway reaches upstreams directly, as far as that shows
+  /// soon. An upstream that closes its connection may have crashed only then.
+  Task<bool> AreLinksSound();
+
   /// Whether a connection that is open may carry a new request.
   bool MayReuse(const UpstreamConnection& aConnection) const;
   /// Whether this gateway has reached upstreams in some way lately.
@@ -80,6 +87,8 @@
   enum class Ways
   {
     DirectFirst,
+    /// As DirectFirst; the direct connection must also stay open for a while.
+    ProbeFirst,
     TunnelOnly,
   };
 
@@ -99,7 +108,8 @@
                                      Ways aWays) const;
   static Task<void> TryDirectly(std::shared_ptr<UpstreamConnector> aSelf,
                                 std::shared_ptr<Race> aRace,
-                                UpstreamTarget aTarget);
+                                UpstreamTarget aTarget,
+                                Ways aWays);
   static Task<void> TryCarrier(std::shared_ptr<UpstreamConnector> aSelf,
                                std::shared_ptr<Race> aRace,
                                UpstreamTarget aTarget,
@@ -109,6 +119,8 @@
   void OnTunnelFailed(const TunnelUse& aUse,
                       TunnelFailure aFailure,
                       Race& aRace);
+  void StartProbes(const net::any_io_executor& aExecutor, std::size_t aCount);
+  static Task<bool> Check(std::shared_ptr<UpstreamConnector> aSelf);
   /// Tells the owner when links were lost or are back.
   void Report();
 
@@ -120,6 +132,15 @@
   std::uint64_t mTokens = 0;
   std::string mTokenPrefix;
   std::optional<Instant> mTunnelledAt;
+  /// When the last direct attempt began that succeeded.
+  Instant mReachedSince;
+  /// When upstreams were last probed for a check of the links.
+  Instant mCheckedAt;
+  /// In progress.
+  std::size_t mDirectAttempts = 0;
+  std::size_t mProbes = 0;
+  /// Those that wait for the outcome of direct attempts.
+  std::set<net::steady_timer*> mChecks;
   bool mIsReportedLost = false;
   bool mIsStopped = false;
 };
--- a/tests/core/request_crashes_test.cpp
+++ b/tests/core/request_crashes_test.cpp
@@ -337,6 +337,26 @@
   EXPECT_FALSE(crashes.HasSuspectOfAll(all));
 }
 
+// What a gateway saw on its broken links stayed evidence at all others.
+TEST(RequestCrashesTest, WithdrawnCrashesAreClearedAtOtherGateways)
+{
+  RequestCrashes own = RequestCrashes::Create();
+  RequestCrashes other = RequestCrashes::Create();
+  Crash(other, kDeadly, 9000);
+  Report(other, own, 9000);
+  for (const int ms : { 1000, 9500, 9700, 9900 }) {
+    Crash(own, kDeadly, ms);
+  }
+  Report(own, other, 10'000);
+  EXPECT_TRUE(other.IsQuarantined(kDeadly));
+  EXPECT_EQ(own.WithdrawOwn(At(9000)), 3U);
+  Report(own, other, 10'000);
+  EXPECT_FALSE(other.IsQuarantined(kDeadly));
+  // The other gateway's own crash, and the earlier one, stay.
+  EXPECT_EQ(other.CountOf(kDeadly).mCrashes, 2U);
+  EXPECT_EQ(own.WithdrawOwn(At(9000)), 0U);
+}
+
 TEST(RequestCrashesTest, ChangesComeInPages)
 {
   RequestCrashes crashes = RequestCrashes::Create();
