Gate: tests of carriers and regions

Callers saw nothing; the rule that a restricted request passes through no gateway outside its regions had no test. SendGateCarrierTest checks the gate: allowed, other and unknown data centres.

--- a/tests/gateway/send_gate_test.cpp
+++ b/tests/gateway/send_gate_test.cpp
@@ -625,6 +625,27 @@
   }
 }
 
+class SendGateCarrierTest : public SendGateTest
+{};
+
+// A restricted request could pass through a gateway outside its regions.
+TEST_F(SendGateCarrierTest, CarriersLieInTheRegionsOfTheRequest)
+{
+  const RequestOrigin north = Admit(mState, "host.test", kNorthPath, "key");
+  const RequestOrigin free = Admit(mState, "host.test", kFreePath, "key");
+  const SendGate gate = mState.Gate();
+  const auto through = [&](const RequestOrigin& aOrigin,
+                           std::string_view aCarrier) {
+    return OutcomeOf(
+      gate.Clear(aOrigin, TargetOf(mNorth), SendPurpose::Request, aCarrier));
+  };
+  EXPECT_EQ(through(north, ""), Outcome::Cleared);
+  EXPECT_EQ(through(north, "dc-n"), Outcome::Cleared);
+  EXPECT_EQ(through(north, "dc-s"), Outcome::Outside);
+  EXPECT_EQ(through(north, "dc-unknown"), Outcome::Outside);
+  EXPECT_EQ(through(free, "dc-s"), Outcome::Cleared);
+}
+
 class SendGateContinuationTest : public SendGateTest
 {};
 
