--- a/src/cactusgw/tunnel/upstream_connector.cpp
+++ b/src/cactusgw/tunnel/upstream_connector.cpp
@@ -200,9 +200,8 @@
                                Ways aWays) const
 {
   const Instant now = SteadyNow();
-  const bool isWanted =
-    mLinks.MayTunnel(aTarget.mId, now) &&
-    (aWays == Ways::ProbeFirst || mLinks.AreSuspected(now));
+  const bool isWanted = mLinks.MayTunnel(aTarget.mId, now) &&
+                        (aWays == Ways::ProbeFirst || mLinks.AreSuspected(now));
   const bool isLeftAlone =
     aWays != Ways::TunnelOnly && aTried.empty() && !isWanted;
   if (isLeftAlone || aTried.size() >= kMaxCarriers ||
--- a/tests/system/brittle_upstreams_test.cpp
+++ b/tests/system/brittle_upstreams_test.cpp
@@ -38,6 +38,8 @@
   int mCallers = 80;
   int mBearable = 5;
   bool mIsAlike = false;
+  /// Gateways that have callers; zero for all.
+  int mUsed = 0;
 };
 
 } // namespace
@@ -157,8 +159,8 @@
     ASSERT_NO_FATAL_FAILURE(Start(aDay));
     std::vector<std::thread> callers;
     for (int i = 0; i < aDay.mCallers; ++i) {
-      const int port =
-        mGateways[static_cast<std::size_t>(i % aDay.mGateways)]->Front();
+      const int used = aDay.mUsed == 0 ? aDay.mGateways : aDay.mUsed;
+      const int port = mGateways[static_cast<std::size_t>(i % used)]->Front();
       callers.emplace_back([this, port, &aDay] { Call(port, aDay.mIsAlike); });
     }
     // The first second belongs to the start.
@@ -228,4 +230,10 @@
   Run({ 4, 4, 24 });
 }
 
+// Guards against slots that lie idle as the shares of gateways without callers.
+TEST_F(BrittleUpstreamsTest, CallersOfFewGatewaysAreServed)
+{
+  Run({ 12, 8, 240, 3, false, 2 });
+}
+
 } // namespace cactusgw::soak
