--- a/src/cactusgw/gateway/gateway_call.cpp
+++ b/src/cactusgw/gateway/gateway_call.cpp
@@ -958,7 +958,7 @@
 }
 
 bool
-GatewayCall::IsCrashSuspect(const Failure& aFailure, Instant aNow)
+GatewayCall::IsCrashSuspect(const Failure& aFailure, Instant aNow) const
 {
   const KnownUpstream* const known = mState.mDirectory.Find(mUpstream);
   const bool mayEnd = known == nullptr || known->mRecord.mIsDraining;
--- a/src/cactusgw/gateway/gateway_call.hpp
+++ b/src/cactusgw/gateway/gateway_call.hpp
@@ -95,7 +95,7 @@
   /// request. Errors: NotRun with Quarantined.
   Result<void> CheckQuarantine();
   /// Whether the upstream may have crashed before it visibly began to respond.
-  bool IsCrashSuspect(const Failure& aFailure, Instant aNow);
+  bool IsCrashSuspect(const Failure& aFailure, Instant aNow) const;
   /// Whether the upstream itself closed the connection, and not a carrier or
   /// what broke the links of this gateway.
   Task<bool> HasUpstreamClosed();
