Connections: a status that HTTP doesn't define is no response

What clients saw: an upstream in trouble answered with status 000, and that was passed on as the response; 001, 099, 600, 700 and 999 too. A final response with a status from 100 to 199 was taken for an interim one, and the client got 504 at its deadline.

Cause: the parser takes any three digits, and whatever has the class of an interim response was skipped.

Change: a status outside 100 to 599 (RFC 9110, section 15), an interim response that states content, and a switch of protocols that nobody asked for are broken responses: the connection is closed and the request may have run (502). All clients of the project read responses in this place.

BadBytesTest.AResponseWithoutAValidStatusIsNoAnswer has the nine statuses.

--- a/src/cactusgw/net/http_connection.cpp
+++ b/src/cactusgw/net/http_connection.cpp
@@ -49,6 +49,24 @@
   return isClosed ? FailureCode::UpstreamClosed : FailureCode::UpstreamBroke;
 }
 
+/// Whether HTTP defines the class of the status (RFC 9110, section 15). The
+/// parser takes any three digits.
+bool
+IsValidStatus(unsigned aStatus)
+{
+  return http::to_status_class(aStatus) != http::status_class::unknown;
+}
+
+/// Whether a response may come before the final one. One with content, or that
+/// switches to a protocol that no request asked for, is a broken final one.
+bool
+IsValidInterim(const http::response_header<>& aHeader)
+{
+  return aHeader.result() != http::status::switching_protocols &&
+         aHeader.count(http::field::content_length) == 0 &&
+         aHeader.count(http::field::transfer_encoding) == 0;
+}
+
 Failure
 ResponseFailure(const beast::error_code& aError)
 {
@@ -158,11 +176,18 @@
     if (ec) {
       co_return ec;
     }
+    const bool isInterim =
+      http::to_status_class(Status()) == http::status_class::informational;
+    if (!IsValidStatus(Status()) ||
+        (isInterim && !IsValidInterim(mParser->get()))) {
+      Close();
+      co_return make_error_code(http::error::bad_status);
+    }
     if (!IsReadable(FramingOf(*mParser, mParser->get(), mIsHead))) {
       Close();
       co_return make_error_code(http::error::bad_transfer_encoding);
     }
-    if (http::to_status_class(Status()) != http::status_class::informational) {
+    if (!isInterim) {
       co_return beast::error_code{};
     }
     ResetParser();
--- a/tests/gateway/bad_bytes_test.cpp
+++ b/tests/gateway/bad_bytes_test.cpp
@@ -72,6 +72,40 @@
   EXPECT_EQ(response.mSeal, "");
 }
 
+// Guards against a status that HTTP doesn't define reaching the client as an
+// answer, and against a wait for the rest of a response that has ended.
+TEST_F(BadBytesTest, AResponseWithoutAValidStatusIsNoAnswer)
+{
+  for (const char* const status :
+       { "000", "001", "099", "600", "700", "999", "101", "150", "199" }) {
+    AddUpstream(std::string{ "app-" } + status,
+                "app",
+                WriteAndClose(std::string{ "HTTP/1.1 " } + status +
+                              " X\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok"));
+  }
+  StartGateway();
+  Run([&]() -> Task<void> {
+    for (std::size_t i = 0; i < mUpstreams.size(); ++i) {
+      const ClientResponse response =
+        co_await Call(MakeRequest(http::verb::post, "/write/x"));
+      EXPECT_EQ(response.mStatus, 502U);
+      EXPECT_EQ(response.mSeal, "");
+    }
+  });
+}
+
+// Interim responses, and the classes that HTTP defines, pass.
+TEST_F(BadBytesTest, InterimResponsesAndUncommonStatusesAreAnswers)
+{
+  const ClientResponse response =
+    CallWith(WriteAndClose("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                           "HTTP/1.1 299 X\r\nSeal: s\r\n"
+                           "Content-Length: 2\r\n\r\nok"),
+             "/write/x");
+  EXPECT_EQ(response.mStatus, 299U);
+  EXPECT_EQ(response.mBody, "ok");
+}
+
 // An answer with neither a length nor chunks is whole at the end of its
 // connection.
 TEST_F(BadBytesTest, ABodyWithoutFramingEndsWithItsConnection)
