--- a/review/harness-3/standins.hpp
+++ b/review/harness-3/standins.hpp
@@ -1134,7 +1134,19 @@
     }
     return -1;
   }
-  bool IsRunning() { return mPid > 0 && waitpid(mPid, nullptr, WNOHANG) == 0; }
+  bool IsRunning()
+  {
+    if (mPid > 0 && waitpid(mPid, &mEnd, WNOHANG) != 0) {
+      mPid = -1;
+    }
+    return mPid > 0;
+  }
+  /// How the process ended that IsRunning() found ended.
+  std::string EndText() const
+  {
+    return WIFSIGNALED(mEnd) ? "signal " + std::to_string(WTERMSIG(mEnd))
+                             : "code " + std::to_string(WEXITSTATUS(mEnd));
+  }
   bool IsReady() const
   {
     const int fd = ConnectTo(mIp, mReadyPort);
@@ -1163,6 +1175,7 @@
   std::string mFolder;
   std::string mSettingsPath;
   pid_t mPid = -1;
+  int mEnd = 0;
 };
 
 /// What a consumer saw of one attempt.
