Log which upstreams are kept without a registration

After an outage of the store an upstream whose registration was removed is kept for a while. The log told neither that nor when the upstream would go, so that it could not tell what had begun the time for which it is kept.

Change: upstream-missing and upstream-registered-again, with how long the registration has been missing and how long the upstream is kept yet. Decisions are unchanged.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -702,6 +702,7 @@
   mHasUpstreamList = true;
   for (Change<UpstreamRecord>& change : aChanges) {
     if (change.mValue) {
+      LogIfMissing(change.mName, "upstream-registered-again", now);
       OnDirectoryChange(mState.mDirectory.Put(std::move(*change.mValue), now),
                         change.mName);
     } else {
@@ -722,9 +723,30 @@
     // RecordDraining can't find the record any more once it is removed.
     mState.mDrainNotices.Add({ aId, startedMs }, aNow);
   }
+  LogIfMissing(aId, "upstream-missing", aNow);
   OnDirectoryChange(effect, aId);
 }
 
+void
+Gateway::LogIfMissing(const std::string& aId,
+                      std::string_view aEvent,
+                      Instant aNow)
+{
+  const KnownUpstream* const known = mState.mDirectory.Find(aId);
+  if (known == nullptr || !known->mIsMissing) {
+    return;
+  }
+  const auto milliseconds = [](Instant::duration aTime) {
+    return std::chrono::duration_cast<Milliseconds>(aTime).count();
+  };
+  mState.mLog.Write(
+    aEvent,
+    { { "upstream", aId },
+      { "missingMs", milliseconds(aNow - known->mMissingSince) },
+      { "graceMs", milliseconds(mState.mDirectory.GraceUntil() - aNow) } },
+    aNow);
+}
+
 void
 Gateway::OnDrainedChanges(const std::vector<Change<std::string>>& aChanges)
 {
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -129,6 +129,10 @@
   void OnStoreRestored(StoreCollection aCollection);
   void RecordDraining(const std::string& aId);
   void OnRemoved(const std::string& aId, Instant aNow);
+  /// Writes the event if the upstream is kept without a registration.
+  void LogIfMissing(const std::string& aId,
+                    std::string_view aEvent,
+                    Instant aNow);
   void UpdateGatewayCount();
   void OnDrainNotice(const DrainingUpstream& aUpstream,
                      std::string_view aFrom,
