Outages: an outage of the store ends once, with the first answer

Cause: each collection that could be read again after an outage counted as a return of the store, and began a time of 2 s in which upstreams without a registration are kept. The waits of the collections' watches are 2 s to 15 s, so that they succeed one after the other, many seconds after the store is back. The same on related paths: each collection of a restored store; a watch that failed alone; a gateway that reads through another, which took over that one's time (lapse_ms), and whose own loops had failed long before it read again. The other way round, a watch that survived the outage showed its removals before any collection counted as back, so that upstreams whose registrations had expired were removed at once, everywhere.

Change: StoreOutages counts the answers to all calls together. An outage is a time without any answer, of 1.2 s or more if a call from that time has failed, of 2.4 s or more otherwise, and ends with the first answer, before the content of that answer is used. Calls from before the last answer tell nothing. 410, 404 and 429 are answers. A gateway that reads through another learns from it when the store last answered (store_age_ms) and judges by that; lapse_ms is still sent to earlier releases, with the right time, and no longer read. A restoration counts once. A registration that was written after the outage has not expired, so that its removal is meant. Until the store answers again nothing that is missing is given up.

Why it works: the time is bound to the event for which it stands, as seen by whichever call is first, and that event can't be seen twice.

--- a/src/cactusgw/gateway/collection_watcher.hpp
+++ b/src/cactusgw/gateway/collection_watcher.hpp
@@ -7,6 +7,7 @@
 #include "cactusgw/gateway/store_backoff.hpp"
 #include "cactusgw/interfaces/registry_source.hpp"
 #include "cactusgw/net/http_types.hpp"
+#include "cactusgw/net/steady_now.hpp"
 
 #include <functional>
 #include <utility>
@@ -28,10 +29,30 @@
   /// Whether to repeat a failed call. While the store is known to be
   /// unavailable, one loop of calls is enough to notice its return.
   std::function<bool()> mShouldRetry;
+  /// Called for each call that the store answered, before the answer is used,
+  /// and for each other call, with the time at which it was sent.
+  std::function<void()> mOnAnswered;
+  std::function<void(Instant)> mOnUnanswered;
+  /// Called when calls of this collection begin to fail, and when they succeed
+  /// again, which may be long after the store has returned.
   std::function<void(const Failure&)> mOnUnavailable;
   std::function<void()> mOnRecovered;
 };
 
+/// Reports whether the store answered a call. It may have answered that it
+/// lacks what was asked for, or that there are too many calls.
+inline void
+ReportAnswer(const WatcherEvents& aEvents,
+             const Result<CollectionUpdate>& aUpdate,
+             Instant aSentAt)
+{
+  if (!aUpdate && aUpdate.error().mCode == FailureCode::StoreUnavailable) {
+    aEvents.mOnUnanswered(aSentAt);
+  } else {
+    aEvents.mOnAnswered();
+  }
+}
+
 /// Not thread-safe; lives on one io_context as long as the process.
 template<RegistrySource Source>
 class CollectionWatcher
@@ -75,7 +96,7 @@
   }
 
 private:
-  /// Errors: StoreUnavailable; HistoryCompacted if a list is due.
+  /// Errors: StoreUnavailable, Busy; HistoryCompacted if a list is due.
   Task<Result<void>> Step()
   {
     // Changes are missing until an update with a later version arrives, which
@@ -83,12 +104,14 @@
     const StoreVersion known = mEvents.mVersion();
     const bool isListDue =
       known <= mCompactedVersion || known.mEra < mEvents.mEra();
+    const Instant sentAt = SteadyNow();
     Result<CollectionUpdate> update{ CollectionUpdate{} };
     if (isListDue) {
       update = co_await mSource.List();
     } else {
       update = co_await mSource.Watch(known.mRevision, mMaxWait);
     }
+    ReportAnswer(mEvents, update, sentAt);
     if (!update) {
       co_return update.error();
     }
--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -295,9 +295,7 @@
 Gateway::Tick()
 {
   const Instant now = SteadyNow();
-  for (const std::string& id : mState.mDirectory.RemoveExpired(now)) {
-    OnDirectoryChange(DirectoryChange::DrainingOrRemoved, id);
-  }
+  RemoveExpired(now);
   mStore.Tick(now, mRelay->IsStoreReachable());
   RegisterIfLost(now);
   mTunnels.Tick(now);
@@ -313,6 +311,18 @@
   return true;
 }
 
+void
+Gateway::RemoveExpired(Instant aNow)
+{
+  // Until the store answers again, nobody can register again.
+  if (!mState.mStoreOutages.IsAnswering()) {
+    return;
+  }
+  for (const std::string& id : mState.mDirectory.RemoveExpired(aNow)) {
+    OnDirectoryChange(DirectoryChange::DrainingOrRemoved, id);
+  }
+}
+
 void
 Gateway::UpdateQuarantines(Instant aNow)
 {
@@ -606,12 +616,16 @@
 void
 Gateway::OnStoreRestored(StoreCollection aCollection)
 {
-  // Registrations that the copy lacks are written again meanwhile.
-  mState.mDirectory.OnStoreRecovered(SteadyNow());
+  const StoreVersion version = mStore.Version(aCollection);
+  // Registrations that the copy lacks are written again at once. Collections
+  // that seldom change show the era many seconds later.
+  if (version.mEra > mRestoredEra) {
+    mRestoredEra = version.mEra;
+    mState.mDirectory.OnStoreReturned(SteadyNow());
+  }
   if (aCollection == StoreCollection::Quarantines) {
     mQuarantineKeeper.OnStoreRestored();
   }
-  const StoreVersion version = mStore.Version(aCollection);
   mState.mMetrics.mStoreEra.Set(static_cast<double>(version.mEra));
   mState.mLog.WriteAlways(
     "store-restored",
@@ -892,7 +906,6 @@
 void
 Gateway::OnStoreRecovered(std::string_view aWhat)
 {
-  mState.mDirectory.OnStoreRecovered(SteadyNow());
   mState.mLog.WriteAlways("store-back", { { "collection", aWhat } });
 }
 
--- a/src/cactusgw/gateway/gateway.hpp
+++ b/src/cactusgw/gateway/gateway.hpp
@@ -86,6 +86,8 @@
   void OnRolloutChanges(std::vector<Change<StoredRollout>> aChanges);
   void OnStreamVersionChanges(
     std::vector<Change<StoredStreamVersion>> aChanges);
+  /// Called when the calls of one collection begin to fail, and when they
+  /// succeed again.
   void OnStoreLost(std::string_view aWhat, const Failure& aFailure);
   void OnStoreRecovered(std::string_view aWhat);
   /// Called when the watch of upstreams stops or resumes getting responses from
@@ -129,6 +131,8 @@
   void OnStoreRestored(StoreCollection aCollection);
   void RecordDraining(const std::string& aId);
   void OnRemoved(const std::string& aId, Instant aNow);
+  /// Removes upstreams whose registrations have not come back after an outage.
+  void RemoveExpired(Instant aNow);
   /// Writes the event if the upstream is kept without a registration.
   void LogIfMissing(const std::string& aId,
                     std::string_view aEvent,
@@ -185,6 +189,8 @@
   bool mHasRollouts = false;
   bool mIsConfigReadDown = false;
   bool mIsRegistering = false;
+  /// The newest era that began with a restoration of the store.
+  std::uint64_t mRestoredEra = 0;
   /// This gateway's registration as the store has it.
   std::optional<GatewayPeer> mRegistered;
   /// When this gateway last wrote it.
--- a/src/cactusgw/gateway/gateway_state.cpp
+++ b/src/cactusgw/gateway/gateway_state.cpp
@@ -55,6 +55,7 @@
   : mSettings(std::move(aSettings))
   , mNames(std::move(aNames))
   , mDirectory(UpstreamDirectory::Create())
+  , mStoreOutages(StoreOutages::Create())
   , mDrainNotices(DrainNotices::Create())
   , mLoads(LoadTable::Create())
   , mHealth(UpstreamHealth::Create())
@@ -580,6 +581,23 @@
     static_cast<double>(mLimitPacer.Limited().size()));
 }
 
+void
+GatewayState::OnStoreAnswered(Instant aAt, std::string_view aFrom)
+{
+  const std::optional<Milliseconds> outage = mStoreOutages.OnAnswer(aAt);
+  if (!outage) {
+    return;
+  }
+  mDirectory.OnStoreReturned(aAt);
+  mLog.WriteAlways(
+    "store-returned",
+    { { "from", aFrom },
+      { "outageMs", outage->count() },
+      { "ageMs",
+        std::chrono::duration_cast<Milliseconds>(SteadyNow() - aAt)
+          .count() } });
+}
+
 void
 GatewayState::Forget(const std::string& aUpstream)
 {
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -24,6 +24,7 @@
 #include "cactusgw/gateway/shared_retry_budget.hpp"
 #include "cactusgw/gateway/stop_schedule.hpp"
 #include "cactusgw/gateway/store_freshness.hpp"
+#include "cactusgw/gateway/store_outages.hpp"
 #include "cactusgw/gateway/stream_origins.hpp"
 #include "cactusgw/gateway/stream_versions.hpp"
 #include "cactusgw/gateway/upstream_choice.hpp"
@@ -152,6 +153,13 @@
   /// Ejects upstreams that fail more than others, and admits them again.
   void UpdateOutliers(Instant aNow);
 
+  /// Records an answer of the store. When it ends an outage, upstreams whose
+  /// registrations are missing are kept for a while.
+  /// @param aFrom where the answer is from, for the log: "store", or the
+  /// gateway
+  ///   that passed it on
+  void OnStoreAnswered(Instant aAt, std::string_view aFrom);
+
   /// Discards health, rate limit and connections of an upstream that was
   /// registered anew.
   void Forget(const std::string& aUpstream);
@@ -167,6 +175,7 @@
   /// Null before the first configuration.
   std::shared_ptr<const RoutingTable> mTable;
   UpstreamDirectory mDirectory;
+  StoreOutages mStoreOutages;
   /// Recent notices of draining upstreams, for the other gateways.
   DrainNotices mDrainNotices;
   /// Called when an upstream states in a response that it is draining. Set by
--- a/src/cactusgw/gateway/store_relay.cpp
+++ b/src/cactusgw/gateway/store_relay.cpp
@@ -73,6 +73,30 @@
            aMessage.content() };
 }
 
+/// When the relay responded, at the earliest: it can't have done so before it
+/// had held the request for held_ms. The relay's boot clock has a different
+/// origin, so only durations are used.
+BootTime
+HeldUntil(BootTime aSentAt, const wire::StoreAnswer& aAnswer)
+{
+  return std::min(BootNow(), aSentAt + Milliseconds{ aAnswer.held_ms() });
+}
+
+/// How long before its response the store had last answered the relay; empty if
+/// unknown.
+std::optional<Milliseconds>
+StoreAge(const wire::StoreAnswer& aAnswer)
+{
+  if (aAnswer.store_age_ms() > 0) {
+    return Milliseconds{ aAnswer.store_age_ms() - 1 };
+  }
+  // A gateway of an earlier release states only the age of its configuration.
+  if (!aAnswer.in_contact()) {
+    return std::nullopt;
+  }
+  return Milliseconds{ aAnswer.no_config() ? 0 : aAnswer.age_ms() };
+}
+
 GatewayPeer
 SelfOf(const GatewaySettings& aSettings)
 {
@@ -253,6 +277,11 @@
     static_cast<std::uint32_t>(mState.mFreshness.Age(BootNow()).count()));
   answer->set_lapse_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(
     0, Since(aNow, mState.mDirectory.GraceUntil()).count())));
+  const std::optional<Instant> answeredAt = mState.mStoreOutages.AnsweredAt();
+  if (answeredAt) {
+    answer->set_store_age_ms(
+      static_cast<std::uint32_t>(1 + Since(*answeredAt, aNow).count()));
+  }
   if (isInContact) {
     AddUpdates(aHeld, *answer);
   }
@@ -349,6 +378,7 @@
   }
   const PendingRequest request = *std::exchange(mPending, std::nullopt);
   const Instant now = SteadyNow();
+  NoteStoreAnswer(request, aPeer, aAnswer, now);
   // A relay that has not noticed the restoration of the store reports what is
   // outdated.
   if (!aAnswer.in_contact() || aAnswer.era() < mView.Era()) {
@@ -359,9 +389,6 @@
   }
   mSelector.OnResponse(aPeer, now);
   mState.mIsUpstreamWatchDown = false;
-  mState.mDirectory.ExtendGrace(
-    now + std::min(UpstreamDirectory::kReregistrationGrace,
-                   Milliseconds{ aAnswer.lapse_ms() }));
   for (const wire::StoreCollectionUpdate& update : aAnswer.updates()) {
     Apply(update, now);
   }
@@ -376,16 +403,30 @@
   }
 }
 
+void
+StoreRelay::NoteStoreAnswer(const PendingRequest& aRequest,
+                            const std::string& aPeer,
+                            const wire::StoreAnswer& aAnswer,
+                            Instant aNow)
+{
+  const Instant respondedAt =
+    aNow - std::chrono::duration_cast<Instant::duration>(
+             BootNow() - HeldUntil(aRequest.mSentAtBoot, aAnswer));
+  const std::optional<Milliseconds> age = StoreAge(aAnswer);
+  if (age) {
+    mState.OnStoreAnswered(respondedAt - *age, aPeer);
+  }
+  if (!aAnswer.in_contact()) {
+    mState.mStoreOutages.OnFailure(respondedAt);
+  }
+}
+
 void
 StoreRelay::Confirm(const PendingRequest& aRequest,
                     const std::string& aPeer,
                     const wire::StoreAnswer& aAnswer)
 {
-  // The relay's boot clock has a different origin, so only durations are used.
-  // The response can't have been sent before the request had been held for
-  // held_ms.
-  const BootTime heldUntil = std::min(
-    BootNow(), aRequest.mSentAtBoot + Milliseconds{ aAnswer.held_ms() });
+  const BootTime heldUntil = HeldUntil(aRequest.mSentAtBoot, aAnswer);
   if (aAnswer.no_config()) {
     mState.mFreshness.OnMissing(heldUntil);
   } else if (aAnswer.config_version() > AppliedVersion()) {
--- a/src/cactusgw/gateway/store_relay.hpp
+++ b/src/cactusgw/gateway/store_relay.hpp
@@ -116,6 +116,12 @@
   /// A response to a request that has timed out or was replaced.
   void OnLateResponse(const std::string& aPeer,
                       const wire::StoreAnswer& aAnswer);
+  /// Records when the store answered the relay, also if the relay has no
+  /// content to pass on.
+  void NoteStoreAnswer(const PendingRequest& aRequest,
+                       const std::string& aPeer,
+                       const wire::StoreAnswer& aAnswer,
+                       Instant aNow);
   /// Records up to when the knowledge of the relay, and so this gateway's, is
   /// complete.
   void Confirm(const PendingRequest& aRequest,
--- a/src/cactusgw/gateway/upstream_directory.cpp
+++ b/src/cactusgw/gateway/upstream_directory.cpp
@@ -13,6 +13,7 @@
 DirectoryChange
 UpstreamDirectory::Put(UpstreamRecord aRecord, Instant aNow)
 {
+  mFirstChangesAt = mFirstChangesAt.value_or(aNow);
   const UpstreamStart start = StartOf(aRecord);
   const bool isNewlyStated =
     aRecord.mIsDraining && RememberDraining(start, aRecord.mAddress);
@@ -24,8 +25,9 @@
     std::string id = aRecord.mId;
     const KnownUpstream& added =
       mUpstreams
-        .emplace(std::move(id),
-                 KnownUpstream{ std::move(aRecord), coldUntil, false, {} })
+        .emplace(
+          std::move(id),
+          KnownUpstream{ std::move(aRecord), coldUntil, false, {}, aNow })
         .first->second;
     mByAddress.emplace(added.mRecord.mAddress, &added);
     return isDraining ? DirectoryChange::DrainingOrRemoved
@@ -42,6 +44,7 @@
   mByAddress.emplace(known.mRecord.mAddress, &known);
   known.mColdUntil = coldUntil;
   known.mIsMissing = false;
+  known.mReadAt = aNow;
   if (hasRestarted && !known.mRecord.mIsDraining) {
     return DirectoryChange::Added;
   }
@@ -52,11 +55,12 @@
 DirectoryChange
 UpstreamDirectory::Remove(std::string_view aId, Instant aNow)
 {
+  mFirstChangesAt = mFirstChangesAt.value_or(aNow);
   const auto it = mUpstreams.find(aId);
   if (it == mUpstreams.end()) {
     return DirectoryChange::None;
   }
-  if (aNow < mGraceUntil && !it->second.mRecord.mIsDraining) {
+  if (MayHaveExpired(it->second, aNow)) {
     if (!it->second.mIsMissing) {
       it->second.mIsMissing = true;
       it->second.mMissingSince = aNow;
@@ -67,6 +71,24 @@
   return DirectoryChange::DrainingOrRemoved;
 }
 
+bool
+UpstreamDirectory::MayHaveExpired(const KnownUpstream& aUpstream,
+                                  Instant aNow) const
+{
+  // The first changes after an outage also tell of writes from before it. Later
+  // ones show that the upstream has reached the store again.
+  const bool isWrittenSince = aUpstream.mReadAt > *mFirstChangesAt;
+  return aNow < mGraceUntil && !aUpstream.mRecord.mIsDraining &&
+         !isWrittenSince;
+}
+
+void
+UpstreamDirectory::OnStoreReturned(Instant aAt)
+{
+  mGraceUntil = aAt + kReregistrationGrace;
+  mFirstChangesAt.reset();
+}
+
 bool
 UpstreamDirectory::MarkDraining(std::string_view aId,
                                 std::int64_t aStartedMs,
--- a/src/cactusgw/gateway/upstream_directory.hpp
+++ b/src/cactusgw/gateway/upstream_directory.hpp
@@ -6,9 +6,9 @@
 #include "cactusgw/core/upstream_start.hpp"
 #include "cactusgw/core/verdict.hpp"
 
-#include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -50,6 +50,8 @@
   /// store outage.
   bool mIsMissing = false;
   Instant mMissingSince;
+  /// When the registration was last read.
+  Instant mReadAt;
 };
 
 /// Why an upstream counts as draining.
@@ -95,7 +97,8 @@
   /// Adds or updates a registration.
   DirectoryChange Put(UpstreamRecord aRecord, Instant aNow);
   /// Handles the removal of a registration. During the grace period the
-  /// upstream is kept and marked as missing, unless it is draining.
+  /// upstream is kept and marked as missing, unless the removal was meant: the
+  /// upstream is draining, or its registration was written after the outage.
   DirectoryChange Remove(std::string_view aId, Instant aNow);
 
   /// Marks an upstream as draining after a notice from another source than its
@@ -113,18 +116,12 @@
     return mDrainingStarts.count(aUpstream) != 0;
   }
 
-  /// The store responds again after an outage: starts the grace period for
-  /// registrations that expired meanwhile.
-  void OnStoreRecovered(Instant aNow)
-  {
-    mGraceUntil = aNow + kReregistrationGrace;
-  }
+  /// The store has returned from an outage at this time: starts the grace
+  /// period for registrations that expired meanwhile. Must be called before the
+  /// first changes after the outage.
+  void OnStoreReturned(Instant aAt);
   /// End of the grace period.
   Instant GraceUntil() const { return mGraceUntil; }
-  void ExtendGrace(Instant aUntil)
-  {
-    mGraceUntil = std::max(mGraceUntil, aUntil);
-  }
   /// Removes the upstreams that are still missing after the grace period.
   /// Returns their ids.
   std::vector<std::string> RemoveExpired(Instant aNow);
@@ -168,6 +165,8 @@
   /// Whether the registration is of a start that stated that it is draining.
   bool IsOfDrainingStart(const UpstreamRecord& aRecord) const;
   bool IsRegistered(const UpstreamStart& aUpstream) const;
+  /// Whether a registration that is missing now may have expired in the outage.
+  bool MayHaveExpired(const KnownUpstream& aUpstream, Instant aNow) const;
 
   Upstreams mUpstreams;
   /// Points into mUpstreams, whose entries stay where they are.
@@ -177,6 +176,9 @@
   std::uint64_t mNextOrder = 0;
   std::set<std::string> mDrained;
   Instant mGraceUntil;
+  /// When the first changes after the outage were read: all that happened until
+  /// then. Empty before.
+  std::optional<Instant> mFirstChangesAt;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/interfaces/registry_source.hpp
+++ b/src/cactusgw/interfaces/registry_source.hpp
@@ -73,12 +73,12 @@
                                   std::uint64_t aRevision,
                                   Milliseconds aWait)
 {
-  /// Errors: StoreUnavailable.
+  /// Errors: StoreUnavailable, Busy.
   {
     aSource.List()
     } -> std::same_as<boost::asio::awaitable<Result<CollectionUpdate>>>;
   /// Waits for changes after a revision; returns none on timeout. Errors:
-  /// StoreUnavailable, HistoryCompacted.
+  /// StoreUnavailable, Busy, HistoryCompacted.
   {
     aSource.Watch(aRevision, aWait)
     } -> std::same_as<boost::asio::awaitable<Result<CollectionUpdate>>>;
--- a/tests/gateway/gateway_core_test.cpp
+++ b/tests/gateway/gateway_core_test.cpp
@@ -72,7 +72,7 @@
 {
   UpstreamDirectory directory = UpstreamDirectory::Create();
   directory.Put(Record("u"), At(0));
-  directory.OnStoreRecovered(At(1000));
+  directory.OnStoreReturned(At(1000));
   EXPECT_EQ(directory.Remove("u", At(1100)), DirectoryChange::Updated);
   EXPECT_EQ(directory.Serving("s").size(), 1U);
   EXPECT_THAT(directory.RemoveExpired(At(2900)), IsEmpty());
@@ -84,7 +84,7 @@
 {
   UpstreamDirectory directory = UpstreamDirectory::Create();
   directory.Put(Record("u"), At(0));
-  directory.OnStoreRecovered(At(1000));
+  directory.OnStoreReturned(At(1000));
   EXPECT_EQ(directory.Remove("u", At(1100)), DirectoryChange::Updated);
   directory.Put(Record("u"), At(1500));
   EXPECT_THAT(directory.RemoveExpired(At(9000)), IsEmpty());
--- a/tests/gateway/send_gate_test.cpp
+++ b/tests/gateway/send_gate_test.cpp
@@ -467,7 +467,7 @@
       kNorthPath,
       "key",
       [](GateState& aState) {
-        aState.mDirectory.OnStoreRecovered(At(0));
+        aState.mDirectory.OnStoreReturned(At(0));
         aState.mDirectory.Remove("n", At(1));
       },
       kYes,
@@ -536,7 +536,7 @@
       "key",
       [](GateState& aState) {
         aState.mDirectory.Put(MakeUpstream("z", "10.0.0.1:80", "dc-s"), At(0));
-        aState.mDirectory.OnStoreRecovered(At(0));
+        aState.mDirectory.OnStoreReturned(At(0));
         aState.mDirectory.Remove("z", At(1));
       },
       kOutside,
@@ -810,7 +810,7 @@
         break;
       case 6:
         mGraceEnd = mNow + 2000;
-        mState.mDirectory.OnStoreRecovered(At(mNow));
+        mState.mDirectory.OnStoreReturned(At(mNow));
         break;
       case 7:
         Expire();
--- a/tests/gateway/store_relay_test.cpp
+++ b/tests/gateway/store_relay_test.cpp
@@ -1,3 +1,4 @@
+#include "cactusgw/net/steady_now.hpp"
 #include "free_address.hpp"
 #include "gateway_fixture.hpp"
 
@@ -123,4 +124,51 @@
   EXPECT_EQ(mReceived["u"], "gone");
 }
 
+// Guards against a gateway that kept removed upstreams for as long as a relay
+// of an earlier release did. That release states no age of the store's answers,
+// and begins the time anew for each collection that it can read again.
+TEST_F(StoreRelayTest, TheLapseTimeOfAnEarlierReleaseIsNotTakenOver)
+{
+  mRelay->State().mDirectory.OnStoreReturned(SteadyNow() +
+                                             std::chrono::hours{ 1 });
+  Read({ true, 10, { { "u", 4, "ready" } } });
+  RunUntil([&] { return mReceived["u"] == "ready"; });
+  Read({ false, 11, { { "u", 11, std::nullopt } } });
+  RunUntil([&] { return mReceived["u"] == "gone"; });
+  EXPECT_EQ(mChild->State().mDirectory.GraceUntil(), Instant{});
+}
+
+// Guards against a child that learned of an outage later than its relay, and
+// then kept removed upstreams for longer.
+TEST_F(StoreRelayTest, TheRelayTellsWhenTheStoreReturned)
+{
+  const Instant now = SteadyNow();
+  GatewayState& relay = mRelay->State();
+  GatewayState& child = mChild->State();
+  relay.OnStoreAnswered(now - Milliseconds{ 9000 }, "store");
+  Read({ true, 10, { { "u", 4, "ready" } } });
+  RunUntil([&] { return child.mStoreOutages.AnsweredAt().has_value(); });
+  relay.OnStoreAnswered(now - Milliseconds{ 1000 }, "store");
+  const Instant end = relay.mDirectory.GraceUntil();
+  EXPECT_EQ(end, now + Milliseconds{ 1000 });
+  RunUntil([&] { return child.mDirectory.GraceUntil() != Instant{}; });
+  EXPECT_LE(child.mDirectory.GraceUntil(), end + StoreRelay::kResponseTimeout);
+}
+
+// Guards against a child that took a planned stop of its relay, or a watch that
+// failed there alone, for an outage of the store.
+TEST_F(StoreRelayTest, ARelayWithoutContentMayStillReachTheStore)
+{
+  mRelay->State().OnStoreAnswered(SteadyNow() - Milliseconds{ 5000 }, "store");
+  Read({ true, 10, { { "u", 4, "ready" } } });
+  RunUntil([&] { return mReceived["u"] == "ready"; });
+  const std::optional<Instant> before =
+    mChild->State().mStoreOutages.AnsweredAt();
+  mRelay->OnUpstreamWatchDown(true);
+  mRelay->State().OnStoreAnswered(SteadyNow() - Milliseconds{ 4000 }, "store");
+  RunUntil([&] { return mChild->ShouldReadStore(); });
+  EXPECT_GT(mChild->State().mStoreOutages.AnsweredAt(), before);
+  EXPECT_EQ(mChild->State().mDirectory.GraceUntil(), Instant{});
+}
+
 } // namespace cactusgw::test
--- a/tests/gateway/store_restore_test.cpp
+++ b/tests/gateway/store_restore_test.cpp
@@ -286,6 +286,8 @@
   };
   aEvents.mMaxBackoff = [] { return Milliseconds{ 1 }; };
   aEvents.mShouldRetry = [] { return true; };
+  aEvents.mOnAnswered = [] {};
+  aEvents.mOnUnanswered = [](Instant) {};
   aEvents.mOnUnavailable = [](const Failure&) {};
   aEvents.mOnRecovered = [] {};
 }
