Upstreams: a registration that is back in the same answer was not removed

Callers: fewer upstreams served for seconds after an outage of the store.

Cause: the changes of one answer were carried out one after the other. A registration that had expired and was written again before it was read, as after a slow answer, made its upstream leave and join: connections were closed, generations moved, and all gateways were told for 5 s that it leaves. Gateways that read through another never saw this, as a copy holds the last state only.

Change: the last of several changes of an upstream counts.

Evidence: the log of outages in which registrations lapse shows upstream-missing and upstream-registered-again within the same answer for most upstreams; only the time in which they are kept hid it.

Test: StoreReturnTest.ARegistrationThatIsBackInTheSameAnswerIsNotRemoved, which fails without the change.

--- a/src/cactusgw/gateway/gateway.cpp
+++ b/src/cactusgw/gateway/gateway.cpp
@@ -80,6 +80,22 @@
   }
 }
 
+/// Keeps the last of several changes of an object. A registration that expired
+/// and was written again before it was read has not been missing.
+template<typename Value>
+void
+KeepLastChanges(std::vector<Change<Value>>& aChanges)
+{
+  std::map<std::string, std::size_t> last;
+  for (std::size_t i = 0; i < aChanges.size(); ++i) {
+    last[aChanges[i].mName] = i;
+  }
+  std::size_t index = 0;
+  std::erase_if(aChanges, [&](const Change<Value>& aChange) {
+    return last[aChange.mName] != index++;
+  });
+}
+
 } // namespace
 
 Gateway::Gateway(boost::asio::io_context& aContext,
@@ -714,6 +730,7 @@
 {
   const Instant now = SteadyNow();
   mHasUpstreamList = true;
+  KeepLastChanges(aChanges);
   for (Change<UpstreamRecord>& change : aChanges) {
     if (change.mValue) {
       LogIfMissing(change.mName, "upstream-registered-again", now);
--- a/tests/gateway/store_outages_test.cpp
+++ b/tests/gateway/store_outages_test.cpp
@@ -224,6 +224,20 @@
   EXPECT_GT(gateway->State().mDirectory.GraceUntil(), end);
 }
 
+// Guards against a sound upstream that counted as leaving, here and by a notice
+// at all other gateways: its registration expired in an outage and was written
+// again before it was read.
+TEST_F(StoreReturnTest, ARegistrationThatIsBackInTheSameAnswerIsNotRemoved)
+{
+  const std::unique_ptr<Gateway> gateway = MakeGateway(mSettings);
+  gateway->OnUpstreamChanges({ { "u", Record("u") }, { "v", Record("v") } });
+  gateway->OnUpstreamChanges(
+    { { "u", std::nullopt }, { "u", Record("u") }, { "v", std::nullopt } });
+  EXPECT_THAT(gateway->State().mDrainNotices.Recent(SteadyNow()),
+              ElementsAre(::testing::Field(&DrainingUpstream::mId, "v")));
+  EXPECT_NE(gateway->State().mDirectory.Find("u"), nullptr);
+}
+
 namespace {
 
 /// Time within which the platform registers live upstreams again.
