Outages: what another gateway heard earlier ends no outage

A gateway that reads the store through another counted two returns of one outage: one by an answer that the other one had got at its beginning, as a call of its own had failed meanwhile, the second when the store was back.

Cause: a failed call counted for each answer that was heard of after it, also for one from before that call. A relay that had no content to pass on counted as a failed call, though it states when the store last answered it.

--- a/src/cactusgw/gateway/store_outages.cpp
+++ b/src/cactusgw/gateway/store_outages.cpp
@@ -1,5 +1,6 @@
 #include "cactusgw/gateway/store_outages.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace cactusgw {
@@ -11,7 +12,13 @@
     return std::nullopt;
   }
   const std::optional<Instant> before = std::exchange(mAnsweredAt, aAt);
-  const bool hasFailed = std::exchange(mHasFailed, false);
+  // The answer may be from before a call that has failed since.
+  const bool hasFailed = mFailures && mFailures->mFirstSentAt < aAt;
+  if (mFailures && mFailures->mLastSentAt < aAt) {
+    mFailures.reset();
+  } else if (hasFailed) {
+    mFailures->mFirstSentAt = mFailures->mLastSentAt;
+  }
   if (!before) {
     return std::nullopt;
   }
@@ -22,4 +29,18 @@
   return silence < shortest ? std::nullopt : std::optional{ silence };
 }
 
+void
+StoreOutages::OnFailure(Instant aSentAt)
+{
+  if (mAnsweredAt && aSentAt < *mAnsweredAt) {
+    return;
+  }
+  if (!mFailures) {
+    mFailures = Failures{ aSentAt, aSentAt };
+    return;
+  }
+  mFailures->mFirstSentAt = std::min(mFailures->mFirstSentAt, aSentAt);
+  mFailures->mLastSentAt = std::max(mFailures->mLastSentAt, aSentAt);
+}
+
 } // namespace cactusgw
--- a/src/cactusgw/gateway/store_outages.hpp
+++ b/src/cactusgw/gateway/store_outages.hpp
@@ -33,21 +33,26 @@
   std::optional<Milliseconds> OnAnswer(Instant aAt);
   /// Records that a call that was sent at this time got no answer. A call from
   /// before the last answer tells nothing about the time after it.
-  void OnFailure(Instant aSentAt)
-  {
-    mHasFailed = mHasFailed || !mAnsweredAt || aSentAt >= *mAnsweredAt;
-  }
+  void OnFailure(Instant aSentAt);
 
   /// Whether no call since the last answer has failed.
-  bool IsAnswering() const { return !mHasFailed; }
+  bool IsAnswering() const { return !mFailures; }
   /// When the store last answered; empty before the first answer.
   std::optional<Instant> AnsweredAt() const { return mAnsweredAt; }
 
 private:
+  /// When the first and the last call since the last answer was sent that
+  /// failed.
+  struct Failures
+  {
+    Instant mFirstSentAt;
+    Instant mLastSentAt;
+  };
+
   StoreOutages() = default;
 
   std::optional<Instant> mAnsweredAt;
-  bool mHasFailed = false;
+  std::optional<Failures> mFailures;
 };
 
 } // namespace cactusgw
--- a/src/cactusgw/gateway/store_relay.cpp
+++ b/src/cactusgw/gateway/store_relay.cpp
@@ -415,8 +415,7 @@
   const std::optional<Milliseconds> age = StoreAge(aAnswer);
   if (age) {
     mState.OnStoreAnswered(respondedAt - *age, aPeer);
-  }
-  if (!aAnswer.in_contact()) {
+  } else {
     mState.mStoreOutages.OnFailure(respondedAt);
   }
 }
--- a/tests/gateway/store_outages_test.cpp
+++ b/tests/gateway/store_outages_test.cpp
@@ -78,6 +78,18 @@
   EXPECT_EQ(outages.OnAnswer(At(6300)), std::nullopt);
 }
 
+// Guards against a second return at a gateway that heard from another one of an
+// answer from the beginning of the outage, after a call of its own had failed.
+TEST(StoreOutagesTest, AnAnswerFromBeforeAFailedCallEndsNoOutage)
+{
+  StoreOutages outages = StoreOutages::Create();
+  outages.OnAnswer(At(0));
+  outages.OnFailure(At(1800));
+  EXPECT_EQ(outages.OnAnswer(At(1750)), std::nullopt);
+  EXPECT_FALSE(outages.IsAnswering());
+  EXPECT_EQ(outages.OnAnswer(At(3100)), Milliseconds{ 1350 });
+}
+
 TEST(StoreOutagesTest, CallsThatSurviveAnOutageShowItByTheirSilence)
 {
   StoreOutages outages = StoreOutages::Create();
