--- a/src/cactusgw/gateway/collection_watcher.hpp
+++ b/src/cactusgw/gateway/collection_watcher.hpp
@@ -40,7 +40,7 @@
 };
 
 /// Reports whether the store answered a call. It may have answered that it
-/// lacks what was asked for, or that there are too many calls.
+/// lacks what was asked for.
 inline void
 ReportAnswer(const WatcherEvents& aEvents,
              const Result<CollectionUpdate>& aUpdate,
@@ -96,7 +96,7 @@
   }
 
 private:
-  /// Errors: StoreUnavailable, Busy; HistoryCompacted if a list is due.
+  /// Errors: StoreUnavailable; HistoryCompacted if a list is due.
   Task<Result<void>> Step()
   {
     // Changes are missing until an update with a later version arrives, which
--- a/src/cactusgw/gateway/gateway_state.hpp
+++ b/src/cactusgw/gateway/gateway_state.hpp
@@ -155,9 +155,7 @@
 
   /// Records an answer of the store. When it ends an outage, upstreams whose
   /// registrations are missing are kept for a while.
-  /// @param aFrom where the answer is from, for the log: "store", or the
-  /// gateway
-  ///   that passed it on
+  /// @param aFrom for the log: "store", or the gateway that passed it on
   void OnStoreAnswered(Instant aAt, std::string_view aFrom);
 
   /// Discards health, rate limit and connections of an upstream that was
--- a/src/cactusgw/gateway/object_poller.hpp
+++ b/src/cactusgw/gateway/object_poller.hpp
@@ -15,8 +15,8 @@
 template<typename Source>
 concept ObjectSource = requires(Source& aSource)
 {
-  /// The object as a collection of one. Errors: StoreUnavailable, Busy;
-  /// NotFound if the store has no such object.
+  /// The object as a collection of one. Errors: StoreUnavailable; NotFound if
+  /// the store has no such object.
   {
     aSource.Read()
     } -> std::same_as<boost::asio::awaitable<Result<CollectionUpdate>>>;
--- a/src/cactusgw/interfaces/registry_source.hpp
+++ b/src/cactusgw/interfaces/registry_source.hpp
@@ -73,12 +73,12 @@
                                   std::uint64_t aRevision,
                                   Milliseconds aWait)
 {
-  /// Errors: StoreUnavailable, Busy.
+  /// Errors: StoreUnavailable.
   {
     aSource.List()
     } -> std::same_as<boost::asio::awaitable<Result<CollectionUpdate>>>;
   /// Waits for changes after a revision; returns none on timeout. Errors:
-  /// StoreUnavailable, Busy, HistoryCompacted.
+  /// StoreUnavailable, HistoryCompacted.
   {
     aSource.Watch(aRevision, aWait)
     } -> std::same_as<boost::asio::awaitable<Result<CollectionUpdate>>>;
