Tests: outages of the store are waited for by their end, not by a count

Change: returns are compared with those from before the outage, and the removals begin 6 s after its end, when the longest call and backoff (3.6 s) and the time for lapsed registrations (2 s) have passed for certain. With the fault that the test guards against, collections return up to 15 s after the end.

--- a/tests/system/store_return_test.cpp
+++ b/tests/system/store_return_test.cpp
@@ -21,8 +21,9 @@
 constexpr long kPatienceMs = 30'000;
 /// Long enough for registrations to expire.
 constexpr long kOutageMs = 4500;
-/// From then on the store counts as stable.
-constexpr long kStableMs = 4000;
+/// The longest call and backoff after the end of an outage, 3.6 s, and the time
+/// in which upstreams are kept.
+constexpr long kSettleMs = 6000;
 /// Interval between two upstreams that leave. All leave while the watches that
 /// wait longest have not returned yet.
 constexpr long kLeaveIntervalMs = 500;
@@ -138,14 +139,14 @@
   long outages = 0;
   for (const StoreFault fault : { StoreFault::Reset, StoreFault::Silent }) {
     ++outages;
+    const std::vector<long> before = Returns();
     mStore.SetFault(fault);
     SleepMs(kOutageMs);
-    const std::vector<long> before = Returns();
     mStore.SetFault(StoreFault::None);
     for (std::size_t i = 0; i < before.size(); ++i) {
       WaitForLines(*Checked()[i], kReturned, before[i] + 1);
     }
-    SleepMs(kStableMs);
+    SleepMs(kSettleMs);
     const std::vector<long> stable = Returns();
     for (int i = 0; i < kUpstreams; ++i) {
       mStore.Delete("servers", NameOf(i));
