Tests: the store stand-in of hostile clients outlives its threads

Listeners serve on detached threads until the program ends, but GatewaySite held the store by value: at the end of the test a thread whose watch had waited read the freed handler. valgrind showed invalid reads in StoreStandin::Serve of memory freed by ~GatewaySite; with this change there are none in 4 runs. The other tests with this stand-in already keep it to the end of the process. No check changed.

--- a/tests/system/hostile_clients_test.cpp
+++ b/tests/system/hostile_clients_test.cpp
@@ -330,7 +330,8 @@
 
   std::string mUpstreamAddress = test::FreeAddress();
   std::unique_ptr<HttpServer> mUpstream;
-  soak::StoreStandin mStore;
+  /// Lives to the end of the process, as its threads do.
+  soak::StoreStandin& mStore = *new soak::StoreStandin;
   test::SpawnSettings mSettings = test::SpawnSettings::Free();
   std::unique_ptr<test::ScratchFile> mFile;
   test::Pipe mOutput;
