--- a/tests/gateway/store_outages_test.cpp
+++ b/tests/gateway/store_outages_test.cpp
@@ -9,6 +9,7 @@
 #include <gmock/gmock.h>
 
 #include <array>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -59,7 +60,7 @@
 TEST(StoreOutagesTest, ACallThatFailsBesideOthersIsNoOutage)
 {
   StoreOutages outages = StoreOutages::Create();
-  for (int i = 0; i < 20; ++i) {
+  for (std::int64_t i = 0; i < 20; ++i) {
     EXPECT_EQ(outages.OnAnswer(At(1000 * i)), std::nullopt);
     outages.OnFailure(At(1000 * i + 100));
   }
